--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of decisions, cost and capacity.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's tool.
--- /dev/null
+++ b/crates/model/src/fraction.rs
@@ -0,0 +1,67 @@
+//! Exact fractions, so that a split's parts always add up to one.
+
+use std::fmt;
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Parts in a whole.
+pub const WHOLE: u32 = 1_000_000;
+
+/// Parts in one per cent.
+const PERCENT: u32 = WHOLE / 100;
+
+/// A fraction in millionths, declared in per cent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fraction(pub u32);
+
+impl Fraction {
+    /// The whole.
+    pub const ONE: Self = Self(WHOLE);
+
+    /// Makes a fraction of whole per cents.
+    #[must_use]
+    pub const fn from_percent(percent: u32) -> Self {
+        Self(percent * PERCENT)
+    }
+
+    /// Returns the fraction as a number from 0 to 1.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(WHOLE)
+    }
+
+    /// Returns how often this fraction must be taken to reach the whole, rounded up.
+    #[must_use]
+    pub fn steps_to_whole(self) -> u32 {
+        WHOLE.div_ceil(self.0.max(1))
+    }
+}
+
+impl fmt::Display for Fraction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / f64::from(PERCENT))
+    }
+}
+
+impl Serialize for Fraction {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(f64::from(self.0) / f64::from(PERCENT))
+    }
+}
+
+impl<'de> Deserialize<'de> for Fraction {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let percent = f64::deserialize(deserializer)?;
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(D::Error::custom(format!("{percent} is not a percentage from 0 to 100")));
+        }
+        let parts = (percent * f64::from(PERCENT)).round();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "checked to lie between 0 and 1,000,000"
+        )]
+        Ok(Self(parts as u32))
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,24 @@
+//! Ids, declarations, checks and verdicts that every part of yokespoke shares.
+//!
+//! Nothing here performs input or output; the packages above it do.
+
+pub mod blocks;
+pub mod cap;
+pub mod change;
+pub mod check;
+pub mod clock;
+pub mod document;
+pub mod drain;
+pub mod epoch;
+pub mod fraction;
+pub mod id;
+pub mod place;
+pub mod refusal;
+pub mod resource;
+pub mod revision;
+pub mod seat;
+pub mod service;
+pub mod snapshot;
+pub mod table;
+pub mod upstream;
+pub mod verdict;
--- /dev/null
+++ b/crates/model/src/resource.rs
@@ -0,0 +1,101 @@
+//! The four kinds of resource.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cap;
+use crate::drain;
+use crate::place;
+use crate::service;
+
+/// A declared resource.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Resource {
+    /// A service.
+    Service(service::Service),
+    /// A place.
+    Place(place::Place),
+    /// A cap.
+    Cap(cap::Cap),
+    /// A drain.
+    Drain(drain::Drain),
+}
+
+impl Resource {
+    /// Returns the resource's kind.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Service(_) => Kind::Service,
+            Self::Place(_) => Kind::Place,
+            Self::Cap(_) => Kind::Cap,
+            Self::Drain(_) => Kind::Drain,
+        }
+    }
+
+    /// Returns the resource's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Service(service) => service.name.as_str(),
+            Self::Place(place) => place.name.as_str(),
+            Self::Cap(cap) => cap.name.as_str(),
+            Self::Drain(drain) => drain.name.as_str(),
+        }
+    }
+}
+
+/// A kind of resource.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Services.
+    Service,
+    /// Places.
+    Place,
+    /// Caps.
+    Cap,
+    /// Drains.
+    Drain,
+}
+
+impl Kind {
+    /// Every kind, in the order in which declarations depend on each other.
+    pub const ALL: [Self; 4] = [Self::Service, Self::Place, Self::Cap, Self::Drain];
+
+    /// Returns the kind's word, as declarations write it.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Place => "place",
+            Self::Cap => "cap",
+            Self::Drain => "drain",
+        }
+    }
+
+    /// Returns the collection's word, as paths of the resource API write it.
+    #[must_use]
+    pub fn plural(self) -> &'static str {
+        match self {
+            Self::Service => "services",
+            Self::Place => "places",
+            Self::Cap => "caps",
+            Self::Drain => "drains",
+        }
+    }
+
+    /// Returns the kind with this word, singular or plural.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|k| k.as_str() == text || k.plural() == text)
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/model/src/snapshot.rs
@@ -0,0 +1,199 @@
+//! The accepted configuration, whole.
+
+use std::collections;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cap;
+use crate::change;
+use crate::check;
+use crate::drain;
+use crate::id;
+use crate::place;
+use crate::refusal;
+use crate::resource;
+use crate::revision;
+use crate::service;
+
+/// Operations remembered for operators who ask what became of them.
+pub const MOST_OPERATIONS: usize = 256;
+
+/// All declarations of one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision; zero before the first change.
+    pub revision: revision::Revision,
+    /// The latest accepted operations, oldest first.
+    pub operations: collections::VecDeque<Operation>,
+    /// Services by name.
+    pub services: collections::BTreeMap<id::Service, Stored<service::Service>>,
+    /// Places by name.
+    pub places: collections::BTreeMap<id::Place, Stored<place::Place>>,
+    /// Caps by name.
+    pub caps: collections::BTreeMap<id::Cap, Stored<cap::Cap>>,
+    /// Drains by name.
+    pub drains: collections::BTreeMap<id::Drain, Stored<drain::Drain>>,
+}
+
+/// An accepted operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operation {
+    /// The operator's id.
+    pub id: String,
+    /// The revision it made.
+    pub revision: revision::Revision,
+}
+
+/// A resource with the revision that last changed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored<T> {
+    /// The revision.
+    pub revision: revision::Revision,
+    /// The declaration.
+    pub spec: sync::Arc<T>,
+}
+
+impl<T> Stored<T> {
+    fn new(revision: revision::Revision, spec: T) -> Self {
+        Self { revision, spec: sync::Arc::new(spec) }
+    }
+}
+
+impl Snapshot {
+    /// Returns the revision that the operation made, when it is remembered.
+    #[must_use]
+    pub fn operation(&self, id: &str) -> Option<revision::Revision> {
+        self.operations.iter().rev().find(|o| o.id == id).map(|o| o.revision)
+    }
+
+    /// Returns the snapshot after `change`, checked as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the expected revision does not stand, a resource to delete is missing, or a
+    /// rule fails.
+    pub fn apply(
+        &self,
+        change: &change::Change,
+        facts: &check::Facts,
+    ) -> Result<Self, refusal::Refusal> {
+        match change.expected {
+            Some(expected) if expected != self.revision => {
+                return Err(refusal::Refusal::Conflict { expected, found: self.revision });
+            }
+            _ => {}
+        }
+        let mut next = self.clone();
+        next.revision = self.revision.next();
+        for step in &change.steps {
+            next.take(step)?;
+        }
+        check::check(&next, self, facts)?;
+        next.remember(&change.operation);
+        Ok(next)
+    }
+
+    /// Returns every resource with its revision, services first.
+    #[must_use]
+    pub fn resources(&self) -> Vec<(revision::Revision, resource::Resource)> {
+        use resource::Resource;
+        let services = self.services.values();
+        let places = self.places.values();
+        let caps = self.caps.values();
+        let drains = self.drains.values();
+        services
+            .map(|s| (s.revision, Resource::Service((*s.spec).clone())))
+            .chain(places.map(|s| (s.revision, Resource::Place((*s.spec).clone()))))
+            .chain(caps.map(|s| (s.revision, Resource::Cap((*s.spec).clone()))))
+            .chain(drains.map(|s| (s.revision, Resource::Drain((*s.spec).clone()))))
+            .collect()
+    }
+
+    /// Returns one resource with its revision.
+    #[must_use]
+    pub fn resource(
+        &self,
+        kind: resource::Kind,
+        name: &str,
+    ) -> Option<(revision::Revision, resource::Resource)> {
+        use resource::Resource;
+        match kind {
+            resource::Kind::Service => self
+                .services
+                .get(name)
+                .map(|s| (s.revision, Resource::Service((*s.spec).clone()))),
+            resource::Kind::Place => {
+                self.places.get(name).map(|s| (s.revision, Resource::Place((*s.spec).clone())))
+            }
+            resource::Kind::Cap => {
+                self.caps.get(name).map(|s| (s.revision, Resource::Cap((*s.spec).clone())))
+            }
+            resource::Kind::Drain => {
+                self.drains.get(name).map(|s| (s.revision, Resource::Drain((*s.spec).clone())))
+            }
+        }
+    }
+
+    fn take(&mut self, step: &change::Step) -> Result<(), refusal::Refusal> {
+        match step {
+            change::Step::Put { resource } => {
+                self.put(resource);
+                Ok(())
+            }
+            change::Step::Delete { kind, name } => match self.remove(*kind, name) {
+                true => Ok(()),
+                false => Err(refusal::Refusal::Missing { resource: format!("{kind} {name}") }),
+            },
+        }
+    }
+
+    /// Puts a resource; one that is equal to what stands keeps its revision.
+    fn put(&mut self, resource: &resource::Resource) {
+        let revision = self.revision;
+        match resource {
+            resource::Resource::Service(spec) => {
+                insert(&mut self.services, spec.name.clone(), spec, revision);
+            }
+            resource::Resource::Place(spec) => {
+                insert(&mut self.places, spec.name.clone(), spec, revision);
+            }
+            resource::Resource::Cap(spec) => {
+                insert(&mut self.caps, spec.name.clone(), spec, revision);
+            }
+            resource::Resource::Drain(spec) => {
+                insert(&mut self.drains, spec.name.clone(), spec, revision);
+            }
+        }
+    }
+
+    fn remove(&mut self, kind: resource::Kind, name: &str) -> bool {
+        match kind {
+            resource::Kind::Service => self.services.remove(name).is_some(),
+            resource::Kind::Place => self.places.remove(name).is_some(),
+            resource::Kind::Cap => self.caps.remove(name).is_some(),
+            resource::Kind::Drain => self.drains.remove(name).is_some(),
+        }
+    }
+
+    fn remember(&mut self, operation: &str) {
+        self.operations.push_back(Operation { id: operation.to_owned(), revision: self.revision });
+        while self.operations.len() > MOST_OPERATIONS {
+            self.operations.pop_front();
+        }
+    }
+}
+
+fn insert<K: Ord, T: Clone + PartialEq>(
+    map: &mut collections::BTreeMap<K, Stored<T>>,
+    key: K,
+    spec: &T,
+    revision: revision::Revision,
+) {
+    match map.get(&key) {
+        Some(stored) if *stored.spec == *spec => {}
+        _ => {
+            map.insert(key, Stored::new(revision, spec.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the upstreams.
--- /dev/null
+++ b/crates/steer/src/action.rs
@@ -0,0 +1,68 @@
+//! Actions: what the decisions ask the process to do.
+
+use std::net;
+use std::sync;
+
+use model::id;
+use model::seat;
+use model::table;
+use model::verdict;
+
+use crate::beat;
+use crate::request;
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a routed request to the home that was chosen.
+    Forward {
+        /// The request.
+        request: request::Id,
+        /// The region its split chose.
+        region: id::Region,
+        /// The home; this node itself when it is one.
+        home: seat::Key,
+        /// The home's face for peers.
+        peers: net::SocketAddr,
+    },
+    /// Run an offered request at an upstream; its slot is taken.
+    Run {
+        /// The request.
+        request: request::Id,
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Where it listens.
+        address: net::SocketAddr,
+    },
+    /// Tell whoever asked that the request does not run here.
+    Refuse {
+        /// The request.
+        request: request::Id,
+        /// Why.
+        failure: verdict::Failure,
+    },
+    /// Send a beat, and give its reply back as an event.
+    Beat {
+        /// Where to.
+        to: net::SocketAddr,
+        /// The node expected there; none for a seed.
+        node: Option<id::Node>,
+        /// The beat.
+        beat: Box<beat::Request>,
+    },
+    /// Answer the beat that was handed in with the same event.
+    Reply {
+        /// The answer.
+        reply: Box<beat::Reply>,
+    },
+    /// Fetch the newer configuration that a peer has.
+    Fetch {
+        /// The peer.
+        from: net::SocketAddr,
+    },
+    /// Write a region's table to the store, if it still holds the epoch before.
+    Propose {
+        /// The table.
+        table: sync::Arc<table::Table>,
+    },
+}
--- /dev/null
+++ b/crates/steer/src/beat.rs
@@ -0,0 +1,128 @@
+//! Beats: what two nodes tell each other at every exchange.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use model::epoch;
+use model::id;
+use model::revision;
+use model::seat;
+use model::table;
+
+use crate::instance;
+use crate::split;
+
+/// One node as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Which incarnation of which node.
+    pub key: seat::Key,
+    /// Its region.
+    pub region: id::Region,
+    /// Its hall.
+    pub hall: id::Hall,
+    /// Its face for callers.
+    pub callers: net::SocketAddr,
+    /// Its face for peers.
+    pub peers: net::SocketAddr,
+    /// Its face for operators.
+    pub operators: net::SocketAddr,
+    /// Grows with each beat of that incarnation.
+    pub sequence: u64,
+    /// The configuration it acts on.
+    pub revision: revision::Revision,
+    /// The table it acts on.
+    pub epoch: epoch::Epoch,
+    /// The lowest epoch whose shares it may still use.
+    pub settled: epoch::Epoch,
+    /// Whether it is stopping and wants no new callers.
+    pub is_leaving: bool,
+}
+
+/// The standing of one service at one home.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// The home.
+    pub key: seat::Key,
+    /// Its region.
+    pub region: id::Region,
+    /// The service.
+    pub service: id::Service,
+    /// Orders the summaries of one home.
+    pub sequence: u64,
+    /// Slots it would use now.
+    pub usable: u32,
+    /// Slots in use.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests a second from each place, in thousandths.
+    pub rates: Vec<(id::Place, u32)>,
+}
+
+/// Slots of one upstream that the sender will not use for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// The upstream.
+    pub instance: instance::Key,
+    /// The slots.
+    pub slots: u32,
+}
+
+/// Where one split stands at the sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// The service.
+    pub service: id::Service,
+    /// The place.
+    pub place: id::Place,
+    /// The split.
+    pub split: split::Split,
+}
+
+/// The first half of an exchange.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// The sender.
+    pub sender: Member,
+    /// What it has learned of others.
+    pub news: News,
+    /// The newest tables it knows, by region.
+    pub epochs: collections::BTreeMap<id::Region, epoch::Epoch>,
+    /// Whether it asks for the receiver's shares of the upstreams it is home of.
+    pub borrows: bool,
+    /// What it still holds of loans for upstreams it is no longer home of.
+    pub held: Vec<Loan>,
+    /// Whether it wants to know where the receiver's splits stand.
+    pub wants_positions: bool,
+}
+
+/// The second half of an exchange.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The receiver.
+    pub sender: Member,
+    /// What it has learned of others.
+    pub news: News,
+    /// Its loans.
+    pub loans: Vec<Loan>,
+    /// Time in which work may start on the loans.
+    pub term: Duration,
+    /// Time after that in which it must end.
+    pub tail: Duration,
+    /// Where its splits stand, when asked.
+    pub positions: Vec<Position>,
+}
+
+/// What a node passes on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// Members heard of lately.
+    pub members: Vec<Member>,
+    /// Summaries heard of lately.
+    pub summaries: Vec<Summary>,
+    /// Tables that the other does not have.
+    pub tables: Vec<sync::Arc<table::Table>>,
+}
--- /dev/null
+++ b/crates/steer/src/core.rs
@@ -0,0 +1,481 @@
+//! The core: one node's decisions, driven by events.
+
+use std::collections;
+use std::sync;
+use std::time::{Duration, Instant, SystemTime};
+
+use model::epoch;
+use model::id;
+use model::revision;
+use model::seat;
+use model::snapshot;
+use model::table;
+use model::verdict;
+
+use crate::action;
+use crate::beat;
+use crate::event;
+use crate::home;
+use crate::loan;
+use crate::members;
+use crate::peering;
+use crate::registrar;
+use crate::router;
+use crate::vms;
+
+/// Time between two beats of a node.
+pub const BEAT: Duration = Duration::from_millis(500);
+
+/// Time for which a starting node listens for peers before it believes that there are none.
+const LISTEN: Duration = Duration::from_secs(2);
+
+/// The decisions of one node.
+#[derive(Debug)]
+pub struct Core {
+    /// This node, as it describes itself.
+    pub me: beat::Member,
+    /// The configuration it acts on.
+    pub snapshot: sync::Arc<snapshot::Snapshot>,
+    /// The tables it knows, by region.
+    pub tables: collections::BTreeMap<id::Region, sync::Arc<table::Table>>,
+    /// The nodes it knows.
+    pub members: members::Members,
+    /// Its duty as a home.
+    pub home: home::Home,
+    /// Its duty as an entry.
+    pub router: router::Router,
+    registrar: registrar::Registrar,
+    peering: peering::Peering,
+    vms: vms::List,
+    wall: SystemTime,
+    started: Instant,
+    last_beat: Option<Instant>,
+    heard_peer: bool,
+    has_stored_table: bool,
+    is_stale: bool,
+    alive: Vec<seat::Key>,
+}
+
+impl Core {
+    /// Makes the core of a node that starts now.
+    #[must_use]
+    pub fn new(
+        me: beat::Member,
+        seeds: Vec<std::net::SocketAddr>,
+        now: Instant,
+        wall: SystemTime,
+    ) -> Self {
+        let peering = peering::Peering::new(seeds, me.peers);
+        Self {
+            me,
+            snapshot: sync::Arc::default(),
+            tables: collections::BTreeMap::new(),
+            members: members::Members::default(),
+            home: home::Home::default(),
+            router: router::Router::default(),
+            registrar: registrar::Registrar::default(),
+            peering,
+            vms: vms::List::default(),
+            wall,
+            started: now,
+            last_beat: None,
+            heard_peer: false,
+            has_stored_table: false,
+            is_stale: true,
+            alive: Vec::new(),
+        }
+    }
+
+    /// Takes in an event and pushes what is to be done.
+    pub fn handle(&mut self, event: event::Event, now: Instant, out: &mut Vec<action::Action>) {
+        match event {
+            event::Event::Configure { snapshot } => self.configure(snapshot),
+            event::Event::Adopt { table, is_stored } => self.adopt(table, is_stored),
+            event::Event::Vms { list } => self.take_vms(list),
+            event::Event::Route { request, service, place } => {
+                self.route(request, &service, &place, now, out);
+            }
+            event::Event::Returned { request } => self.router.returned(request),
+            event::Event::Failed { request, failure, repetition } => {
+                self.with_router(now, |router, view| {
+                    router.failed(request, failure, repetition, view, out);
+                });
+            }
+            event::Event::Offer { offer } => self.home.offer(offer, now, out),
+            event::Event::Done { request, outcome } => self.home.done(request, outcome, now, out),
+            event::Event::Withdraw { request } => self.home.withdraw(request),
+            event::Event::Probed { instance, report } => {
+                self.home.probed(&instance, report.as_ref());
+            }
+            event::Event::Beat { beat } => {
+                let reply = Box::new(self.answer(&beat, now, out));
+                out.push(action::Action::Reply { reply });
+            }
+            event::Event::Replied { reply, sent } => self.replied(&reply, sent, now, out),
+            event::Event::Unanswered { node } => {
+                self.members.fail(&node, now);
+                self.refresh(now);
+            }
+            event::Event::Stop => self.me.is_leaving = true,
+            event::Event::Tick { wall } => self.tick(wall, now, out),
+        }
+        // Rights and homes must never lag behind the epoch and revision this node claims.
+        if self.is_stale {
+            self.refresh(now);
+        }
+    }
+
+    /// Returns whether this node may serve callers.
+    #[must_use]
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let listened = now.saturating_duration_since(self.started) >= LISTEN;
+        self.snapshot.revision > revision::Revision(0) && (self.heard_peer || listened)
+    }
+
+    /// Returns whether a stopping node has handed everything over.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        let table = self.tables.get(&self.me.region);
+        let seated = table.is_some_and(|t| t.seat(&self.me.key).is_some());
+        !seated && self.home.load() == 0 && self.router.load() == 0
+    }
+
+    /// Returns the nodes that hold a lower revision than this one, by name.
+    #[must_use]
+    pub fn lagging(&self, revision: revision::Revision, now: Instant) -> Vec<id::Node> {
+        let alive = self.members.alive(now).map(|k| &k.member);
+        alive.filter(|m| m.revision < revision).map(|m| m.key.node.clone()).collect()
+    }
+
+    /// Returns the slots in use by each service over all regions.
+    #[must_use]
+    pub fn in_use(&self, now: Instant) -> collections::BTreeMap<id::Service, u32> {
+        let mut in_use = collections::BTreeMap::new();
+        for summary in self.router.fresh(now) {
+            *in_use.entry(summary.service.clone()).or_insert(0) += summary.in_flight;
+        }
+        in_use
+    }
+
+    /// Returns what the planner would work from now, by service.
+    #[must_use]
+    pub fn measured(&self, now: Instant) -> collections::BTreeMap<id::Service, router::Measured> {
+        let is_alive = |key: &seat::Key| self.is_alive(key, now);
+        let view = router::View {
+            snapshot: &self.snapshot,
+            is_alive: &is_alive,
+            region: &self.me.region,
+            now,
+            wall: self.wall,
+        };
+        let services = self.snapshot.services.values();
+        services
+            .map(|s| (s.spec.name.clone(), self.router.measure(&s.spec, &view)))
+            .collect()
+    }
+
+    /// Returns whether a node may be given work; this one always may.
+    #[must_use]
+    pub fn is_alive(&self, key: &seat::Key, now: Instant) -> bool {
+        *key == self.me.key || self.members.incarnation(key).is_some_and(|k| k.is_alive(now))
+    }
+
+    /// A configuration never gives way to an older one.
+    fn configure(&mut self, snapshot: sync::Arc<snapshot::Snapshot>) {
+        if snapshot.revision <= self.snapshot.revision {
+            return;
+        }
+        self.home.configure(&snapshot, &self.me.region);
+        self.me.revision = snapshot.revision;
+        self.snapshot = snapshot;
+        self.home.drain(&self.snapshot, &self.vms, self.wall);
+        self.is_stale = true;
+    }
+
+    /// A table never gives way to an older one.
+    fn adopt(&mut self, table: sync::Arc<table::Table>, is_stored: bool) {
+        let is_own = table.region == self.me.region;
+        self.has_stored_table |= is_own && is_stored;
+        let known = self.tables.get(&table.region).map_or(epoch::Epoch(0), |t| t.epoch);
+        if table.epoch <= known {
+            return;
+        }
+        if is_own {
+            self.me.epoch = table.epoch;
+        }
+        self.tables.insert(table.region.clone(), table);
+        self.is_stale = true;
+    }
+
+    fn take_vms(&mut self, list: vms::List) {
+        self.vms = list;
+        self.home.drain(&self.snapshot, &self.vms, self.wall);
+    }
+
+    fn route(
+        &mut self,
+        request: crate::request::Id,
+        service: &id::Service,
+        place: &id::Place,
+        now: Instant,
+        out: &mut Vec<action::Action>,
+    ) {
+        match self.is_ready(now) {
+            true => self.with_router(now, |router, view| {
+                router.route(request, service, place, view, out);
+            }),
+            false => {
+                let failure = verdict::Failure::not_run(verdict::Reason::NotReady).after(LISTEN);
+                out.push(action::Action::Refuse { request, failure });
+            }
+        }
+    }
+
+    fn tick(&mut self, wall: SystemTime, now: Instant, out: &mut Vec<action::Action>) {
+        self.wall = wall;
+        self.home.tick(now, out);
+        let due = self.last_beat.is_none_or(|at| now.saturating_duration_since(at) >= BEAT);
+        if due {
+            self.last_beat = Some(now);
+            self.beat(now, out);
+        }
+    }
+
+    /// Does what is done at every beat.
+    fn beat(&mut self, now: Instant, out: &mut Vec<action::Action>) {
+        self.me.sequence += 1;
+        self.home.drain(&self.snapshot, &self.vms, self.wall);
+        self.home.roll(now);
+        self.refresh(now);
+        self.settle(now);
+        self.members.hear(&self.me, now);
+        self.members.forget(now);
+        let sequence = self.me.sequence;
+        for summary in self.home.summaries(&self.me.key, &self.me.region, sequence, now) {
+            self.router.hear(&summary, now);
+        }
+        if self.is_ready(now) {
+            self.with_router(now, |router, view| router.plan(view));
+        }
+        self.propose(now, out);
+        self.send_beats(now, out);
+    }
+
+    /// Brings homes and rights up to date when a table, a configuration or the living changed.
+    fn refresh(&mut self, now: Instant) {
+        let alive: Vec<seat::Key> =
+            self.members.alive(now).map(|k| k.member.key.clone()).collect();
+        let is_changed = self.is_stale || alive != self.alive;
+        self.alive = alive;
+        self.is_stale = false;
+        if is_changed {
+            let me = &self.me.key;
+            let members = &self.members;
+            let is_alive = |key: &seat::Key| {
+                key == me || members.incarnation(key).is_some_and(|k| k.is_alive(now))
+            };
+            self.router.find_homes(&self.snapshot, &self.tables, &is_alive);
+        }
+        self.assign();
+    }
+
+    fn assign(&mut self) {
+        let Some(table) = self.tables.get(&self.me.region) else { return };
+        let members = &self.members;
+        let settled = |key: &seat::Key| settled(table, members, key);
+        self.home.assign(table, &self.me.key, &settled);
+    }
+
+    /// Tells others that older shares are given up, once nothing is in use beyond the newest.
+    fn settle(&mut self, now: Instant) {
+        if self.home.is_settled(now) {
+            self.me.settled = self.me.epoch;
+        }
+    }
+
+    fn propose(&mut self, now: Instant, out: &mut Vec<action::Action>) {
+        // Without having read the store, a table made up here would only lose the race.
+        if !self.has_stored_table || !self.is_ready(now) {
+            return;
+        }
+        let empty = table::Table::empty(&self.me.region);
+        let view = registrar::View {
+            table: self.tables.get(&self.me.region).map_or(&empty, |t| t),
+            me: &self.me,
+            members: &self.members,
+            vms: &self.vms,
+            started: self.started,
+            tail: self.tail(),
+            now,
+        };
+        if let Some(table) = self.registrar.decide(&view) {
+            out.push(action::Action::Propose { table: sync::Arc::new(table) });
+        }
+    }
+
+    /// Returns the time after which nothing that was started before can still run.
+    fn tail(&self) -> Duration {
+        let services = self.snapshot.services.values();
+        let longest = services.map(|s| s.spec.deadline).max().unwrap_or_default();
+        longest + home::CANCEL_GRACE
+    }
+
+    fn send_beats(&mut self, now: Instant, out: &mut Vec<action::Action>) {
+        let lenders = self.home.lenders(&self.me.key);
+        let lenders: Vec<id::Node> = lenders.into_iter().map(|key| key.node.clone()).collect();
+        for target in self.peering.targets(&self.me, &self.members, &lenders, now) {
+            let beat = Box::new(self.make_beat(target.node.as_ref(), now));
+            out.push(action::Action::Beat { to: target.address, node: target.node, beat });
+        }
+    }
+
+    fn make_beat(&mut self, node: Option<&id::Node>, now: Instant) -> beat::Request {
+        let key = node.and_then(|n| self.members.get(n)).map(|k| k.member.key.clone());
+        let held = key.map_or(Vec::new(), |key| self.home.held(&self.me.key, &key));
+        let since = node.and_then(|n| self.peering.told(n, now));
+        beat::Request {
+            sender: self.me.clone(),
+            news: self.news(since, None),
+            epochs: self.tables.iter().map(|(r, t)| (r.clone(), t.epoch)).collect(),
+            borrows: true,
+            held,
+            wants_positions: !self.heard_peer,
+        }
+    }
+
+    /// Answers a peer's beat.
+    fn answer(
+        &mut self,
+        beat: &beat::Request,
+        now: Instant,
+        out: &mut Vec<action::Action>,
+    ) -> beat::Reply {
+        self.hear(&beat.sender, &beat.news, now, out);
+        let sender = &beat.sender;
+        let mut loans = Vec::new();
+        if sender.region == self.me.region {
+            // Both must act on one table, or the two would disagree about who is home.
+            match sender.epoch.cmp(&self.me.epoch) {
+                std::cmp::Ordering::Equal => {
+                    self.home.take_back(&sender.key, &beat.held);
+                    loans = self.home.lend(&sender.key, now, self.tail());
+                }
+                std::cmp::Ordering::Less | std::cmp::Ordering::Greater => {}
+            }
+        }
+        let since = self.peering.told(&sender.key.node, now);
+        let positions = match beat.wants_positions && self.is_ready(now) {
+            true => self.router.positions().collect(),
+            false => Vec::new(),
+        };
+        beat::Reply {
+            sender: self.me.clone(),
+            news: self.news(since, Some(&beat.epochs)),
+            loans,
+            term: home::LOAN_TERM,
+            tail: self.tail(),
+            positions,
+        }
+    }
+
+    fn replied(
+        &mut self,
+        reply: &beat::Reply,
+        sent: Instant,
+        now: Instant,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.hear(&reply.sender, &reply.news, now, out);
+        let is_peer = reply.sender.key.node != self.me.key.node;
+        if is_peer && !self.heard_peer {
+            for position in &reply.positions {
+                self.router.adopt(position);
+            }
+        }
+        self.heard_peer |= is_peer && reply.sender.revision > revision::Revision(0);
+        // A loan was made to the home of that epoch; by now this node may be home no more.
+        if reply.sender.region == self.me.region && self.asked_under(sent) == self.me.epoch {
+            let terms = loan::Terms { term: reply.term, tail: reply.tail };
+            let lender = &reply.sender.key;
+            self.home.borrow(lender, &self.me.key, &reply.loans, sent, terms);
+        }
+    }
+
+    fn asked_under(&self, sent: Instant) -> epoch::Epoch {
+        self.peering.epoch_at(sent)
+    }
+
+    /// Takes in what a peer says of itself and of others.
+    fn hear(
+        &mut self,
+        sender: &beat::Member,
+        news: &beat::News,
+        now: Instant,
+        out: &mut Vec<action::Action>,
+    ) {
+        for member in news.members.iter().chain([sender]) {
+            if member.key.node != self.me.key.node {
+                self.members.hear(member, now);
+            }
+        }
+        for summary in &news.summaries {
+            self.router.hear(summary, now);
+        }
+        for table in &news.tables {
+            self.adopt(sync::Arc::clone(table), false);
+        }
+        if self.is_stale {
+            self.refresh(now);
+        }
+        if sender.revision > self.me.revision && self.peering.may_fetch(now) {
+            out.push(action::Action::Fetch { from: sender.peers });
+        }
+    }
+
+    fn news(
+        &self,
+        since: Option<Instant>,
+        known: Option<&collections::BTreeMap<id::Region, epoch::Epoch>>,
+    ) -> beat::News {
+        let heard = |k: &&members::Known| since.is_none_or(|since| k.heard > since);
+        let is_newer = |table: &&sync::Arc<table::Table>| {
+            known.is_some_and(|known| {
+                known.get(&table.region).copied().unwrap_or_default() < table.epoch
+            })
+        };
+        beat::News {
+            members: self.members.iter().filter(heard).map(|k| k.member.clone()).collect(),
+            summaries: self.router.news(since).cloned().collect(),
+            tables: self.tables.values().filter(is_newer).cloned().collect(),
+        }
+    }
+
+    fn with_router(
+        &mut self,
+        now: Instant,
+        work: impl FnOnce(&mut router::Router, &router::View<'_>),
+    ) {
+        let me = &self.me.key;
+        let members = &self.members;
+        let is_alive = |key: &seat::Key| {
+            key == me || members.incarnation(key).is_some_and(|k| k.is_alive(now))
+        };
+        let view = router::View {
+            snapshot: &self.snapshot,
+            is_alive: &is_alive,
+            region: &self.me.region,
+            now,
+            wall: self.wall,
+        };
+        work(&mut self.router, &view);
+    }
+}
+
+/// Returns the lowest epoch that a node may still act on, by the table and by its own word.
+fn settled(table: &table::Table, members: &members::Members, key: &seat::Key) -> epoch::Epoch {
+    let seat = table.seat(key).map(|s| s.settled);
+    let departed = table.departed.iter().find(|d| d.key == *key).map(|d| d.settled);
+    let listed = seat.or(departed).unwrap_or_default();
+    let said = members.incarnation(key).map(|k| k.member.settled).unwrap_or_default();
+    listed.max(said)
+}
--- /dev/null
+++ b/crates/steer/src/event.rs
@@ -0,0 +1,109 @@
+//! Events: what the process tells the decisions.
+
+use std::sync;
+use std::time::{Instant, SystemTime};
+
+use model::id;
+use model::service;
+use model::snapshot;
+use model::table;
+use model::verdict;
+
+use crate::beat;
+use crate::instance;
+use crate::report;
+use crate::request;
+use crate::vms;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A configuration became known.
+    Configure {
+        /// The configuration.
+        snapshot: sync::Arc<snapshot::Snapshot>,
+    },
+    /// A region's table became known.
+    Adopt {
+        /// The table.
+        table: sync::Arc<table::Table>,
+        /// Whether it came from the store itself.
+        is_stored: bool,
+    },
+    /// The VM list became known.
+    Vms {
+        /// The list.
+        list: vms::List,
+    },
+    /// A caller's request wants a region and a home.
+    Route {
+        /// The request.
+        request: request::Id,
+        /// The service.
+        service: id::Service,
+        /// The caller's place.
+        place: id::Place,
+    },
+    /// A routed request was answered, or its caller gave up.
+    Returned {
+        /// The request.
+        request: request::Id,
+    },
+    /// A routed request failed at its home; it is routed again, or refused for good.
+    Failed {
+        /// The request.
+        request: request::Id,
+        /// How it failed.
+        failure: verdict::Failure,
+        /// When it may be sent a second time.
+        repetition: service::Repetition,
+    },
+    /// A request wants a slot here.
+    Offer {
+        /// The request.
+        offer: request::Offer,
+    },
+    /// A request that ran here ended.
+    Done {
+        /// The request.
+        request: request::Id,
+        /// How.
+        outcome: request::Outcome,
+    },
+    /// The caller of an offered request gave up before it ran.
+    Withdraw {
+        /// The request.
+        request: request::Id,
+    },
+    /// An upstream was probed.
+    Probed {
+        /// The upstream.
+        instance: instance::Key,
+        /// What it said; none when it did not answer.
+        report: Option<report::Report>,
+    },
+    /// A peer's beat arrived.
+    Beat {
+        /// The beat.
+        beat: Box<beat::Request>,
+    },
+    /// A peer answered a beat.
+    Replied {
+        /// The answer.
+        reply: Box<beat::Reply>,
+        /// When the beat was sent.
+        sent: Instant,
+    },
+    /// A peer did not answer a beat, or refused a connection.
+    Unanswered {
+        /// The peer.
+        node: id::Node,
+    },
+    /// The process is to stop.
+    Stop,
+    /// Time passed.
+    Tick {
+        /// The time of day.
+        wall: SystemTime,
+    },
+}
--- /dev/null
+++ b/crates/steer/src/homes.rs
@@ -0,0 +1,61 @@
+//! Homes: which nodes of a region can run a service's requests, as an entry sees them.
+
+use std::collections;
+use std::net;
+
+use model::id;
+use model::seat;
+use model::service;
+use model::table;
+
+use crate::instance;
+use crate::rank;
+use crate::share;
+
+/// A node that is home of upstreams of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// The node.
+    pub key: seat::Key,
+    /// Its face for peers.
+    pub peers: net::SocketAddr,
+    /// Slots it can be expected to use.
+    pub weight: u32,
+}
+
+/// Returns the homes of `service` in the region of `table`, counting only nodes that are alive.
+///
+/// While a home is silent, the next ranked node stands in with its own share.
+#[must_use]
+pub fn find(
+    table: &table::Table,
+    service: &service::Service,
+    is_alive: &dyn Fn(&seat::Key) -> bool,
+) -> Vec<Home> {
+    let mut weights: collections::BTreeMap<&seat::Key, u32> = collections::BTreeMap::new();
+    for upstream in service.upstreams.iter().filter(|u| u.region == table.region) {
+        let instance =
+            instance::Key { service: service.name.clone(), upstream: upstream.name.clone() };
+        let ranked = rank::top(&instance, table.seats.iter().map(|s| &s.key));
+        let ranks = ranked.len();
+        let first_alive = ranked.into_iter().enumerate().find(|(_, key)| is_alive(key));
+        match first_alive {
+            Some((0, key)) => *weights.entry(key).or_insert(0) += upstream.slots,
+            Some((rank, key)) => {
+                *weights.entry(key).or_insert(0) += share::of(upstream.slots, rank, ranks);
+            }
+            None => {}
+        }
+    }
+    let home = |(key, weight): (&seat::Key, u32)| {
+        let seat = table.seat(key)?;
+        Some(Home { key: key.clone(), peers: seat.peers, weight })
+    };
+    weights.into_iter().filter_map(home).filter(|h| h.weight > 0).collect()
+}
+
+/// Returns whether `region` is named by any upstream of the service.
+#[must_use]
+pub fn serves(service: &service::Service, region: &id::Region) -> bool {
+    service.upstreams.iter().any(|u| u.region == *region)
+}
--- /dev/null
+++ b/crates/steer/src/lane.rs
@@ -0,0 +1,48 @@
+//! Lanes: one place's requests for one service, with the split they follow.
+
+use std::time::Instant;
+
+use model::id;
+
+use crate::ramp;
+use crate::split;
+use crate::wheel;
+
+/// The moving split of one lane and the turn of its regions.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    ramp: ramp::Limiter,
+    wheel: wheel::Wheel,
+}
+
+impl Lane {
+    /// Makes a lane that stands at `position`.
+    #[must_use]
+    pub fn new(position: split::Split) -> Self {
+        Self { ramp: ramp::Limiter::new(position), wheel: wheel::Wheel::default() }
+    }
+
+    /// Returns where the split stands.
+    #[must_use]
+    pub fn position(&self) -> &split::Split {
+        self.ramp.position()
+    }
+
+    /// Returns the region of the next request.
+    pub fn next(&mut self) -> Option<id::Region> {
+        self.wheel.turn(self.ramp.position())
+    }
+
+    /// Moves the split toward `target` as the limit allows.
+    pub fn advance(&mut self, target: &split::Split, limit: Option<ramp::Limit>, now: Instant) {
+        match (target.is_empty(), self.position().is_empty()) {
+            // With no region left there is nothing to move to: stay, so that the ramp goes on from
+            // here when one comes back.
+            (true, _) => {}
+            (false, true) => self.ramp = ramp::Limiter::new(target.clone()),
+            (false, false) => {
+                self.ramp.advance(target, limit, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/members.rs
@@ -0,0 +1,110 @@
+//! Members: the nodes that are known, and when each was last heard of.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use model::id;
+use model::seat;
+
+use crate::beat;
+
+/// Silence after which a node gets no new work.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Silence after which a node may be taken off its region's table.
+pub const DEAD_AFTER: Duration = Duration::from_secs(5);
+
+/// Silence after which a node is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(120);
+
+/// The nodes that are known.
+#[derive(Debug, Default)]
+pub struct Members {
+    known: collections::BTreeMap<id::Node, Known>,
+}
+
+/// One known node.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// As it last described itself.
+    pub member: beat::Member,
+    /// When that description became known here.
+    pub heard: Instant,
+    /// When it last failed to answer; none once it was heard of again.
+    pub failed: Option<Instant>,
+}
+
+impl Known {
+    /// Returns whether it may be given work.
+    #[must_use]
+    pub fn is_alive(&self, now: Instant) -> bool {
+        self.failed.is_none() && now.saturating_duration_since(self.heard) < SUSPECT_AFTER
+    }
+
+    /// Returns whether it was silent for so long that it may be taken off its table.
+    #[must_use]
+    pub fn is_dead(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= DEAD_AFTER
+    }
+}
+
+impl Members {
+    /// Takes in a description; returns whether it was news.
+    pub fn hear(&mut self, member: &beat::Member, now: Instant) -> bool {
+        match self.known.get(&member.key.node) {
+            Some(known) if !is_newer(member, known, now) => false,
+            _ => {
+                let known = Known { member: member.clone(), heard: now, failed: None };
+                self.known.insert(member.key.node.clone(), known);
+                true
+            }
+        }
+    }
+
+    /// Notes that a node did not answer.
+    pub fn fail(&mut self, node: &id::Node, now: Instant) {
+        if let Some(known) = self.known.get_mut(node) {
+            known.failed = Some(now);
+        }
+    }
+
+    /// Returns one node.
+    #[must_use]
+    pub fn get(&self, node: &id::Node) -> Option<&Known> {
+        self.known.get(node)
+    }
+
+    /// Returns one incarnation, when it is the known one.
+    #[must_use]
+    pub fn incarnation(&self, key: &seat::Key) -> Option<&Known> {
+        self.known.get(&key.node).filter(|k| k.member.key == *key)
+    }
+
+    /// Returns all known nodes, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Known> {
+        self.known.values()
+    }
+
+    /// Returns the nodes that may be given work.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(move |k| k.is_alive(now))
+    }
+
+    /// Forgets nodes that were silent for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.known.retain(|_, k| now.saturating_duration_since(k.heard) < FORGET_AFTER);
+    }
+}
+
+/// Returns whether `member` says more than what is known.
+///
+/// Incarnations grow with the time of day, which may have gone back; so a silent node's name may
+/// also be taken over by a smaller one.
+fn is_newer(member: &beat::Member, known: &Known, now: Instant) -> bool {
+    let (new, old) = (&member.key.incarnation, &known.member.key.incarnation);
+    match new.cmp(old) {
+        std::cmp::Ordering::Equal => member.sequence > known.member.sequence,
+        std::cmp::Ordering::Greater => true,
+        std::cmp::Ordering::Less => known.is_dead(now),
+    }
+}
--- /dev/null
+++ b/crates/steer/src/peering.rs
@@ -0,0 +1,147 @@
+//! Peering: whom a node beats to, and when, so that its traffic does not grow with the fleet.
+
+use std::collections;
+use std::net;
+use std::time::{Duration, Instant};
+
+use model::epoch;
+use model::id;
+
+use crate::beat;
+use crate::members;
+
+/// Nodes of the own region that get a beat each time, beside lenders.
+const NEAR: usize = 2;
+
+/// Nodes of other regions that get a beat each time.
+const FAR: usize = 1;
+
+/// Longest time between two beats to a lender; three fit into a loan's term.
+const LENDER_EVERY: Duration = Duration::from_millis(900);
+
+/// Time between two beats to seeds that no known node answers for.
+const SEED_EVERY: Duration = Duration::from_secs(1);
+
+/// Least time between two fetches of a configuration.
+const FETCH_EVERY: Duration = Duration::from_millis(200);
+
+/// Epoch changes remembered to tell under which epoch a beat was sent.
+const REMEMBERED: usize = 8;
+
+/// Whom this node has beaten to.
+#[derive(Debug)]
+pub struct Peering {
+    seeds: Vec<net::SocketAddr>,
+    sent: collections::BTreeMap<id::Node, Instant>,
+    told: collections::BTreeMap<id::Node, Instant>,
+    seeded: Option<Instant>,
+    fetched: Option<Instant>,
+    epochs: collections::VecDeque<(Instant, epoch::Epoch)>,
+}
+
+/// Where a beat goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The face for peers.
+    pub address: net::SocketAddr,
+    /// The node expected there; none for a seed.
+    pub node: Option<id::Node>,
+}
+
+impl Peering {
+    /// Makes the peering of a node that knows only seeds, of which it may be one.
+    #[must_use]
+    pub fn new(mut seeds: Vec<net::SocketAddr>, own: net::SocketAddr) -> Self {
+        seeds.retain(|seed| *seed != own);
+        Self {
+            seeds,
+            sent: collections::BTreeMap::new(),
+            told: collections::BTreeMap::new(),
+            seeded: None,
+            fetched: None,
+            epochs: collections::VecDeque::new(),
+        }
+    }
+
+    /// Returns whom to beat to now, and notes it.
+    pub fn targets(
+        &mut self,
+        me: &beat::Member,
+        members: &members::Members,
+        lenders: &[id::Node],
+        now: Instant,
+    ) -> Vec<Target> {
+        self.note_epoch(me.epoch, now);
+        let others = members.iter().filter(|k| k.member.key.node != me.key.node);
+        let mut others: Vec<&beat::Member> =
+            others.filter(|k| !k.is_dead(now)).map(|k| &k.member).collect();
+        others.sort_by_key(|m| self.sent.get(&m.key.node).copied());
+        let is_near = |m: &&&beat::Member| m.region == me.region;
+        let near = others.iter().filter(is_near).take(NEAR);
+        let far = others.iter().filter(|m| !is_near(m)).take(FAR);
+        let lent = others.iter().filter(|m| lenders.contains(&m.key.node) && self.is_due(m, now));
+        let mut chosen: collections::BTreeMap<id::Node, net::SocketAddr> =
+            near.chain(far).chain(lent).map(|m| (m.key.node.clone(), m.peers)).collect();
+        let known: Vec<net::SocketAddr> = others.iter().map(|m| m.peers).collect();
+        let seeds = self.due_seeds(&known, now);
+        for node in chosen.keys() {
+            self.sent.insert(node.clone(), now);
+        }
+        let nodes = std::mem::take(&mut chosen).into_iter();
+        let nodes = nodes.map(|(node, address)| Target { address, node: Some(node) });
+        nodes.chain(seeds.into_iter().map(|address| Target { address, node: None })).collect()
+    }
+
+    /// Returns when the node was last told news, and notes that it is told now.
+    pub fn told(&mut self, node: &id::Node, now: Instant) -> Option<Instant> {
+        self.told.insert(node.clone(), now)
+    }
+
+    /// Returns whether a configuration may be fetched now, and notes that it is.
+    pub fn may_fetch(&mut self, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < FETCH_EVERY;
+        match self.fetched.is_some_and(recent) {
+            true => false,
+            false => {
+                self.fetched = Some(now);
+                true
+            }
+        }
+    }
+
+    /// Returns the epoch under which a beat was sent.
+    #[must_use]
+    pub fn epoch_at(&self, sent: Instant) -> epoch::Epoch {
+        let before = self.epochs.iter().rev().find(|(at, _)| *at <= sent);
+        before.map_or(epoch::Epoch(0), |(_, epoch)| *epoch)
+    }
+
+    fn note_epoch(&mut self, epoch: epoch::Epoch, now: Instant) {
+        if self.epochs.back().map(|(_, e)| *e) == Some(epoch) {
+            return;
+        }
+        self.epochs.push_back((now, epoch));
+        while self.epochs.len() > REMEMBERED {
+            self.epochs.pop_front();
+        }
+    }
+
+    fn is_due(&self, member: &beat::Member, now: Instant) -> bool {
+        let sent = self.sent.get(&member.key.node);
+        sent.is_none_or(|at| now.saturating_duration_since(*at) >= LENDER_EVERY)
+    }
+
+    /// Returns the seeds at which no known node stands, when it is time to try them again.
+    fn due_seeds(
+        &mut self,
+        known: &[net::SocketAddr],
+        now: Instant,
+    ) -> Vec<net::SocketAddr> {
+        let recent = |at: Instant| now.saturating_duration_since(at) < SEED_EVERY;
+        if self.seeded.is_some_and(recent) {
+            return Vec::new();
+        }
+        self.seeded = Some(now);
+        self.seeds.iter().filter(|seed| !known.contains(seed)).copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/steer/src/rank.rs
@@ -0,0 +1,35 @@
+//! Rendezvous hashing: which nodes are homes of an upstream, in order.
+//!
+//! Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998): every node
+//! gets a score from a hash of both names, and the highest scores win. A node that joins or leaves
+//! moves only the upstreams it is ranked for.
+
+use model::seat;
+use xxhash_rust::xxh3;
+
+use crate::instance;
+
+/// Nodes that hold a share of an upstream's slots.
+pub const RANKS: usize = 3;
+
+/// Returns the nodes that hold shares of `instance`, the home first.
+#[must_use]
+pub fn top<'a>(
+    instance: &instance::Key,
+    nodes: impl Iterator<Item = &'a seat::Key>,
+) -> Vec<&'a seat::Key> {
+    let seed = xxh3::xxh3_64_with_seed(
+        instance.upstream.as_str().as_bytes(),
+        xxh3::xxh3_64(instance.service.as_str().as_bytes()),
+    );
+    let mut best: Vec<(u64, &seat::Key)> = Vec::with_capacity(RANKS + 1);
+    for key in nodes {
+        let score = xxh3::xxh3_64_with_seed(key.node.as_str().as_bytes(), seed);
+        let at = best.partition_point(|(s, k)| (*s, *k) > (score, key));
+        if at < RANKS {
+            best.insert(at, (score, key));
+            best.truncate(RANKS);
+        }
+    }
+    best.into_iter().map(|(_, key)| key).collect()
+}
--- /dev/null
+++ b/crates/steer/src/rates.rs
@@ -0,0 +1,63 @@
+//! Rates: requests a second from each place, smoothed.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use model::id;
+
+/// Time over which a rate follows a change.
+const MEMORY: Duration = Duration::from_secs(2);
+
+/// Arrivals by place.
+#[derive(Clone, Debug, Default)]
+pub struct Rates {
+    counts: collections::BTreeMap<id::Place, u32>,
+    rates: collections::BTreeMap<id::Place, f64>,
+    since: Option<Instant>,
+}
+
+impl Rates {
+    /// Notes one arrival.
+    pub fn count(&mut self, place: &id::Place) {
+        match self.counts.get_mut(place) {
+            Some(count) => *count += 1,
+            None => {
+                self.counts.insert(place.clone(), 1);
+            }
+        }
+    }
+
+    /// Folds the arrivals since the last call into the rates.
+    pub fn roll(&mut self, now: Instant) {
+        let Some(since) = self.since.replace(now) else { return };
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        let weight = (elapsed / MEMORY.as_secs_f64()).min(1.0);
+        for place in self.counts.keys() {
+            self.rates.entry(place.clone()).or_insert(0.0);
+        }
+        for (place, rate) in &mut self.rates {
+            let count = self.counts.get(place).copied().unwrap_or(0);
+            *rate += weight * (f64::from(count) / elapsed - *rate);
+        }
+        self.rates.retain(|_, rate| *rate > 0.001);
+        self.counts.clear();
+    }
+
+    /// Returns the rates, in thousandths of a request a second.
+    #[must_use]
+    pub fn thousandths(&self) -> Vec<(id::Place, u32)> {
+        self.rates.iter().map(|(place, rate)| (place.clone(), thousandths(*rate))).collect()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rate is positive, and a greater one than fits is as good as the greatest"
+)]
+fn thousandths(rate: f64) -> u32 {
+    (rate * 1_000.0) as u32
+}
--- /dev/null
+++ b/crates/steer/src/registrar.rs
@@ -0,0 +1,160 @@
+//! The registrar: when a region's table in the store is to be rewritten, and how.
+//!
+//! Every node of the region runs it; the first by name acts at once and each after it a little
+//! later, so that one is enough. Two that act at once race by compare-and-swap and one wins.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use model::seat;
+use model::table;
+
+use crate::beat;
+use crate::members;
+use crate::vms;
+
+/// Time that each node waits longer than the one before it by name.
+const TURN: Duration = Duration::from_millis(1_000);
+
+/// Least time between two proposals of one node.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Earlier epochs in a table from which one is rewritten just to be shorter.
+const LONG_PAST: usize = 4;
+
+/// The registrar's memory.
+#[derive(Debug, Default)]
+pub struct Registrar {
+    wanted_since: Option<Instant>,
+    proposed: Option<Instant>,
+    ends: collections::BTreeMap<seat::Key, Instant>,
+}
+
+/// What the registrar looks at.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// The region's newest known table.
+    pub table: &'a table::Table,
+    /// This node.
+    pub me: &'a beat::Member,
+    /// The nodes that are known.
+    pub members: &'a members::Members,
+    /// The VM list.
+    pub vms: &'a vms::List,
+    /// Since when this node has listened; a seat it never heard of is not judged before.
+    pub started: Instant,
+    /// Time after which nothing a stopped node sent can still run.
+    pub tail: Duration,
+    /// The time.
+    pub now: Instant,
+}
+
+impl Registrar {
+    /// Returns the table to propose, when it is this node's turn.
+    pub fn decide(&mut self, view: &View<'_>) -> Option<table::Table> {
+        let joins = joins(view);
+        let leaves = leaves(view);
+        let ended = self.ended(view);
+        let is_long = view.table.past.len() >= LONG_PAST && can_forget(view);
+        if joins.is_empty() && leaves.is_empty() && ended.is_empty() && !is_long {
+            self.wanted_since = None;
+            return None;
+        }
+        let since = *self.wanted_since.get_or_insert(view.now);
+        let is_turn = view.now.saturating_duration_since(since) >= TURN * position(view);
+        let paused = self.proposed.is_some_and(|at| view.now.saturating_duration_since(at) < PAUSE);
+        if !is_turn || paused {
+            return None;
+        }
+        self.proposed = Some(view.now);
+        let known = with_settled(view);
+        let joins = match known.past.len() < table::MOST_PAST {
+            true => joins,
+            false => Vec::new(),
+        };
+        Some(known.next(&joins, &leaves, &ended))
+    }
+
+    /// Returns departed nodes that are proved to have ended, and have been for the tail's time.
+    fn ended(&mut self, view: &View<'_>) -> Vec<seat::Key> {
+        let mut ended = Vec::new();
+        for departed in &view.table.departed {
+            let acknowledged = view
+                .members
+                .incarnation(&departed.key)
+                .is_some_and(|known| known.member.settled > departed.last);
+            if acknowledged {
+                ended.push(departed.key.clone());
+                continue;
+            }
+            let gone = view.vms.is_gone(departed.peers.ip());
+            let replaced = view.members.get(&departed.key.node).is_some_and(|known| {
+                known.member.key != departed.key && known.member.peers == departed.peers
+            });
+            if !gone && !replaced {
+                self.ends.remove(&departed.key);
+                continue;
+            }
+            let since = *self.ends.entry(departed.key.clone()).or_insert(view.now);
+            if view.now.saturating_duration_since(since) >= view.tail {
+                ended.push(departed.key.clone());
+            }
+        }
+        let listed = |key: &seat::Key| view.table.departed.iter().any(|d| d.key == *key);
+        self.ends.retain(|key, _| listed(key));
+        ended
+    }
+}
+
+/// Returns the live nodes of the region that have no seat.
+fn joins(view: &View<'_>) -> Vec<seat::Seat> {
+    let in_region = view.members.alive(view.now).map(|k| &k.member);
+    in_region
+        .filter(|m| m.region == view.me.region && !m.is_leaving)
+        .filter(|m| view.table.seat(&m.key).is_none())
+        .map(|m| seat::Seat {
+            key: m.key.clone(),
+            hall: m.hall.clone(),
+            peers: m.peers,
+            callers: m.callers,
+            settled: view.table.epoch.next(),
+        })
+        .collect()
+}
+
+/// Returns the seated nodes that are leaving, replaced, gone or long silent.
+fn leaves(view: &View<'_>) -> Vec<seat::Key> {
+    let listened = view.now.saturating_duration_since(view.started);
+    let leaves = |seat: &&seat::Seat| match view.members.get(&seat.key.node) {
+        Some(known) if known.member.key != seat.key => true,
+        Some(known) if known.member.is_leaving => true,
+        Some(known) => known.is_dead(view.now),
+        None => listened >= members::DEAD_AFTER,
+    };
+    view.table.seats.iter().filter(leaves).map(|s| s.key.clone()).collect()
+}
+
+/// Returns the table with what its nodes have said of themselves since it was written.
+fn with_settled(view: &View<'_>) -> table::Table {
+    let mut table = view.table.clone();
+    let known = |key: &seat::Key| view.members.incarnation(key).map(|k| k.member.settled);
+    for seat in &mut table.seats {
+        seat.settled = known(&seat.key).map_or(seat.settled, |s| s.max(seat.settled));
+    }
+    for departed in &mut table.departed {
+        let settled = departed.settled;
+        departed.settled = known(&departed.key).map_or(settled, |s| s.max(settled));
+    }
+    table
+}
+
+fn can_forget(view: &View<'_>) -> bool {
+    with_settled(view).lowest() > view.table.lowest()
+}
+
+/// Returns how many live nodes of the region stand before this one by name.
+fn position(view: &View<'_>) -> u32 {
+    let alive = view.members.alive(view.now).map(|k| &k.member);
+    let before = alive.filter(|m| m.region == view.me.region && m.key < view.me.key);
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/steer/src/rights.rs
@@ -0,0 +1,109 @@
+//! Rights: how many slots of an upstream a node may use by itself, whatever others believe.
+//!
+//! Let `W` be the epochs from the lowest that any listed node may still act on up to the newest
+//! that this node knows. Two rules, of which the more generous holds:
+//!
+//! - **Floor.** The least share this node has over all of `W`. When every node keeps to its floor,
+//!   all keep to the shares of the lowest epoch that is acted on, which add up to the slots.
+//! - **Room.** What the slots leave when each other node is counted with the greatest share it has
+//!   in any epoch it may still act on.
+//!
+//! Why a mixture is safe: take the node with the newest epoch among those that use room. Nodes with
+//! an older epoch are counted by it with at least what they use. Nodes with a newer epoch keep to
+//! their floor, which is no more than their share in that epoch, which it counted too.
+
+use model::epoch;
+use model::seat;
+use model::table;
+
+use crate::instance;
+use crate::rank;
+use crate::share;
+
+/// Shares of one upstream over the epochs that still count.
+#[derive(Clone, Debug)]
+pub struct Rights {
+    /// This node's share in the newest epoch.
+    pub share: u32,
+    /// Slots this node may use.
+    pub usable: u32,
+    /// The nodes that hold shares in the newest epoch, the home first.
+    pub ranked: Vec<seat::Key>,
+}
+
+impl Rights {
+    /// Returns the rights of a node that knows no table.
+    #[must_use]
+    pub fn none() -> Self {
+        Self { share: 0, usable: 0, ranked: Vec::new() }
+    }
+
+    /// Returns the home in the newest epoch.
+    #[must_use]
+    pub fn home(&self) -> Option<&seat::Key> {
+        self.ranked.first()
+    }
+}
+
+/// Computes the rights of `me` at an upstream with `slots`.
+///
+/// `settled` tells the lowest epoch a node may still act on, as far as is known.
+pub fn compute(
+    table: &table::Table,
+    me: &seat::Key,
+    instance: &instance::Key,
+    slots: u32,
+    settled: &dyn Fn(&seat::Key) -> epoch::Epoch,
+) -> Rights {
+    let epochs = epochs(table, instance, slots);
+    let nodes = table.seats.iter().map(|s| &s.key).chain(table.departed.iter().map(|d| &d.key));
+    let nodes: Vec<(&seat::Key, epoch::Epoch)> = nodes.map(|k| (k, settled(k))).collect();
+    let others = nodes.iter().filter(|(key, _)| *key != me);
+    let lowest = others.clone().map(|(_, s)| *s).min().unwrap_or(table.epoch).min(table.epoch);
+    let reserved: u32 = others.map(|(key, since)| greatest(&epochs, key, *since)).sum();
+    let newest = epochs.last();
+    let share = newest.map_or(0, |e| e.share(me));
+    let window = epochs.iter().filter(|e| e.epoch >= lowest);
+    let floor = window.map(|e| e.share(me)).min().unwrap_or(0);
+    let room = slots.saturating_sub(reserved);
+    Rights {
+        share,
+        usable: share.min(floor.max(room)),
+        ranked: newest.map_or(Vec::new(), |e| e.shares.iter().map(|(k, _)| k.clone()).collect()),
+    }
+}
+
+/// The shares of one upstream in one epoch.
+struct Shares {
+    epoch: epoch::Epoch,
+    shares: Vec<(seat::Key, u32)>,
+}
+
+impl Shares {
+    fn share(&self, key: &seat::Key) -> u32 {
+        self.shares.iter().find(|(k, _)| k == key).map_or(0, |(_, share)| *share)
+    }
+}
+
+fn epochs(table: &table::Table, instance: &instance::Key, slots: u32) -> Vec<Shares> {
+    let past = table.past.iter().map(|p| shares(p.epoch, p.keys.iter(), instance, slots));
+    let newest = shares(table.epoch, table.seats.iter().map(|s| &s.key), instance, slots);
+    past.chain([newest]).collect()
+}
+
+fn shares<'a>(
+    epoch: epoch::Epoch,
+    keys: impl Iterator<Item = &'a seat::Key>,
+    instance: &instance::Key,
+    slots: u32,
+) -> Shares {
+    let ranked = rank::top(instance, keys);
+    let ranks = ranked.len();
+    let shares = ranked.into_iter().enumerate();
+    let shares = shares.map(|(rank, key)| (key.clone(), share::of(slots, rank, ranks))).collect();
+    Shares { epoch, shares }
+}
+
+fn greatest(epochs: &[Shares], key: &seat::Key, since: epoch::Epoch) -> u32 {
+    epochs.iter().filter(|e| e.epoch >= since).map(|e| e.share(key)).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/steer/src/router.rs
@@ -0,0 +1,418 @@
+//! The duty of an entry: which region, by the split, and which home there, by its load.
+
+use std::collections;
+use std::time::{Duration, Instant, SystemTime};
+
+use model::id;
+use model::seat;
+use model::snapshot;
+use model::table;
+use model::verdict;
+
+use crate::action;
+use crate::beat;
+use crate::budget;
+use crate::homes;
+use crate::lane;
+use crate::planner;
+use crate::ramp;
+use crate::request;
+use crate::retry;
+use crate::split;
+
+/// Age at which a summary says nothing any more.
+const SUMMARY_LIFE: Duration = Duration::from_secs(4);
+
+/// Age at which a summary's rates are no longer taken as demand.
+const RATES_LIFE: Duration = Duration::from_secs(60);
+
+/// Usual time of an answer before one was measured, in seconds.
+const FIRST_GUESS: f64 = 0.05;
+
+/// When a caller may ask again after no home could be reached: nodes are suspected, and regional
+/// tables rewritten, within about this time.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The entry's duty.
+#[derive(Debug, Default)]
+pub struct Router {
+    lanes: collections::BTreeMap<(id::Service, id::Place), lane::Lane>,
+    homes: collections::BTreeMap<(id::Service, id::Region), Vec<homes::Home>>,
+    summaries: collections::BTreeMap<(id::Service, seat::Key), Heard>,
+    routed: collections::HashMap<request::Id, Routed>,
+    budgets: collections::BTreeMap<id::Service, budget::Budget>,
+    outstanding: collections::BTreeMap<(id::Service, id::Node), u32>,
+}
+
+/// A home's summary, with what this entry had outstanding there when it came.
+#[derive(Debug)]
+struct Heard {
+    summary: beat::Summary,
+    at: Instant,
+    own: u32,
+}
+
+/// A request that is out at a home.
+#[derive(Debug)]
+struct Routed {
+    service: id::Service,
+    place: id::Place,
+    region: Option<id::Region>,
+    home: Option<id::Node>,
+    tried: Vec<id::Node>,
+}
+
+/// What the planner of one service works from, for reading and for the dump.
+#[derive(Clone, Debug, Default)]
+pub struct Measured {
+    /// Usable slots by region.
+    pub capacities: collections::BTreeMap<id::Region, f64>,
+    /// Slots in use by region, waiting requests included.
+    pub in_use: collections::BTreeMap<id::Region, f64>,
+    /// Requests a second by place.
+    pub rates: collections::BTreeMap<id::Place, f64>,
+}
+
+impl Router {
+    /// Takes in a home's summary; returns whether it was news.
+    pub fn hear(&mut self, summary: &beat::Summary, now: Instant) -> bool {
+        let key = (summary.service.clone(), summary.key.clone());
+        match self.summaries.get(&key) {
+            Some(heard) if heard.summary.sequence >= summary.sequence => false,
+            _ => {
+                let own = self.outstanding(&summary.service, &summary.key.node);
+                self.summaries.insert(key, Heard { summary: summary.clone(), at: now, own });
+                true
+            }
+        }
+    }
+
+    /// Returns the summaries that came after `since`, to pass on.
+    pub fn news(&self, since: Option<Instant>) -> impl Iterator<Item = &beat::Summary> {
+        let fresh = move |heard: &&Heard| since.is_none_or(|since| heard.at > since);
+        self.summaries.values().filter(fresh).map(|heard| &heard.summary)
+    }
+
+    /// Returns the summaries that still count.
+    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = &beat::Summary> {
+        let fresh = move |h: &&Heard| now.saturating_duration_since(h.at) <= SUMMARY_LIFE;
+        self.summaries.values().filter(fresh).map(|heard| &heard.summary)
+    }
+
+    /// Finds the homes of every service anew.
+    pub fn find_homes(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        tables: &collections::BTreeMap<id::Region, std::sync::Arc<table::Table>>,
+        is_alive: &dyn Fn(&seat::Key) -> bool,
+    ) {
+        self.homes.clear();
+        for stored in snapshot.services.values() {
+            for (region, table) in tables {
+                let homes = homes::find(table, &stored.spec, is_alive);
+                if !homes.is_empty() {
+                    self.homes.insert((stored.spec.name.clone(), region.clone()), homes);
+                }
+            }
+        }
+    }
+
+    /// Decides where a caller's request goes.
+    pub fn route(
+        &mut self,
+        request: request::Id,
+        service: &id::Service,
+        place: &id::Place,
+        view: &View<'_>,
+        out: &mut Vec<action::Action>,
+    ) {
+        self.budgets.entry(service.clone()).or_default().earn();
+        let region = self.next_region(service, place, view);
+        let routed = Routed {
+            service: service.clone(),
+            place: place.clone(),
+            region,
+            home: None,
+            tried: Vec::new(),
+        };
+        self.send(request, routed, view, out);
+    }
+
+    /// Notes that a routed request is over.
+    pub fn returned(&mut self, request: request::Id) {
+        self.take(request);
+    }
+
+    /// Routes a request again that failed, in the region its split gave it, or refuses it.
+    pub fn failed(
+        &mut self,
+        request: request::Id,
+        failure: verdict::Failure,
+        repetition: model::service::Repetition,
+        view: &View<'_>,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some(routed) = self.take(request) else { return };
+        let tries = u32::try_from(routed.tried.len()).unwrap_or(u32::MAX);
+        let budget = self.budgets.entry(routed.service.clone()).or_default();
+        match retry::may_retry(failure, repetition, tries, budget) {
+            true => self.send(request, routed, view, out),
+            false => out.push(action::Action::Refuse { request, failure }),
+        }
+    }
+
+    /// Plans every lane's target and moves its split toward it.
+    pub fn plan(&mut self, view: &View<'_>) {
+        for stored in view.snapshot.services.values() {
+            let measured = self.measure(&stored.spec, view);
+            let limit = limit(view, &stored.spec.name, &self.lost_regions(&stored.spec.name, view));
+            let demands = demands(&stored.spec, &measured, view);
+            for (place, target) in planner::plan(&measured.capacities, &demands) {
+                let key = (stored.spec.name.clone(), place);
+                let lane = self.lanes.entry(key).or_insert_with(|| lane::Lane::new(target.clone()));
+                lane.advance(&target, limit, view.now);
+            }
+        }
+        let known = |(service, _): &(id::Service, id::Place)| {
+            view.snapshot.services.contains_key(service)
+        };
+        self.lanes.retain(|key, _| known(key));
+        self.summaries.retain(|_, heard| view.now.saturating_duration_since(heard.at) < RATES_LIFE);
+        self.outstanding.retain(|_, count| *count > 0);
+    }
+
+    /// Starts a lane where a peer's stands; one that has a position already keeps it.
+    pub fn adopt(&mut self, position: &beat::Position) {
+        let key = (position.service.clone(), position.place.clone());
+        let start = || lane::Lane::new(position.split.clone());
+        self.lanes.entry(key).or_insert_with(start);
+    }
+
+    /// Returns where every split stands.
+    pub fn positions(&self) -> impl Iterator<Item = beat::Position> {
+        self.lanes.iter().map(|((service, place), lane)| beat::Position {
+            service: service.clone(),
+            place: place.clone(),
+            split: lane.position().clone(),
+        })
+    }
+
+    /// Returns how many requests are out at homes.
+    #[must_use]
+    pub fn load(&self) -> usize {
+        self.routed.len()
+    }
+
+    /// Returns what is measured of a service.
+    #[must_use]
+    pub fn measure(&self, service: &model::service::Service, view: &View<'_>) -> Measured {
+        let mut measured = Measured::default();
+        for upstream in &service.upstreams {
+            measured.capacities.entry(upstream.region.clone()).or_insert(0.0);
+        }
+        let mut reported: collections::BTreeSet<&id::Region> = collections::BTreeSet::new();
+        for ((_, key), heard) in self.summaries_of(&service.name) {
+            let age = view.now.saturating_duration_since(heard.at);
+            let summary = &heard.summary;
+            for (place, rate) in &summary.rates {
+                *measured.rates.entry(place.clone()).or_insert(0.0) += f64::from(*rate) / 1_000.0;
+            }
+            if age > SUMMARY_LIFE || !(view.is_alive)(key) {
+                continue;
+            }
+            reported.insert(&summary.region);
+            let capacity = measured.capacities.entry(summary.region.clone()).or_insert(0.0);
+            *capacity += f64::from(summary.usable);
+            let in_use = measured.in_use.entry(summary.region.clone()).or_insert(0.0);
+            *in_use += f64::from(summary.in_flight + summary.queued);
+        }
+        for (region, capacity) in &mut measured.capacities {
+            let declared = declared_slots(service, region, view);
+            let has_homes = self.homes.contains_key(&(service.name.clone(), region.clone()));
+            match (reported.contains(region), has_homes) {
+                (true, true) => *capacity = capacity.min(declared),
+                // Nothing was said yet, as when a fleet starts: the declaration stands.
+                (false, true) => *capacity = declared,
+                (_, false) => *capacity = 0.0,
+            }
+        }
+        measured
+    }
+
+    fn summaries_of<'a>(
+        &'a self,
+        service: &'a id::Service,
+    ) -> impl Iterator<Item = (&'a (id::Service, seat::Key), &'a Heard)> {
+        let first = seat::Key { node: id::Node::new(""), incarnation: 0 };
+        self.summaries
+            .range((service.clone(), first)..)
+            .take_while(move |((name, _), _)| name == service)
+    }
+
+    /// Returns the regions that a service's splits still use and where no home is alive.
+    fn lost_regions(&self, service: &id::Service, view: &View<'_>) -> Vec<id::Region> {
+        let spec = view.snapshot.services.get(service).map(|s| &s.spec);
+        let Some(spec) = spec else { return Vec::new() };
+        let regions: collections::BTreeSet<&id::Region> =
+            spec.upstreams.iter().map(|u| &u.region).collect();
+        let lost = |r: &&id::Region| !self.homes.contains_key(&(service.clone(), (*r).clone()));
+        regions.into_iter().filter(lost).cloned().collect()
+    }
+
+    fn next_region(
+        &mut self,
+        service: &id::Service,
+        place: &id::Place,
+        view: &View<'_>,
+    ) -> Option<id::Region> {
+        let key = (service.clone(), place.clone());
+        let first = || lane::Lane::new(first_position(service, place, view));
+        self.lanes.entry(key).or_insert_with(first).next()
+    }
+
+    fn send(
+        &mut self,
+        request: request::Id,
+        mut routed: Routed,
+        view: &View<'_>,
+        out: &mut Vec<action::Action>,
+    ) {
+        let Some((region, home)) = self.pick(&routed, view.now) else {
+            let failure = verdict::Failure::not_run(verdict::Reason::NoRegion).after(RETRY_AFTER);
+            return out.push(action::Action::Refuse { request, failure });
+        };
+        let node = &home.key.node;
+        *self.outstanding.entry((routed.service.clone(), node.clone())).or_insert(0) += 1;
+        routed.home = Some(node.clone());
+        routed.tried.push(node.clone());
+        self.routed.insert(request, routed);
+        out.push(action::Action::Forward { request, region, home: home.key, peers: home.peers });
+    }
+
+    fn take(&mut self, request: request::Id) -> Option<Routed> {
+        let routed = self.routed.remove(&request)?;
+        if let Some(home) = &routed.home {
+            let key = (routed.service.clone(), home.clone());
+            if let Some(count) = self.outstanding.get_mut(&key) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        Some(routed)
+    }
+
+    /// Returns the home in the request's region that has the least work for its slots.
+    ///
+    /// One that was tried is taken again only when there is no other.
+    fn pick(&self, routed: &Routed, now: Instant) -> Option<(id::Region, homes::Home)> {
+        let region = routed.region.clone()?;
+        let homes = self.homes.get(&(routed.service.clone(), region.clone()))?;
+        let was_tried = |home: &homes::Home| routed.tried.contains(&home.key.node);
+        let cost = |home: &homes::Home| self.cost(&routed.service, home, now);
+        let best = homes.iter().min_by(|a, b| {
+            was_tried(a).cmp(&was_tried(b)).then_with(|| cost(a).total_cmp(&cost(b)))
+        })?;
+        Some((region, best.clone()))
+    }
+
+    /// Returns the use that one more request would bring a home to.
+    ///
+    /// What this entry sent is counted exactly; what others sent is known from the last summary.
+    fn cost(&self, service: &id::Service, home: &homes::Home, now: Instant) -> f64 {
+        let own = self.outstanding(service, &home.key.node);
+        let heard = self.summaries.get(&(service.clone(), home.key.clone()));
+        let (others, usable) = match heard {
+            Some(h) if now.saturating_duration_since(h.at) < SUMMARY_LIFE => {
+                let total = h.summary.in_flight + h.summary.queued;
+                (total.saturating_sub(h.own), h.summary.usable)
+            }
+            _ => (0, home.weight),
+        };
+        f64::from(own + others + 1) / f64::from(usable).max(0.1)
+    }
+
+    fn outstanding(&self, service: &id::Service, node: &id::Node) -> u32 {
+        self.outstanding.get(&(service.clone(), node.clone())).copied().unwrap_or(0)
+    }
+}
+
+/// What planning looks at.
+pub struct View<'a> {
+    /// The configuration.
+    pub snapshot: &'a snapshot::Snapshot,
+    /// Whether a node may be given work.
+    pub is_alive: &'a dyn Fn(&seat::Key) -> bool,
+    /// The region of this node.
+    pub region: &'a id::Region,
+    /// The time.
+    pub now: Instant,
+    /// The time of day, for drains.
+    pub wall: SystemTime,
+}
+
+impl std::fmt::Debug for View<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("View").field("now", &self.now).finish_non_exhaustive()
+    }
+}
+
+/// Returns the slots that a region declares, less those that a drain takes soon.
+///
+/// A drain counts from as early before its start as its service's cap needs to move everything.
+fn declared_slots(
+    service: &model::service::Service,
+    region: &id::Region,
+    view: &View<'_>,
+) -> f64 {
+    let caps = view.snapshot.caps.values();
+    let cap = caps.into_iter().find(|c| c.spec.service == service.name);
+    let lead = cap.map_or(Duration::ZERO, |c| c.spec.time_to_move() + c.spec.window);
+    let soon = |d: &model::drain::Drain| d.start <= view.wall + lead && view.wall < d.end;
+    let drains: Vec<&model::drain::Drain> =
+        view.snapshot.drains.values().map(|d| &*d.spec).filter(|d| soon(d)).collect();
+    let in_region = service.upstreams.iter().filter(|u| u.region == *region);
+    let kept = in_region.filter(|u| !drains.iter().any(|d| d.target.holds(u)));
+    kept.map(|u| f64::from(u.slots)).sum()
+}
+
+/// Returns what each place asks of a service.
+fn demands(
+    service: &model::service::Service,
+    measured: &Measured,
+    view: &View<'_>,
+) -> Vec<planner::Demand> {
+    let rate: f64 = measured.rates.values().sum();
+    let in_use: f64 = measured.in_use.values().sum();
+    let seconds = if rate > 0.1 { (in_use / rate).max(0.001) } else { FIRST_GUESS };
+    let demand = |place: &model::place::Place| {
+        let served = place.nearest().into_iter().filter(|l| homes::serves(service, &l.region));
+        let links = served.map(|link| {
+            let limit = link.limit.map_or(f64::INFINITY, |limit| f64::from(limit) * seconds);
+            (link.region.clone(), limit)
+        });
+        let rate = measured.rates.get(&place.name).copied().unwrap_or(0.0);
+        planner::Demand { place: place.name.clone(), slots: rate * seconds, links: links.collect() }
+    };
+    view.snapshot.places.values().map(|stored| demand(&stored.spec)).collect()
+}
+
+/// Returns the limit that binds a service's splits now.
+fn limit(view: &View<'_>, service: &id::Service, lost: &[id::Region]) -> Option<ramp::Limit> {
+    let caps = view.snapshot.caps.values();
+    let cap = caps.into_iter().find(|c| c.spec.service == *service)?;
+    Some(ramp::Limit::of(&cap.spec, !lost.is_empty()))
+}
+
+/// Returns where a lane starts that neither planner nor peer has placed: the nearest region.
+fn first_position(service: &id::Service, place: &id::Place, view: &View<'_>) -> split::Split {
+    let Some(service) = view.snapshot.services.get(service) else {
+        return split::Split::default();
+    };
+    let place = view.snapshot.places.get(place).map(|p| &p.spec);
+    let nearest = place.into_iter().flat_map(|p| p.nearest()).map(|l| &l.region);
+    let any = service.spec.upstreams.iter().map(|u| &u.region);
+    let mut wished = nearest.chain([view.region]).chain(any);
+    match wished.find(|region| homes::serves(&service.spec, region)) {
+        Some(region) => split::Split::new(&[(region.clone(), 1.0)]),
+        None => split::Split::default(),
+    }
+}
