--- /dev/null
+++ b/crates/cli/src/commands/check.rs
@@ -0,0 +1,68 @@
+//! `yokespoke check`.
+
+use std::fs;
+use std::path;
+use std::time::SystemTime;
+
+use anyhow::Context as _;
+use model::change;
+use model::check;
+use model::resource;
+use model::snapshot;
+use node::settings;
+
+use crate::args;
+use crate::controller::Code;
+use crate::declarations;
+use crate::printer;
+
+/// Checks settings and declarations without a fleet.
+///
+/// # Errors
+///
+/// Fails at the first file that is malformed.
+pub fn run(args: &args::Check) -> anyhow::Result<Code> {
+    let mut declared = Vec::new();
+    for at in &args.paths {
+        match is_settings(at)? {
+            true => {
+                settings::Settings::read(at)?;
+                printer::line(&format!("{}: settings are valid", at.display()));
+            }
+            false => declared.extend(declarations::read(at)?),
+        }
+    }
+    match declared.is_empty() {
+        true => Ok(Code::Done),
+        false => check(declared),
+    }
+}
+
+fn check(declared: Vec<resource::Resource>) -> anyhow::Result<Code> {
+    let count = declared.len();
+    let steps = declared.into_iter().map(|resource| change::Step::Put { resource }).collect();
+    let change = change::Change { operation: "check".to_owned(), expected: None, steps };
+    let facts = check::Facts::at(SystemTime::now());
+    match snapshot::Snapshot::default().apply(&change, &facts) {
+        Ok(_) => {
+            printer::line(&format!("{count} declarations are valid"));
+            Ok(Code::Done)
+        }
+        Err(model::refusal::Refusal::Invalid { problems }) => {
+            for problem in problems {
+                printer::error(&anyhow::anyhow!("{problem}"));
+            }
+            Ok(Code::Wrong)
+        }
+        Err(refusal) => Err(refusal.into()),
+    }
+}
+
+/// Returns whether a file holds settings: those name a node at their start.
+fn is_settings(at: &path::Path) -> anyhow::Result<bool> {
+    if at.is_dir() {
+        return Ok(false);
+    }
+    let text = fs::read_to_string(at).with_context(|| format!("cannot read {}", at.display()))?;
+    Ok(text.lines().any(|line| line.starts_with("node:") || line.starts_with("listen:")))
+}
--- /dev/null
+++ b/crates/cli/src/commands/lookup.rs
@@ -0,0 +1,32 @@
+//! `yokespoke lookup`.
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use serde_json::Value;
+
+use crate::args;
+use crate::controller::Code;
+use crate::http1;
+use crate::printer;
+
+/// Asks a node which nodes to use.
+///
+/// # Errors
+///
+/// Fails when the node does not answer.
+pub async fn run(args: &args::Lookup) -> anyhow::Result<Code> {
+    let uri = format!("http://{}/yokespoke/v1/lookup?service={}", args.node, args.service);
+    let request = Request::get(uri).body(Full::new(Bytes::new()))?;
+    let response = http1::Client::new(None).send(request).await?;
+    let value: Value = serde_json::from_slice(response.body())?;
+    match response.status().is_success() {
+        true => {
+            printer::line(&serde_json::to_string_pretty(&value)?);
+            Ok(Code::Done)
+        }
+        false => {
+            anyhow::bail!("{}", value["error"].as_str().unwrap_or("the look-up failed"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,10 @@
+//! The commands that speak to a fleet or look at files.
+
+pub mod apply;
+pub mod check;
+pub mod delete;
+pub mod dump;
+pub mod get;
+pub mod lookup;
+pub mod outcome;
+pub mod watch;
--- /dev/null
+++ b/crates/cli/src/demo/hold.rs
@@ -0,0 +1,47 @@
+//! `yokespoke demo --hold`: the example kept up, for trying things out.
+
+use std::collections;
+use std::net;
+
+use serde::Serialize;
+
+use crate::controller::Code;
+use crate::demo::example;
+use crate::demo::fleet;
+use crate::printer;
+
+/// Where everything is.
+#[derive(Debug, Serialize)]
+struct Where {
+    /// Nodes' faces for callers.
+    callers: Vec<net::SocketAddr>,
+    /// Nodes' faces for operators.
+    operators: Vec<net::SocketAddr>,
+    /// The store.
+    store: net::SocketAddr,
+    /// Services with their hosts.
+    services: collections::BTreeMap<String, String>,
+    /// Addresses to send from, by place.
+    places: collections::BTreeMap<String, net::IpAddr>,
+    /// The operators' token.
+    token: String,
+}
+
+/// Prints where everything is and waits for Ctrl-C.
+///
+/// # Errors
+///
+/// Fails when Ctrl-C cannot be waited for.
+pub async fn run(fleet: &fleet::Fleet, example: &example::Example) -> anyhow::Result<Code> {
+    let at = Where {
+        callers: fleet.nodes.values().map(|n| n.listen.callers).collect(),
+        operators: fleet.nodes.values().map(|n| n.listen.operators).collect(),
+        store: fleet.store.address,
+        services: example.loads.iter().map(|l| (l.service.to_string(), l.host.clone())).collect(),
+        places: example.sources.iter().map(|s| (s.place.to_string(), s.from)).collect(),
+        token: fleet.token.clone(),
+    };
+    printer::raw(&serde_yaml_ng::to_string(&at)?);
+    tokio::signal::ctrl_c().await?;
+    Ok(Code::Done)
+}
--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operator's tool.
--- /dev/null
+++ b/crates/node/src/callers/entry.rs
@@ -0,0 +1,256 @@
+//! Entering a request: from the caller's node to the home that runs it, and again if it may be.
+
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt as _;
+use model::verdict;
+use steer::ticket;
+use wire::peer;
+
+use crate::answer;
+use crate::body;
+use crate::decisions;
+use crate::failed;
+use crate::peers::carrier;
+use crate::runner;
+
+/// When a caller may ask again about a ticket whose request is running.
+const RUNNING_RETRY: Duration = Duration::from_secs(1);
+
+/// What entering needs; each duty that enters requests has its own connections.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    decisions: decisions::Handle,
+    runner: runner::Runner,
+    carrier: carrier::Carrier,
+}
+
+impl Entry {
+    /// Makes an entry without connections.
+    #[must_use]
+    pub fn new(
+        decisions: decisions::Handle,
+        runner: runner::Runner,
+        carrier: carrier::Carrier,
+    ) -> Self {
+        Self { decisions, runner, carrier }
+    }
+
+    /// Sends a request to the home that the decisions choose, and again while it may be.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the last try's verdict.
+    pub async fn enter(
+        &self,
+        mut order: runner::Order,
+        mut source: body::Source,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let repetition = order.service.repetition(order.method.as_str(), &order.path);
+        let name = order.service.name.clone();
+        let (routed, mut decision) = self.decisions.route(name, order.place.clone()).await;
+        loop {
+            let (home, peers) = match decision {
+                decisions::Decision::Forward { home, peers, .. } => (home, peers),
+                decisions::Decision::Refuse(failure) => return Err(failure),
+                decisions::Decision::Run { .. } => {
+                    return Err(verdict::Failure::not_run(verdict::Reason::NotReady));
+                }
+            };
+            let is_here = home == self.decisions.view().me;
+            let result = match is_here {
+                true => self.run_here(&order, &mut source).await,
+                false => self.carry(peers, &order, &mut source).await,
+            };
+            let failed = match result {
+                Ok(answer) => return Ok(keep_routed(answer, routed)),
+                Err(failed) => failed,
+            };
+            order.avoid.extend(failed.upstream);
+            if !source.is_ready() || order.deadline <= self.decisions.now() {
+                return Err(failed.failure);
+            }
+            decision = routed.failed(failed.failure, repetition).await;
+        }
+    }
+
+    /// Enters a request under a ticket, wherever it was issued.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict, which is the remembered one when the request ran before.
+    pub async fn enter_with(
+        &self,
+        order: runner::Order,
+        text: &str,
+        kept: Bytes,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let Some(ticket) = ticket::Ticket::parse(text) else {
+            return Err(verdict::Failure::not_run(verdict::Reason::BadRequest));
+        };
+        let view = self.decisions.view();
+        if ticket.node == view.me.node {
+            return self.enter_ticket(order, text, kept).await;
+        }
+        // Another incarnation on that node answers for itself that the ticket is unknown.
+        let Some(node) = view.node(&ticket.node) else {
+            return Err(verdict::Failure::may_have_run(verdict::Reason::Ticket));
+        };
+        let mut head = head_of(&order, peer::Duty::Ticket, &self.decisions);
+        head.ticket = text.to_owned();
+        let mut source = body::Source::Kept(kept);
+        let result = self.carrier.carry(node.peers, head, &mut source).await;
+        // That this try was not sent says nothing about the tries before it.
+        result.map_err(|failed| match failed.failure.reason {
+            verdict::Reason::NotReady => verdict::Failure::may_have_run(verdict::Reason::Ticket),
+            _ => failed.failure,
+        })
+    }
+
+    /// Enters a request under a ticket that this node must have issued.
+    ///
+    /// It goes on when the caller leaves, so that its outcome is known when the caller asks again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict, which is the remembered one when the request ran before.
+    pub async fn enter_ticket(
+        &self,
+        order: runner::Order,
+        text: &str,
+        kept: Bytes,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let Some(ticket) = ticket::Ticket::parse(text) else {
+            return Err(verdict::Failure::not_run(verdict::Reason::BadRequest));
+        };
+        let claim = self.decisions.claim(ticket.clone()).await;
+        match claim {
+            ticket::Claim::Run => {}
+            ticket::Claim::Running => {
+                let failure = verdict::Failure::may_have_run(verdict::Reason::Running);
+                return Err(failure.after(RUNNING_RETRY));
+            }
+            ticket::Claim::Done(outcome) => return remembered(outcome),
+            ticket::Claim::Unknown => {
+                return Err(verdict::Failure::may_have_run(verdict::Reason::Ticket));
+            }
+            ticket::Claim::Full => {
+                let failure = verdict::Failure::not_run(verdict::Reason::Full);
+                return Err(failure.after(RUNNING_RETRY));
+            }
+        }
+        let entry = self.clone();
+        let run = tokio::spawn(async move {
+            let result = entry.enter(order, body::Source::Kept(kept)).await;
+            entry.remember(ticket, result).await
+        });
+        let lost = verdict::Failure::may_have_run(verdict::Reason::Broken);
+        run.await.unwrap_or(Err(lost))
+    }
+
+    /// Remembers how the request of a ticket ended.
+    async fn remember(
+        &self,
+        ticket: ticket::Ticket,
+        result: Result<Response<body::Body>, verdict::Failure>,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let response = match result {
+            Ok(response) => response,
+            Err(failure) => {
+                self.decisions.finish(ticket, ticket::Outcome::Failed(failure));
+                return Err(failure);
+            }
+        };
+        let size = http_body::Body::size_hint(response.body()).upper();
+        let is_small = size.is_some_and(|size| size <= answer::LARGEST as u64);
+        if !is_small {
+            self.decisions.finish(ticket, ticket::Outcome::Unkept);
+            return Ok(response);
+        }
+        let (head, body) = response.into_parts();
+        let Ok(body) = body.collect().await else {
+            let failure = verdict::Failure::may_have_run(verdict::Reason::Broken);
+            self.decisions.finish(ticket, ticket::Outcome::Failed(failure));
+            return Err(failure);
+        };
+        let answer = sync::Arc::new(answer::Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        });
+        let outcome = ticket::Outcome::Answered(sync::Arc::clone(&answer));
+        self.decisions.finish(ticket, outcome);
+        Ok(replay(&answer))
+    }
+
+    async fn run_here(
+        &self,
+        order: &runner::Order,
+        source: &mut body::Source,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let slot = self.runner.reserve(order).await?;
+        self.runner.run(slot, order, source.take()).await
+    }
+
+    async fn carry(
+        &self,
+        peers: std::net::SocketAddr,
+        order: &runner::Order,
+        source: &mut body::Source,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let head = head_of(order, peer::Duty::Home, &self.decisions);
+        self.carrier.carry(peers, head, source).await
+    }
+}
+
+fn head_of(
+    order: &runner::Order,
+    duty: peer::Duty,
+    decisions: &decisions::Handle,
+) -> peer::RequestHead {
+    peer::RequestHead {
+        duty: duty.into(),
+        service: order.service.name.as_str().to_owned(),
+        method: order.method.as_str().to_owned(),
+        path: order.path.clone(),
+        headers: carrier::header_list(&order.headers),
+        remaining_ms: carrier::remaining_ms(order.deadline, decisions.now()),
+        place: order.place.as_str().to_owned(),
+        avoid: order.avoid.iter().map(|u| u.as_str().to_owned()).collect(),
+        ticket: String::new(),
+    }
+}
+
+/// Keeps the request counted as out at its home until its answer has passed.
+fn keep_routed(
+    answer: Response<body::Body>,
+    routed: decisions::Routed,
+) -> Response<body::Body> {
+    answer.map(|body| {
+        let held = body.map_frame(move |frame| {
+            let _ = &routed;
+            frame
+        });
+        held.boxed_unsync()
+    })
+}
+
+fn remembered(
+    outcome: ticket::Outcome<answer::Answer>,
+) -> Result<Response<body::Body>, verdict::Failure> {
+    match outcome {
+        ticket::Outcome::Answered(answer) => Ok(replay(&answer)),
+        ticket::Outcome::Unkept => Err(verdict::Failure::may_have_run(verdict::Reason::Ticket)),
+        ticket::Outcome::Failed(failure) => Err(failure),
+    }
+}
+
+fn replay(answer: &answer::Answer) -> Response<body::Body> {
+    let mut response = Response::new(body::full(answer.body.clone()));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers.clone();
+    response
+}
--- /dev/null
+++ b/crates/node/src/callers/face.rs
@@ -0,0 +1,226 @@
+//! The server of the callers' face.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use http::{header, Method, Request, Response};
+use http_body::Body as _;
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful;
+use model::service;
+use model::verdict;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::body;
+use crate::callers::entry;
+use crate::callers::lookup;
+use crate::callers::respond;
+use crate::decisions;
+use crate::head;
+use crate::runner;
+use crate::settings;
+use crate::stats;
+
+/// Requests that one HTTP/2 connection may have open.
+const STREAMS: u32 = 256;
+
+/// Longest path with its query, in bytes.
+const LONGEST_PATH: usize = 8 * 1_024;
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the callers' face works with.
+#[derive(Clone, Debug)]
+pub struct Face {
+    /// The decisions.
+    pub decisions: decisions::Handle,
+    /// Enters requests.
+    pub entry: entry::Entry,
+    /// Bounds.
+    pub limits: settings::Limits,
+    /// Figures.
+    pub stats: sync::Arc<stats::Stats>,
+}
+
+/// Serves the callers' face until `stop` turns true, then ends every connection after what it has
+/// in flight.
+pub async fn serve(face: Face, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    let permits = sync::Arc::new(Semaphore::new(face.limits.connections));
+    let connections = graceful::GracefulShutdown::new();
+    let face = sync::Arc::new(face);
+    loop {
+        let Ok(permit) = sync::Arc::clone(&permits).acquire_owned().await else { return };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let connection = connect(&face, stream, peer, &connections);
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    connections.shutdown().await;
+}
+
+/// Returns the work of one connection.
+fn connect(
+    face: &sync::Arc<Face>,
+    stream: TcpStream,
+    peer: net::SocketAddr,
+    connections: &graceful::GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
+    let _ = stream.set_nodelay(true);
+    let face = sync::Arc::clone(face);
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(face.limits.head_time)
+        .max_buf_size(face.limits.head_bytes);
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .max_concurrent_streams(STREAMS)
+        .max_header_list_size(u32::try_from(face.limits.head_bytes).unwrap_or(u32::MAX));
+    let watcher = connections.watcher();
+    async move {
+        let service = service_fn(|request| {
+            let face = sync::Arc::clone(&face);
+            async move { Ok::<_, convert::Infallible>(face.handle(request, peer.ip()).await) }
+        });
+        let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+        // A caller that goes away or talks nonsense ends its own connection only.
+        let _ = watcher.watch(connection).await;
+    }
+}
+
+impl Face {
+    async fn handle(&self, request: Request<Incoming>, caller: net::IpAddr) -> Response<body::Body> {
+        if request.uri().path() == lookup::PATH {
+            self.stats.lookup();
+            let query = request.uri().query().unwrap_or_default();
+            return lookup::answer(query, caller, &self.decisions, &self.limits);
+        }
+        let began = Instant::now();
+        let result = self.proxy(request, caller).await;
+        self.stats.request(began.elapsed(), result.as_ref().err());
+        result.unwrap_or_else(respond::failure)
+    }
+
+    async fn proxy(
+        &self,
+        request: Request<Incoming>,
+        caller: net::IpAddr,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let bad = verdict::Failure::not_run(verdict::Reason::BadRequest);
+        let (mut parts, incoming) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        if head::is_ambiguous(&parts.headers) || path.len() > LONGEST_PATH {
+            return Err(bad);
+        }
+        if parts.method == Method::CONNECT {
+            return Err(bad);
+        }
+        let host = parts.uri.authority().map(|a| a.as_str().to_owned());
+        let host = host.or_else(|| text(&parts.headers, &header::HOST));
+        let view = self.decisions.view();
+        if !view.is_ready {
+            let failure = verdict::Failure::not_run(verdict::Reason::NotReady);
+            return Err(failure.after(Duration::from_secs(1)));
+        }
+        let service = host.as_deref().and_then(|host| view.config.service_of(host));
+        let Some(service) = service.map(sync::Arc::clone) else {
+            return Err(verdict::Failure::not_run(verdict::Reason::UnknownHost));
+        };
+        let asked = head::number(&parts.headers, &head::TIMEOUT).map_err(|()| bad)?;
+        let asked = asked.map_or(service.deadline, Duration::from_millis);
+        let deadline = self.decisions.now() + asked.min(service.deadline);
+        let ticket = text(&parts.headers, &head::TICKET);
+        let path = path.to_owned();
+        head::clean(&mut parts.headers);
+        head::add_caller(&mut parts.headers, caller);
+        let order = runner::Order {
+            place: view.config.place_of(caller),
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            deadline,
+            avoid: Vec::new(),
+            service,
+        };
+        let source = self.source(incoming, deadline).await?;
+        self.send(order, source, ticket.as_deref()).await
+    }
+
+    async fn send(
+        &self,
+        order: runner::Order,
+        source: body::Source,
+        ticket: Option<&str>,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let repetition = order.service.repetition(order.method.as_str(), &order.path);
+        match (repetition, ticket, source) {
+            (service::Repetition::Once, Some(ticket), body::Source::Kept(kept)) => {
+                self.entry.enter_with(order, ticket, kept).await
+            }
+            // A ticket's request must be repeatable by its caller, so its body must be small.
+            (service::Repetition::Once, Some(_), _) => {
+                Err(verdict::Failure::not_run(verdict::Reason::BadRequest))
+            }
+            (_, _, source) => self.entry.enter(order, source).await,
+        }
+    }
+
+    /// Reads a small body whole; leaves a large one, or one of unknown size, to be streamed.
+    async fn source(
+        &self,
+        incoming: Incoming,
+        deadline: Instant,
+    ) -> Result<body::Source, verdict::Failure> {
+        let size = incoming.size_hint().exact();
+        let limit = body::LARGEST_KEPT;
+        match size {
+            Some(0) => Ok(body::Source::Kept(bytes::Bytes::new())),
+            Some(size) if size <= limit as u64 => {
+                let left = deadline.saturating_duration_since(self.decisions.now());
+                let read = Limited::new(incoming, limit).collect();
+                match tokio::time::timeout(left, read).await {
+                    Ok(Ok(body)) => Ok(body::Source::Kept(body.to_bytes())),
+                    Ok(Err(_)) => Err(verdict::Failure::not_run(verdict::Reason::BadRequest)),
+                    Err(_) => Err(verdict::Failure::not_run(verdict::Reason::Deadline)),
+                }
+            }
+            _ => Ok(body::Source::Streamed(body::incoming(incoming))),
+        }
+    }
+}
+
+fn text(headers: &http::HeaderMap, name: &http::HeaderName) -> Option<String> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned)
+}
+
+/// Binds a face's listener.
+///
+/// # Errors
+///
+/// Fails when the address is taken or not of this machine.
+pub fn bind(address: net::SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/crates/node/src/controller.rs
@@ -0,0 +1,61 @@
+//! What `yokespoked` does with its command line.
+
+use std::process;
+
+use tokio::signal::unix;
+use yokespoke_node::logging;
+use yokespoke_node::node;
+use yokespoke_node::settings;
+
+use crate::args;
+
+/// Exit code for settings that cannot be used.
+pub const BAD_SETTINGS: u8 = 2;
+
+/// Exit code of a planned stop that had to cut something off.
+const CUT_OFF: u8 = 3;
+
+/// Checks the settings, or runs the node until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the settings cannot be used or the node cannot start.
+pub fn run(args: &args::Args) -> anyhow::Result<process::ExitCode> {
+    let settings = settings::Settings::read(&args.settings)?;
+    if args.check {
+        println!("{}: settings of node {} are valid", args.settings.display(), settings.node);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    logging::start(settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(&settings))
+}
+
+async fn serve(settings: &settings::Settings) -> anyhow::Result<process::ExitCode> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let node = node::Node::start(settings)?;
+    let name = settings.node.as_str();
+    let callers = node.listen.callers.to_string();
+    let operators = node.listen.operators.to_string();
+    let peers = node.listen.peers.to_string();
+    log::info!(
+        node = name,
+        callers = callers.as_str(),
+        operators = operators.as_str(),
+        peers = peers.as_str();
+        "node-started"
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!(node = name; "node-stopping");
+    let (took, is_done) = node.stop().await;
+    let took = humantime::format_duration(took).to_string();
+    log::info!(node = name, took = took.as_str(), done = is_done; "node-stopped");
+    Ok(match is_done {
+        true => process::ExitCode::SUCCESS,
+        false => process::ExitCode::from(CUT_OFF),
+    })
+}
--- /dev/null
+++ b/crates/node/src/failed.rs
@@ -0,0 +1,21 @@
+//! A request's failure with what a next try needs to know.
+
+use model::id;
+use model::verdict;
+
+/// How one try failed.
+#[derive(Clone, Debug)]
+pub struct Failed {
+    /// The failure.
+    pub failure: verdict::Failure,
+    /// The upstream that was asked, if one was.
+    pub upstream: Option<id::Upstream>,
+}
+
+impl Failed {
+    /// Makes the failure of a try that reached no upstream.
+    #[must_use]
+    pub fn before(failure: verdict::Failure) -> Self {
+        Self { failure, upstream: None }
+    }
+}
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,85 @@
+//! Logs: one line of key=value pairs for each event.
+
+use std::fmt;
+use std::fmt::Write as _;
+use std::time::SystemTime;
+
+use log::kv;
+
+use crate::settings;
+
+/// Sends events of `level` and above to standard error.
+///
+/// # Errors
+///
+/// Fails when a logger is set already.
+pub fn start(level: settings::Level) -> anyhow::Result<()> {
+    fern::Dispatch::new()
+        .format(|out, message, record| out.finish(format_args!("{}", Line { message, record })))
+        .level(log::LevelFilter::Warn)
+        .level_for("yokespoke_node", filter(level))
+        .level_for("yokespoke_steer", filter(level))
+        .level_for("yokespoked", filter(level))
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
+
+fn filter(level: settings::Level) -> log::LevelFilter {
+    match level {
+        settings::Level::Error => log::LevelFilter::Error,
+        settings::Level::Warn => log::LevelFilter::Warn,
+        settings::Level::Info => log::LevelFilter::Info,
+        settings::Level::Debug => log::LevelFilter::Debug,
+    }
+}
+
+/// One event as a line.
+struct Line<'a> {
+    message: &'a fmt::Arguments<'a>,
+    record: &'a log::Record<'a>,
+}
+
+impl fmt::Display for Line<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = humantime::format_rfc3339_millis(SystemTime::now());
+        let level = self.record.level().as_str().to_ascii_lowercase();
+        write!(f, "event={} time={time} level={level}", quoted(&self.message.to_string()))?;
+        let mut pairs = Pairs(f);
+        self.record.key_values().visit(&mut pairs).map_err(|_| fmt::Error)
+    }
+}
+
+struct Pairs<'a, 'b>(&'a mut fmt::Formatter<'b>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_, '_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        write!(self.0, " {key}={}", quoted(&value.to_string()))?;
+        Ok(())
+    }
+}
+
+/// Quotes a value that a reader could not tell from the next pair.
+fn quoted(value: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=';
+    match !value.is_empty() && value.chars().all(plain) {
+        true => value.to_owned(),
+        false => {
+            let mut out = String::from("\"");
+            for c in value.chars() {
+                match c {
+                    '"' | '\\' => {
+                        out.push('\\');
+                        out.push(c);
+                    }
+                    c if c.is_control() => {
+                        let _ = write!(out, "\\u{{{:x}}}", u32::from(c));
+                    }
+                    c => out.push(c),
+                }
+            }
+            out.push('"');
+            out
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,259 @@
+//! A node: its duties, started together and stopped together.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use model::clock;
+use model::epoch;
+use model::revision;
+use model::seat;
+use steer::beat;
+use steer::core;
+use steer::event;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use crate::callers;
+use crate::decisions;
+use crate::duty;
+use crate::operators;
+use crate::peers;
+use crate::probes;
+use crate::runner;
+use crate::settings;
+use crate::stats;
+use crate::store;
+use crate::view;
+
+/// Beats and fetches that wait for the peers' duty.
+const OUTGOING: usize = 256;
+
+/// Tables that wait for the store's duty.
+const TABLES: usize = 4;
+
+/// Operators' changes that wait for the store's duty.
+const WISHES: usize = 64;
+
+/// Time between two looks at whether a stopping node is done.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    /// Where it listens.
+    pub listen: settings::Listen,
+    handle: decisions::Handle,
+    stop_callers: watch::Sender<bool>,
+    limits: settings::Limits,
+    duties: Vec<duty::Duty>,
+    thread: decisions::Thread,
+}
+
+impl Node {
+    /// Starts a node. Faces with port 0 get a free port, which [`Node::listen`] then tells.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on or a thread cannot be made.
+    pub fn start(settings: &settings::Settings) -> anyhow::Result<Self> {
+        let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::System::new());
+        let callers = listen("listen.callers", settings.listen.callers)?;
+        let operators = listen("listen.operators", settings.listen.operators)?;
+        let peers = listen("listen.peers", settings.listen.peers)?;
+        let listen = settings::Listen {
+            callers: callers.local_addr()?,
+            operators: operators.local_addr()?,
+            peers: peers.local_addr()?,
+        };
+        let me = member(settings, &listen, &*clock);
+        let first = view::View::first(me.key.clone(), me.region.clone());
+        let (view, _) = watch::channel(sync::Arc::new(first));
+        let (outgoing, to_send) = mpsc::channel(OUTGOING);
+        let (tables, to_write) = mpsc::channel(TABLES);
+        let (wishes, to_grant) = mpsc::channel(WISHES);
+        let core = core::Core::new(me, settings.seeds.clone(), clock.now(), clock.wall());
+        let outputs = decisions::Outputs { peers: outgoing, tables, view };
+        let (handle, thread) =
+            decisions::start(core, outputs, clock, settings.limits.requests)?;
+        let stats = sync::Arc::new(stats::Stats::new());
+        let calls = sync::Arc::new(store::client::Calls::default());
+        let (stop_callers, stopped) = watch::channel(false);
+        let duties = vec![
+            start_callers(settings, &handle, sync::Arc::clone(&stats), callers, stopped)?,
+            start_peers(&handle, peers, to_send)?,
+            start_store(settings, &handle, sync::Arc::clone(&calls), to_write, to_grant)?,
+            start_probes(&handle)?,
+            start_operators(settings, &handle, stats, calls, wishes, operators)?,
+        ];
+        let limits = settings.limits.clone();
+        Ok(Self { listen, handle, stop_callers, limits, duties, thread })
+    }
+
+    /// Returns the way to ask its decisions.
+    #[must_use]
+    pub fn handle(&self) -> &decisions::Handle {
+        &self.handle
+    }
+
+    /// Stops as planned: leaves look-ups, hands its homes over, finishes all it has, and ends.
+    ///
+    /// Returns how long it took, and whether everything had ended in time.
+    pub async fn stop(mut self) -> (Duration, bool) {
+        let began = Instant::now();
+        let _ = self.handle.tell(event::Event::Stop);
+        // Callers may use a look-up for this long, so their new requests are still served.
+        tokio::time::sleep(self.limits.lookup_cache).await;
+        let _ = self.stop_callers.send(true);
+        let is_done = loop {
+            if self.handle.view().is_done {
+                break true;
+            }
+            if began.elapsed() >= self.limits.stop_time {
+                break false;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        };
+        // Connections that are ending have sent their last answers by the next look.
+        tokio::time::sleep(LOOK_EVERY * 4).await;
+        self.end();
+        (began.elapsed(), is_done)
+    }
+
+    /// Ends at once, as if the process had been killed.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        for duty in &mut self.duties {
+            duty.stop();
+        }
+        self.thread.stop();
+    }
+}
+
+fn listen(field: &str, address: net::SocketAddr) -> anyhow::Result<std::net::TcpListener> {
+    callers::face::bind(address)
+        .map_err(|error| anyhow::anyhow!("{field}: cannot listen on {address}: {error}"))
+}
+
+fn member(
+    settings: &settings::Settings,
+    listen: &settings::Listen,
+    clock: &dyn clock::Clock,
+) -> beat::Member {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    // Grows with each start, so that a newer incarnation is known as such.
+    let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    beat::Member {
+        key: seat::Key { node: settings.node.clone(), incarnation },
+        region: settings.region.clone(),
+        hall: settings.hall.clone(),
+        callers: listen.callers,
+        peers: listen.peers,
+        operators: listen.operators,
+        sequence: 0,
+        revision: revision::Revision(0),
+        epoch: epoch::Epoch(0),
+        settled: epoch::Epoch(0),
+        is_leaving: false,
+    }
+}
+
+fn start_callers(
+    settings: &settings::Settings,
+    handle: &decisions::Handle,
+    stats: sync::Arc<stats::Stats>,
+    listener: std::net::TcpListener,
+    stopped: watch::Receiver<bool>,
+) -> io::Result<duty::Duty> {
+    let handle = handle.clone();
+    let limits = settings.limits.clone();
+    duty::Duty::start("callers", move || async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        let entry = entry(&handle);
+        let face = callers::face::Face { decisions: handle, entry, limits, stats };
+        callers::face::serve(face, listener, stopped).await;
+        // Streams that the graceful end waits for no longer still run here until the node ends.
+        std::future::pending::<()>().await;
+    })
+}
+
+fn start_peers(
+    handle: &decisions::Handle,
+    listener: std::net::TcpListener,
+    to_send: mpsc::Receiver<decisions::Outgoing>,
+) -> io::Result<duty::Duty> {
+    let handle = handle.clone();
+    duty::Duty::start("peers", move || async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        let face = peers::face::Face {
+            runner: runner::Runner::new(handle.clone()),
+            entry: entry(&handle),
+            decisions: handle.clone(),
+        };
+        let serve = peers::face::serve(face, listener);
+        let send = peers::beats::run(handle, to_send);
+        let (served, ()) = tokio::join!(serve, send);
+        if let Err(error) = served {
+            let error = error.to_string();
+            log::error!(duty = "peers", error = error.as_str(); "duty-failed");
+        }
+    })
+}
+
+fn start_store(
+    settings: &settings::Settings,
+    handle: &decisions::Handle,
+    calls: sync::Arc<store::client::Calls>,
+    to_write: mpsc::Receiver<sync::Arc<model::table::Table>>,
+    to_grant: mpsc::Receiver<store::keep::Wish>,
+) -> io::Result<duty::Duty> {
+    let handle = handle.clone();
+    let region = settings.region.clone();
+    let address = settings.store;
+    let vms = settings.vms;
+    duty::Duty::start("store", move || async move {
+        let client = store::client::Client::new(address, calls);
+        let keeper = store::keep::Keeper::new(client, handle.clone(), region);
+        let list = async {
+            match vms {
+                Some(vms) => store::vmlist::run(vms, handle).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::join!(keeper.run(to_write, to_grant), list);
+    })
+}
+
+fn start_probes(handle: &decisions::Handle) -> io::Result<duty::Duty> {
+    let handle = handle.clone();
+    duty::Duty::start("probes", move || probes::run(handle))
+}
+
+fn start_operators(
+    settings: &settings::Settings,
+    handle: &decisions::Handle,
+    stats: sync::Arc<stats::Stats>,
+    calls: sync::Arc<store::client::Calls>,
+    wishes: mpsc::Sender<store::keep::Wish>,
+    listener: std::net::TcpListener,
+) -> io::Result<duty::Duty> {
+    let access = operators::access::Access::new(&settings.operators);
+    let face =
+        operators::api::Face { decisions: handle.clone(), wishes, access, calls, stats };
+    duty::Duty::start("operators", move || async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        let _ = axum::serve(listener, operators::api::router(face)).await;
+    })
+}
+
+fn entry(handle: &decisions::Handle) -> callers::entry::Entry {
+    callers::entry::Entry::new(
+        handle.clone(),
+        runner::Runner::new(handle.clone()),
+        peers::carrier::Carrier::default(),
+    )
+}
--- /dev/null
+++ b/crates/node/src/operators/dump.rs
@@ -0,0 +1,243 @@
+//! The dump: a process's state on request.
+
+use std::collections;
+use std::time::Instant;
+
+use model::id;
+use serde::Serialize;
+
+use crate::decider;
+use crate::stats;
+use crate::store::client;
+
+/// The state of a node.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// The node with its incarnation.
+    pub node: String,
+    /// Its region.
+    pub region: id::Region,
+    /// Its hall.
+    pub hall: id::Hall,
+    /// Whether it serves callers.
+    pub is_ready: bool,
+    /// Whether it is stopping.
+    pub is_leaving: bool,
+    /// The configuration it acts on.
+    pub revision: u64,
+    /// The table it acts on.
+    pub epoch: u64,
+    /// The lowest epoch whose shares it may still use.
+    pub settled: u64,
+    /// Nodes of the region's table, and those whose shares are still reserved.
+    pub seats: Vec<String>,
+    /// Nodes that departed without proof that they ended.
+    pub departed: Vec<String>,
+    /// Nodes that are known.
+    pub members: Vec<Member>,
+    /// Upstreams of this region.
+    pub upstreams: Vec<Upstream>,
+    /// Services as the planner sees them.
+    pub services: Vec<Service>,
+    /// Splits as they stand, in per cent.
+    pub splits: Vec<Split>,
+    /// Requests.
+    pub requests: Requests,
+    /// Calls to the store.
+    pub store: client::Counts,
+    /// Figures of the callers' face.
+    pub callers: stats::Figures,
+}
+
+/// A known node.
+#[derive(Clone, Debug, Serialize)]
+pub struct Member {
+    /// The node with its incarnation.
+    pub node: String,
+    /// Its region.
+    pub region: id::Region,
+    /// Whether it may be given work.
+    pub is_alive: bool,
+    /// Whether it is stopping.
+    pub is_leaving: bool,
+    /// Milliseconds since it was last heard of.
+    pub silent_ms: u128,
+    /// The configuration it acts on.
+    pub revision: u64,
+    /// The table it acts on.
+    pub epoch: u64,
+    /// The lowest epoch whose shares it may still use.
+    pub settled: u64,
+}
+
+/// One upstream as this node sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Upstream {
+    /// The service and the upstream.
+    pub upstream: String,
+    /// Its home.
+    pub home: Option<String>,
+    /// Slots it has.
+    pub slots: u32,
+    /// Slots this node may use by itself.
+    pub usable: u32,
+    /// Slots that others lent to this node.
+    pub borrowed: u32,
+    /// Slots that this node lent.
+    pub lent: u32,
+    /// Slots that new work may use now.
+    pub limit: u32,
+    /// Slots in use.
+    pub in_flight: u32,
+    /// Whether a drain or the VM list keeps new work away.
+    pub is_drained: bool,
+    /// Whether its health allows new work.
+    pub is_usable: bool,
+    /// Usual time of an answer, in milliseconds.
+    pub usual_ms: Option<f64>,
+}
+
+/// One service as the planner sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Service {
+    /// The service.
+    pub service: id::Service,
+    /// Requests that wait here.
+    pub queued: usize,
+    /// Usable slots by region.
+    pub capacities: collections::BTreeMap<id::Region, f64>,
+    /// Slots in use by region, waiting requests included.
+    pub in_use: collections::BTreeMap<id::Region, f64>,
+    /// Requests a second by place.
+    pub rates: collections::BTreeMap<id::Place, f64>,
+}
+
+/// One split.
+#[derive(Clone, Debug, Serialize)]
+pub struct Split {
+    /// The service.
+    pub service: id::Service,
+    /// The place.
+    pub place: id::Place,
+    /// Per cent by region.
+    pub shares: collections::BTreeMap<id::Region, f64>,
+}
+
+/// Requests in this process.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Requests {
+    /// Out at homes.
+    pub routed: usize,
+    /// Running or waiting at this home.
+    pub at_home: usize,
+    /// Waiting for a decision.
+    pub undecided: usize,
+    /// Tickets in use.
+    pub tickets: usize,
+    /// Asks in their ring.
+    pub asks: usize,
+    /// Releases in their ring.
+    pub releases: usize,
+    /// Asks refused because a bound was reached.
+    pub refused: u64,
+    /// Beats and proposals dropped because a ring was full.
+    pub dropped: u64,
+}
+
+impl Dump {
+    /// Makes the dump of a state.
+    #[must_use]
+    pub fn new(
+        state: &decider::State<'_>,
+        pressure: (usize, usize, u64),
+        store: client::Counts,
+        callers: stats::Figures,
+    ) -> Self {
+        let core = state.core;
+        let me = &core.me;
+        let now = state.now;
+        let table = core.tables.get(&me.region);
+        let seats = table.into_iter().flat_map(|t| &t.seats).map(|s| s.key.to_string());
+        let departed = table.into_iter().flat_map(|t| &t.departed).map(|d| d.key.to_string());
+        Self {
+            node: me.key.to_string(),
+            region: me.region.clone(),
+            hall: me.hall.clone(),
+            is_ready: core.is_ready(now),
+            is_leaving: me.is_leaving,
+            revision: me.revision.0,
+            epoch: me.epoch.0,
+            settled: me.settled.0,
+            seats: seats.collect(),
+            departed: departed.collect(),
+            members: members(core, now),
+            upstreams: upstreams(core, now),
+            services: services(core, now),
+            splits: splits(core),
+            requests: Requests {
+                routed: core.router.load(),
+                at_home: core.home.load(),
+                undecided: state.waiting,
+                tickets: state.tickets,
+                asks: pressure.0,
+                releases: pressure.1,
+                refused: pressure.2,
+                dropped: state.dropped,
+            },
+            store,
+            callers,
+        }
+    }
+}
+
+fn members(core: &steer::core::Core, now: Instant) -> Vec<Member> {
+    let member = |known: &steer::members::Known| Member {
+        node: known.member.key.to_string(),
+        region: known.member.region.clone(),
+        is_alive: core.is_alive(&known.member.key, now),
+        is_leaving: known.member.is_leaving,
+        silent_ms: now.saturating_duration_since(known.heard).as_millis(),
+        revision: known.member.revision.0,
+        epoch: known.member.epoch.0,
+        settled: known.member.settled.0,
+    };
+    core.members.iter().map(member).collect()
+}
+
+fn upstreams(core: &steer::core::Core, now: Instant) -> Vec<Upstream> {
+    let upstream = |(key, u): (&steer::instance::Key, &steer::upstream::Upstream)| Upstream {
+        upstream: key.to_string(),
+        home: u.ledger.rights.home().map(ToString::to_string),
+        slots: u.ledger.slots,
+        usable: u.ledger.rights.usable,
+        borrowed: u.ledger.borrowed_slots(now),
+        lent: u.ledger.lent_slots(now),
+        limit: u.limit(now),
+        in_flight: u.ledger.in_flight(),
+        is_drained: u.is_drained,
+        is_usable: u.health.is_usable(now),
+        usual_ms: u.warmth.usual().map(|seconds| seconds * 1_000.0),
+    };
+    core.home.upstreams.iter().map(upstream).collect()
+}
+
+fn services(core: &steer::core::Core, now: Instant) -> Vec<Service> {
+    let service = |(name, measured): (id::Service, steer::router::Measured)| Service {
+        queued: core.home.queue_len(&name),
+        service: name,
+        capacities: measured.capacities,
+        in_use: measured.in_use,
+        rates: measured.rates,
+    };
+    core.measured(now).into_iter().map(service).collect()
+}
+
+fn splits(core: &steer::core::Core) -> Vec<Split> {
+    let per_cent = |share: u32| f64::from(share) / 10_000.0;
+    let split = |position: steer::beat::Position| Split {
+        shares: position.split.parts().map(|(r, s)| (r.clone(), per_cent(s))).collect(),
+        service: position.service,
+        place: position.place,
+    };
+    core.router.positions().map(split).collect()
+}
--- /dev/null
+++ b/crates/node/src/peers/carrier.rs
@@ -0,0 +1,226 @@
+//! Carrying a request to its home on another node, and its answer back.
+
+use std::io;
+use std::net;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt as _, StreamBody};
+use model::id;
+use model::verdict;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use wire::peer;
+
+use crate::body;
+use crate::failed;
+use crate::peers::links;
+
+/// Parts of a body that wait to be sent.
+const PARTS: usize = 8;
+
+/// Largest part of a body in one message, in bytes.
+pub const LARGEST_PART: usize = 256 * 1_024;
+
+/// Time beyond a request's deadline in which its home's own verdict may still arrive.
+const VERDICT_GRACE: Duration = Duration::from_millis(250);
+
+/// Carries requests over links.
+#[derive(Clone, Debug, Default)]
+pub struct Carrier {
+    links: links::Links,
+}
+
+impl Carrier {
+    /// Makes a carrier on `links`.
+    #[must_use]
+    pub fn new(links: links::Links) -> Self {
+        Self { links }
+    }
+
+    /// Carries a request to the node at `address`. A kept body goes at once; a streamed one when
+    /// the home holds a slot, so that it can go elsewhere when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict of the other node, or one about the connection.
+    pub async fn carry(
+        &self,
+        address: net::SocketAddr,
+        head: peer::RequestHead,
+        source: &mut body::Source,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let left = Duration::from_millis(head.remaining_ms) + VERDICT_GRACE;
+        match tokio::time::timeout(left, self.exchange(address, head, source)).await {
+            Ok(result) => result,
+            Err(_) => Err(failed::Failed::before(verdict::Failure::may_have_run(
+                verdict::Reason::Deadline,
+            ))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        head: peer::RequestHead,
+        source: &mut body::Source,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let Ok(mut client) = self.links.client(address).await else {
+            return Err(unreached());
+        };
+        let (parts, upload) = mpsc::channel(PARTS);
+        let kept = match &*source {
+            body::Source::Kept(bytes) => Some(bytes.clone()),
+            body::Source::Streamed(_) | body::Source::Spent => None,
+        };
+        send_first(&parts, head, kept).await;
+        let mut download = match client.carry(ReceiverStream::new(upload)).await {
+            Ok(answer) => answer.into_inner(),
+            Err(status) if links::was_never_sent(&status) => {
+                self.links.forget(address);
+                return Err(unreached());
+            }
+            Err(_) => return Err(broken(None)),
+        };
+        let mut parts = Some(parts);
+        let mut upstream = None;
+        loop {
+            let message = download.message().await;
+            let part = message.ok().flatten().and_then(|download| download.part);
+            match part {
+                Some(peer::download::Part::Go(go)) => {
+                    upstream = Some(id::Upstream::new(&go.upstream));
+                    let is_streamed = matches!(source, body::Source::Streamed(_));
+                    if let Some(parts) = parts.take_if(|_| is_streamed) {
+                        tokio::spawn(send_body(source.take(), parts));
+                    }
+                }
+                Some(peer::download::Part::Head(head)) => return answer(head, download, parts),
+                Some(peer::download::Part::Failure(failure)) => return Err(failure_of(&failure)),
+                Some(peer::download::Part::Data(_) | peer::download::Part::End(_)) | None => {
+                    return Err(broken(upstream));
+                }
+            }
+        }
+    }
+}
+
+/// Sends the head, and the body when it is at hand.
+async fn send_first(
+    parts: &mpsc::Sender<peer::Upload>,
+    head: peer::RequestHead,
+    kept: Option<Bytes>,
+) {
+    let mut first = vec![peer::upload::Part::Head(head)];
+    if let Some(bytes) = kept {
+        if !bytes.is_empty() {
+            first.push(peer::upload::Part::Data(bytes.to_vec()));
+        }
+        first.push(peer::upload::Part::End(peer::End {}));
+    }
+    for part in first {
+        // Three parts at most, and the channel holds more.
+        let _ = parts.send(peer::Upload { part: Some(part) }).await;
+    }
+}
+
+/// Sends a streamed body. One that breaks off is left without its end, so that the home sees it.
+async fn send_body(mut body: body::Body, parts: mpsc::Sender<peer::Upload>) {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return };
+        let Ok(mut data) = frame.into_data() else { continue };
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(LARGEST_PART));
+            let part = peer::upload::Part::Data(part.to_vec());
+            if parts.send(peer::Upload { part: Some(part) }).await.is_err() {
+                return;
+            }
+        }
+    }
+    let end = peer::upload::Part::End(peer::End {});
+    let _ = parts.send(peer::Upload { part: Some(end) }).await;
+}
+
+fn answer(
+    head: peer::ResponseHead,
+    download: tonic::Streaming<peer::Download>,
+    parts: Option<mpsc::Sender<peer::Upload>>,
+) -> Result<Response<body::Body>, failed::Failed> {
+    let status = u16::try_from(head.status).ok().and_then(|s| StatusCode::from_u16(s).ok());
+    let Some(status) = status else { return Err(broken(None)) };
+    // The way up stays open as long as the answer comes, or the home would see a caller that left.
+    let state = Some((download, parts));
+    let frames = futures_util::stream::unfold(state, |state| async move {
+        let (mut download, parts) = state?;
+        let part = download.message().await.ok().flatten().and_then(|download| download.part);
+        match part {
+            Some(peer::download::Part::Data(data)) => {
+                Some((Ok(Frame::data(Bytes::from(data))), Some((download, parts))))
+            }
+            Some(peer::download::Part::End(_)) => None,
+            _ => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
+        }
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers(&head.headers);
+    Ok(response)
+}
+
+/// Returns headers as a map; what no library accepts is left out.
+#[must_use]
+pub fn headers(list: &[peer::Header]) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(list.len());
+    for header in list {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            map.append(name, value);
+        }
+    }
+    map
+}
+
+/// Returns headers as messages carry them.
+#[must_use]
+pub fn header_list(map: &HeaderMap) -> Vec<peer::Header> {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| peer::Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    };
+    map.iter().map(pair).collect()
+}
+
+/// Returns the milliseconds left until `deadline`.
+#[must_use]
+pub fn remaining_ms(deadline: Instant, now: Instant) -> u64 {
+    u64::try_from(deadline.saturating_duration_since(now).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn failure_of(failure: &peer::Failure) -> failed::Failed {
+    let verdict = match failure.verdict() {
+        peer::Verdict::NotRun => verdict::Verdict::NotRun,
+        peer::Verdict::MayHaveRun | peer::Verdict::Unspecified => verdict::Verdict::MayHaveRun,
+    };
+    let wait = Some(failure.retry_after_ms).filter(|ms| *ms > 0).map(Duration::from_millis);
+    let upstream = Some(failure.upstream.as_str()).filter(|name| !name.is_empty());
+    failed::Failed {
+        failure: verdict::Failure {
+            verdict,
+            reason: verdict::Reason::parse(&failure.reason),
+            retry_after: wait,
+        },
+        upstream: upstream.map(id::Upstream::new),
+    }
+}
+
+fn unreached() -> failed::Failed {
+    failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotReady))
+}
+
+fn broken(upstream: Option<id::Upstream>) -> failed::Failed {
+    let failure = verdict::Failure::may_have_run(verdict::Reason::Broken);
+    failed::Failed { failure, upstream }
+}
--- /dev/null
+++ b/crates/node/src/peers/face.rs
@@ -0,0 +1,239 @@
+//! The server of the peers' face.
+
+use std::io;
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response};
+use http_body::Frame;
+use http_body_util::{BodyExt as _, StreamBody};
+use model::id;
+use model::revision;
+use model::verdict;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::{Request, Status, Streaming};
+use wire::peer;
+use wire::peer::peer_server::{Peer, PeerServer};
+
+use crate::body;
+use crate::callers::entry;
+use crate::decisions;
+use crate::failed;
+use crate::peers::carrier;
+use crate::peers::convert;
+use crate::runner;
+
+/// Parts of an answer that wait to be sent.
+const PARTS: usize = 8;
+
+/// Largest message: a configuration fits into a value of the store, a megabyte, with room around.
+pub const LARGEST_MESSAGE: usize = 4 << 20;
+
+/// Streams one peer may have open.
+const STREAMS: u32 = 4_096;
+
+/// What the peers' face works with.
+#[derive(Clone, Debug)]
+pub struct Face {
+    /// The decisions.
+    pub decisions: decisions::Handle,
+    /// Runs requests at upstreams of this home.
+    pub runner: runner::Runner,
+    /// Enters requests whose ticket this node issued.
+    pub entry: entry::Entry,
+}
+
+/// Serves the peers' face.
+///
+/// # Errors
+///
+/// Fails when the listener does.
+pub async fn serve(face: Face, listener: TcpListener) -> Result<(), tonic::transport::Error> {
+    let server = PeerServer::new(face)
+        .max_decoding_message_size(LARGEST_MESSAGE)
+        .max_encoding_message_size(LARGEST_MESSAGE);
+    tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .http2_adaptive_window(Some(true))
+        .max_concurrent_streams(Some(STREAMS))
+        .add_service(server)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+}
+
+#[tonic::async_trait]
+impl Peer for Face {
+    type CarryStream = ReceiverStream<Result<peer::Download, Status>>;
+
+    async fn carry(
+        &self,
+        request: Request<Streaming<peer::Upload>>,
+    ) -> Result<tonic::Response<Self::CarryStream>, Status> {
+        let (parts, download) = mpsc::channel(PARTS);
+        let face = self.clone();
+        tokio::spawn(async move {
+            let gone = parts.clone();
+            tokio::select! {
+                () = face.run(request.into_inner(), parts) => {}
+                // The entry gave up; dropping the work cancels it at the upstream.
+                () = gone.closed() => {}
+            }
+        });
+        Ok(tonic::Response::new(ReceiverStream::new(download)))
+    }
+
+    async fn beat(
+        &self,
+        request: Request<peer::BeatRequest>,
+    ) -> Result<tonic::Response<peer::BeatReply>, Status> {
+        let beat = convert::beat_in(request.into_inner())
+            .ok_or_else(|| Status::invalid_argument("the beat is malformed"))?;
+        let reply = self.decisions.beat(beat).await;
+        let reply = reply.ok_or_else(|| Status::resource_exhausted("the node is busy"))?;
+        Ok(tonic::Response::new(convert::reply_out(reply)))
+    }
+
+    async fn fetch(
+        &self,
+        request: Request<peer::FetchRequest>,
+    ) -> Result<tonic::Response<peer::FetchReply>, Status> {
+        let config = sync::Arc::clone(&self.decisions.view().config);
+        let is_newer = config.revision() > revision::Revision(request.into_inner().newer_than);
+        let document = match is_newer {
+            true => config.document.to_vec(),
+            false => Vec::new(),
+        };
+        let reply = peer::FetchReply { revision: config.revision().0, document };
+        Ok(tonic::Response::new(reply))
+    }
+}
+
+impl Face {
+    async fn run(&self, mut upload: Streaming<peer::Upload>, parts: Parts) {
+        let first = upload.message().await.ok().flatten().and_then(|upload| upload.part);
+        let result = match first {
+            Some(peer::upload::Part::Head(head)) => match head.duty() {
+                peer::Duty::Home => self.run_at_home(head, upload, &parts).await,
+                peer::Duty::Ticket => self.run_ticket(head, upload).await,
+                peer::Duty::Unspecified => Err(malformed()),
+            },
+            _ => Err(malformed()),
+        };
+        match result {
+            Ok(answer) => relay(answer, &parts).await,
+            Err(failed) => {
+                let _ = send(&parts, peer::download::Part::Failure(failure_out(&failed))).await;
+            }
+        }
+    }
+
+    async fn run_at_home(
+        &self,
+        head: peer::RequestHead,
+        upload: Streaming<peer::Upload>,
+        parts: &Parts,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let order = self.order(&head)?;
+        let slot = self.runner.reserve(&order).await?;
+        let go = peer::Go { upstream: slot.upstream.as_str().to_owned() };
+        let _ = send(parts, peer::download::Part::Go(go)).await;
+        self.runner.run(slot, &order, upload_body(upload)).await
+    }
+
+    async fn run_ticket(
+        &self,
+        head: peer::RequestHead,
+        upload: Streaming<peer::Upload>,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let order = self.order(&head)?;
+        let kept = upload_body(upload).collect().await;
+        let kept = kept.map_err(|_| malformed())?.to_bytes();
+        let result = self.entry.enter_ticket(order, &head.ticket, kept).await;
+        result.map_err(failed::Failed::before)
+    }
+
+    fn order(&self, head: &peer::RequestHead) -> Result<runner::Order, failed::Failed> {
+        let view = self.decisions.view();
+        let service = view.config.snapshot.services.get(head.service.as_str());
+        let not_home = || {
+            failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome))
+        };
+        let service = service.ok_or_else(not_home)?;
+        let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
+        Ok(runner::Order {
+            service: sync::Arc::clone(&service.spec),
+            place: id::Place::new(&head.place),
+            method,
+            path: head.path.clone(),
+            headers: carrier::headers(&head.headers),
+            deadline: self.decisions.now() + Duration::from_millis(head.remaining_ms),
+            avoid: head.avoid.iter().map(|name| id::Upstream::new(name)).collect(),
+        })
+    }
+}
+
+type Parts = mpsc::Sender<Result<peer::Download, Status>>;
+
+async fn send(parts: &Parts, part: peer::download::Part) -> Result<(), ()> {
+    parts.send(Ok(peer::Download { part: Some(part) })).await.map_err(|_| ())
+}
+
+/// Sends an answer. One whose body breaks off is left without its end, so that the entry sees it.
+async fn relay(answer: Response<body::Body>, parts: &Parts) {
+    let (head, mut body) = answer.into_parts();
+    let head = peer::ResponseHead {
+        status: u32::from(head.status.as_u16()),
+        headers: carrier::header_list(&head.headers),
+    };
+    if send(parts, peer::download::Part::Head(head)).await.is_err() {
+        return;
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return };
+        let Ok(mut data) = frame.into_data() else { continue };
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(carrier::LARGEST_PART)).to_vec();
+            if send(parts, peer::download::Part::Data(part)).await.is_err() {
+                return;
+            }
+        }
+    }
+    let _ = send(parts, peer::download::Part::End(peer::End {})).await;
+}
+
+/// Returns a body as a peer sends it; without its end it fails.
+fn upload_body(upload: Streaming<peer::Upload>) -> body::Body {
+    let frames = futures_util::stream::unfold(Some(upload), |state| async move {
+        let mut upload = state?;
+        let part = upload.message().await.ok().flatten().and_then(|upload| upload.part);
+        match part {
+            Some(peer::upload::Part::Data(data)) => {
+                Some((Ok(Frame::data(Bytes::from(data))), Some(upload)))
+            }
+            Some(peer::upload::Part::End(_)) => None,
+            _ => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+fn failure_out(failed: &failed::Failed) -> peer::Failure {
+    let verdict = match failed.failure.verdict {
+        verdict::Verdict::NotRun => peer::Verdict::NotRun,
+        verdict::Verdict::MayHaveRun => peer::Verdict::MayHaveRun,
+    };
+    let wait = failed.failure.retry_after.unwrap_or_default().as_millis();
+    peer::Failure {
+        verdict: verdict.into(),
+        reason: failed.failure.reason.as_str().to_owned(),
+        retry_after_ms: u64::try_from(wait).unwrap_or(u64::MAX),
+        upstream: failed.upstream.as_ref().map_or(String::new(), |u| u.as_str().to_owned()),
+    }
+}
+
+fn malformed() -> failed::Failed {
+    failed::Failed::before(verdict::Failure::not_run(verdict::Reason::BadRequest))
+}
--- /dev/null
+++ b/crates/node/src/probes.rs
@@ -0,0 +1,77 @@
+//! Probes: asking the upstreams of this region for their health and load.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Empty, Limited};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt;
+use steer::event;
+use steer::instance;
+use steer::report;
+use tokio::sync::Semaphore;
+
+use crate::decisions;
+
+/// Time between two probes of one upstream.
+const EVERY: Duration = Duration::from_secs(1);
+
+/// Time for an answer.
+const PROBE_TIME: Duration = Duration::from_millis(800);
+
+/// Probes that may be out at once.
+const PROBES: usize = 32;
+
+/// Largest report, in bytes.
+const LARGEST: usize = 64 * 1_024;
+
+type Http = legacy::Client<HttpConnector, Empty<Bytes>>;
+
+/// Probes for ever, each upstream that this node is home of or stands in for.
+pub async fn run(decisions: decisions::Handle) {
+    let http: Http = legacy::Client::builder(rt::TokioExecutor::new())
+        .pool_max_idle_per_host(1)
+        .build_http();
+    let permits = sync::Arc::new(Semaphore::new(PROBES));
+    loop {
+        let ranked = decisions.look(|state| ranked(state.core)).await.unwrap_or_default();
+        let view = decisions.view();
+        for (instance, address) in ranked {
+            let service = view.config.snapshot.services.get(&instance.service);
+            let Some(path) = service.and_then(|s| s.spec.report.clone()) else { continue };
+            let Ok(permit) = sync::Arc::clone(&permits).acquire_owned().await else { return };
+            let (http, decisions) = (http.clone(), decisions.clone());
+            tokio::spawn(async move {
+                let probe = tokio::time::timeout(PROBE_TIME, probe(&http, address, &path));
+                let report = probe.await.ok().flatten();
+                let _ = decisions.tell(event::Event::Probed { instance, report });
+                drop(permit);
+            });
+        }
+        tokio::time::sleep(EVERY).await;
+    }
+}
+
+/// Returns the upstreams this node has a share of, the ones whose work it may have to run.
+fn ranked(
+    core: &steer::core::Core,
+) -> collections::BTreeMap<instance::Key, net::SocketAddr> {
+    let upstreams = core.home.upstreams.iter();
+    let home = |u: &steer::upstream::Upstream| u.ledger.rights.home() == Some(&core.me.key);
+    let used = upstreams.filter(|(_, u)| home(u) || u.ledger.in_flight() > 0);
+    used.map(|(key, u)| (key.clone(), u.address)).collect()
+}
+
+async fn probe(http: &Http, address: net::SocketAddr, path: &str) -> Option<report::Report> {
+    let uri = format!("http://{address}{path}").parse().ok()?;
+    let response = http.get(uri).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), LARGEST).collect().await.ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
--- /dev/null
+++ b/crates/node/src/store/accept.rs
@@ -0,0 +1,127 @@
+//! Accepting a change: compare-and-swap of the whole configuration, told honestly.
+
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::change;
+use model::check;
+use model::refusal;
+use model::revision;
+use model::snapshot;
+use serde::{Deserialize, Serialize};
+
+use crate::store::edge;
+
+/// Key of the configuration.
+pub const KEY: &str = "config";
+
+/// Times a change is tried against other operators' changes, or read back after a lost answer.
+const TRIES: u32 = 6;
+
+/// Pause before a lost answer is looked into again; it doubles.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It is accepted, and will be in force everywhere within seconds.
+    Accepted {
+        /// The revision it made.
+        revision: revision::Revision,
+    },
+    /// It was refused; nothing of it is in force.
+    Refused {
+        /// Why.
+        refusal: refusal::Refusal,
+    },
+    /// The store's answer was lost: ask again by the operation's id.
+    Unknown {
+        /// The operation's id.
+        operation: String,
+    },
+    /// The store cannot be reached; nothing was written.
+    Unavailable,
+}
+
+/// A configuration as it stands in the store.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// The store's revision of the value; 0 when there is none.
+    pub version: u64,
+    /// The configuration.
+    pub snapshot: sync::Arc<snapshot::Snapshot>,
+}
+
+/// Reads the configuration.
+///
+/// # Errors
+///
+/// Fails when the store does not answer, or holds what is no configuration.
+pub async fn read<S: edge::Store>(store: &S) -> Result<Standing, edge::Error> {
+    let value = store.get(KEY).await?;
+    match value {
+        None => Ok(Standing { version: 0, snapshot: sync::Arc::default() }),
+        Some(value) => parse(&value).ok_or(edge::Error::Refused),
+    }
+}
+
+/// Reads a configuration's value; none when it is malformed.
+#[must_use]
+pub fn parse(value: &edge::Value) -> Option<Standing> {
+    let snapshot = serde_json::from_slice(&value.bytes).ok()?;
+    Some(Standing { version: value.revision, snapshot: sync::Arc::new(snapshot) })
+}
+
+/// Applies a change, and returns the configuration too when it was accepted.
+///
+/// A write whose answer is lost is looked for by its operation's id. It is never called refused
+/// unless it is known that it did not and will not take effect.
+pub async fn apply<S: edge::Store>(
+    store: &S,
+    change: &change::Change,
+    facts: &check::Facts,
+) -> (Outcome, Option<sync::Arc<snapshot::Snapshot>>) {
+    let mut sent_on = None;
+    let mut pause = PAUSE;
+    for _ in 0..TRIES {
+        let Ok(standing) = read(store).await else {
+            if sent_on.is_none() {
+                return (Outcome::Unavailable, None);
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+            continue;
+        };
+        if let Some(revision) = standing.snapshot.operation(&change.operation) {
+            return (Outcome::Accepted { revision }, Some(standing.snapshot));
+        }
+        let next = match standing.snapshot.apply(change, facts) {
+            Ok(next) => next,
+            // A lost write may yet land, but only on the value that it expected.
+            Err(_) if sent_on == Some(standing.version) => break,
+            Err(refusal) => return (Outcome::Refused { refusal }, None),
+        };
+        let Ok(bytes) = serde_json::to_vec(&next) else {
+            return (Outcome::Unavailable, None);
+        };
+        match store.put(KEY, Bytes::from(bytes), standing.version).await {
+            Ok(edge::Put::Written(_)) => {
+                let outcome = Outcome::Accepted { revision: next.revision };
+                return (outcome, Some(sync::Arc::new(next)));
+            }
+            Ok(edge::Put::Conflict) => {}
+            Err(edge::Error::Refused) if sent_on.is_none() => return (Outcome::Unavailable, None),
+            Err(_) => {
+                sent_on = Some(standing.version);
+                tokio::time::sleep(pause).await;
+                pause *= 2;
+            }
+        }
+    }
+    match sent_on.is_some() {
+        true => (Outcome::Unknown { operation: change.operation.clone() }, None),
+        false => (Outcome::Unavailable, None),
+    }
+}
--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -50,7 +50,7 @@
     wall: SystemTime,
     started: Instant,
     last_beat: Option<Instant>,
-    heard_peer: bool,
+    has_positions: bool,
     has_stored_table: bool,
     is_stale: bool,
     alive: Vec<seat::Key>,
@@ -79,7 +79,7 @@
             wall,
             started: now,
             last_beat: None,
-            heard_peer: false,
+            has_positions: false,
             has_stored_table: false,
             is_stale: true,
             alive: Vec::new(),
@@ -103,7 +103,7 @@
             }
             event::Event::Offer { offer } => self.home.offer(offer, now, out),
             event::Event::Done { request, outcome } => self.home.done(request, outcome, now, out),
-            event::Event::Withdraw { request } => self.home.withdraw(request),
+            event::Event::Withdraw { request } => self.home.withdraw(request, now, out),
             event::Event::Probed { instance, report } => {
                 self.home.probed(&instance, report.as_ref());
             }
@@ -128,8 +128,13 @@
     /// Returns whether this node may serve callers.
     #[must_use]
     pub fn is_ready(&self, now: Instant) -> bool {
-        let listened = now.saturating_duration_since(self.started) >= LISTEN;
-        self.snapshot.revision > revision::Revision(0) && (self.heard_peer || listened)
+        let is_informed = self.has_positions || self.has_listened(now);
+        self.snapshot.revision > revision::Revision(0) && is_informed
+    }
+
+    /// Returns whether it has listened for peers long enough to believe what it has not heard.
+    fn has_listened(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= LISTEN
     }
 
     /// Returns whether a stopping node has handed everything over.
@@ -295,7 +300,7 @@
 
     fn propose(&mut self, now: Instant, out: &mut Vec<action::Action>) {
         // Without having read the store, a table made up here would only lose the race.
-        if !self.has_stored_table || !self.is_ready(now) {
+        if !self.has_stored_table || !self.has_listened(now) {
             return;
         }
         let empty = table::Table::empty(&self.me.region);
@@ -339,7 +344,7 @@
             epochs: self.tables.iter().map(|(r, t)| (r.clone(), t.epoch)).collect(),
             borrows: true,
             held,
-            wants_positions: !self.heard_peer,
+            wants_positions: !self.has_positions && !self.has_listened(now),
         }
     }
 
@@ -386,13 +391,10 @@
         out: &mut Vec<action::Action>,
     ) {
         self.hear(&reply.sender, &reply.news, now, out);
-        let is_peer = reply.sender.key.node != self.me.key.node;
-        if is_peer && !self.heard_peer {
-            for position in &reply.positions {
-                self.router.adopt(position);
-            }
+        for position in &reply.positions {
+            self.router.adopt(position);
         }
-        self.heard_peer |= is_peer && reply.sender.revision > revision::Revision(0);
+        self.has_positions |= !reply.positions.is_empty();
         // A loan was made to the home of that epoch; by now this node may be home no more.
         if reply.sender.region == self.me.region && self.asked_under(sent) == self.me.epoch {
             let terms = loan::Terms { term: reply.term, tail: reply.tail };
--- a/crates/steer/src/home.rs
+++ b/crates/steer/src/home.rs
@@ -153,12 +153,14 @@
         self.pump(&service, now, out);
     }
 
-    /// Takes back a request whose caller gave up while it waited; one that runs goes on until
-    /// [`Home::done`].
-    pub fn withdraw(&mut self, id: request::Id) {
+    /// Takes back a request whose caller gave up before it learned of its slot.
+    ///
+    /// It may have been given one in the meantime; nothing was sent there, so it is free at once.
+    pub fn withdraw(&mut self, id: request::Id, now: Instant, out: &mut Vec<action::Action>) {
         for served in self.services.values_mut() {
             served.queue.remove(id);
         }
+        self.done(id, request::Outcome::Shed, now, out);
     }
 
     /// Takes in the outcome of a probe.
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -56,7 +56,6 @@
 #[derive(Debug)]
 struct Routed {
     service: id::Service,
-    place: id::Place,
     region: Option<id::Region>,
     home: Option<id::Node>,
     tried: Vec<id::Node>,
@@ -130,7 +129,6 @@
         let region = self.next_region(service, place, view);
         let routed = Routed {
             service: service.clone(),
-            place: place.clone(),
             region,
             home: None,
             tried: Vec::new(),
--- a/crates/steer/src/ticket.rs
+++ b/crates/steer/src/ticket.rs
@@ -86,33 +86,19 @@
     Full,
 }
 
-/// The tickets of one incarnation.
-#[derive(Debug)]
-pub struct Table<A> {
+/// What issues the tickets of one incarnation.
+#[derive(Clone, Debug)]
+pub struct Issuer {
     node: id::Node,
     incarnation: u64,
     origin: Instant,
-    used: collections::HashMap<u64, State<A>>,
-    ends: collections::VecDeque<(Instant, u64)>,
-}
-
-#[derive(Debug)]
-enum State<A> {
-    Running,
-    Done(Outcome<A>),
 }
 
-impl<A> Table<A> {
-    /// Makes the table of an incarnation that starts at `origin`.
+impl Issuer {
+    /// Makes the issuer of an incarnation that starts at `origin`.
     #[must_use]
     pub fn new(node: id::Node, incarnation: u64, origin: Instant) -> Self {
-        Self {
-            node,
-            incarnation,
-            origin,
-            used: collections::HashMap::new(),
-            ends: collections::VecDeque::new(),
-        }
+        Self { node, incarnation, origin }
     }
 
     /// Issues a ticket; nothing is remembered until it is used.
@@ -127,14 +113,47 @@
         }
     }
 
+    /// Returns when a ticket ends; none when this incarnation did not issue it.
+    fn end(&self, ticket: &Ticket, now: Instant) -> Option<Instant> {
+        let is_own = ticket.node == self.node && ticket.incarnation == self.incarnation;
+        let issued = self.origin.checked_add(Duration::from_millis(ticket.issued_ms))?;
+        match is_own && issued <= now {
+            true => issued.checked_add(LIFE),
+            false => None,
+        }
+    }
+}
+
+/// The tickets of one incarnation.
+#[derive(Debug)]
+pub struct Table<A> {
+    issuer: Issuer,
+    used: collections::HashMap<u64, State<A>>,
+    ends: collections::VecDeque<(Instant, u64)>,
+}
+
+#[derive(Debug)]
+enum State<A> {
+    Running,
+    Done(Outcome<A>),
+}
+
+impl<A> Table<A> {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new(issuer: Issuer) -> Self {
+        Self {
+            issuer,
+            used: collections::HashMap::new(),
+            ends: collections::VecDeque::new(),
+        }
+    }
+
     /// Claims a ticket for a request.
     pub fn claim(&mut self, ticket: &Ticket, now: Instant) -> Claim<A> {
         self.expire(now);
-        let issued = self.origin.checked_add(Duration::from_millis(ticket.issued_ms));
-        let end = issued.and_then(|issued| issued.checked_add(LIFE));
-        let ours = ticket.node == self.node && ticket.incarnation == self.incarnation;
+        let end = self.issuer.end(ticket, now).filter(|end| now < *end);
         match (end, self.used.get(&ticket.nonce)) {
-            (Some(end), _) if !ours || now >= end || issued > Some(now) => Claim::Unknown,
             (None, _) => Claim::Unknown,
             (_, Some(State::Running)) => Claim::Running,
             (_, Some(State::Done(outcome))) => Claim::Done(outcome.clone()),
