--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -28,9 +28,6 @@
 /// How far an upstream's reports lag.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 
-/// Times longer that a cold upstream takes.
-const COLD_FACTOR: f64 = 3.0;
-
 /// Time for which callers of the demo may cache a look-up.
 const LOOKUP_CACHE: Duration = Duration::from_secs(1);
 
@@ -158,7 +155,8 @@
                     hall: declared.hall.to_string(),
                     slots: declared.slots,
                     time,
-                    cold_factor: COLD_FACTOR,
+                    // The example has been running for long; what starts here is only its stand-in.
+                    cold_factor: 1.0,
                     report_lag: REPORT_LAG,
                 };
                 let at = (declared.address.ip(), 0).into();
--- a/crates/node/src/callers/lookup.rs
+++ b/crates/node/src/callers/lookup.rs
@@ -108,7 +108,8 @@
 }
 
 fn some_of(view: &view::View, region: &id::Region, caller: net::IpAddr) -> Vec<Node> {
-    let nodes = view.nodes.get(region).into_iter().flatten().filter(|n| !n.is_leaving);
+    let nodes = view.nodes.get(region).into_iter().flatten();
+    let nodes = nodes.filter(|n| n.is_alive && !n.is_leaving);
     let mut nodes: Vec<Node> = nodes
         .map(|n| Node {
             node: n.key.node.clone(),
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -254,19 +254,20 @@
     }
 }
 
-/// Returns the nodes that may be given work, by region.
+/// Returns the nodes that are known, by region.
 fn nodes(
     core: &core::Core,
     now: Instant,
 ) -> collections::BTreeMap<model::id::Region, Vec<view::Node>> {
     let mut nodes: collections::BTreeMap<_, Vec<view::Node>> = collections::BTreeMap::new();
-    let others = core.members.alive(now).map(|k| &k.member);
-    let others = others.filter(|m| m.key.node != core.me.key.node);
-    for member in others.chain([&core.me]) {
+    let others = core.members.iter().filter(|k| k.member.key.node != core.me.key.node);
+    let others = others.map(|k| (&k.member, k.is_alive(now)));
+    for (member, is_alive) in others.chain([(&core.me, true)]) {
         nodes.entry(member.region.clone()).or_default().push(view::Node {
             key: member.key.clone(),
             callers: member.callers,
             peers: member.peers,
+            is_alive,
             is_leaving: member.is_leaving,
         });
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -27,7 +27,7 @@
     pub is_done: bool,
     /// The configuration.
     pub config: sync::Arc<Config>,
-    /// The nodes that may be given work, this one among them, by region.
+    /// The nodes that are known, this one among them, by region.
     pub nodes: collections::BTreeMap<id::Region, Vec<Node>>,
     /// Live nodes that hold a lower revision.
     pub lagging: Vec<id::Node>,
@@ -59,6 +59,8 @@
     pub callers: net::SocketAddr,
     /// Its face for peers.
     pub peers: net::SocketAddr,
+    /// Whether it may be given work.
+    pub is_alive: bool,
     /// Whether it is stopping.
     pub is_leaving: bool,
 }
