--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
-use http::{header, Method, Request, StatusCode};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use model::change;
 use model::id;
@@ -112,7 +112,8 @@
     ///
     /// Fails when the node does not answer as expected.
     pub async fn operation(&self, operation: &str) -> anyhow::Result<Option<status::Operation>> {
-        let request = self.request(Method::GET, &format!("/operations/{operation}"), Bytes::new())?;
+        let request =
+            self.request(Method::GET, &format!("/operations/{operation}"), Bytes::new())?;
         let response = self.send(request).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
--- a/crates/cli/src/commands/delete.rs
+++ b/crates/cli/src/commands/delete.rs
@@ -21,8 +21,7 @@
     let client = client::Client::new(&args.server)?;
     let operation = client::new_operation();
     let step = change::Step::Delete { kind: args.kind, name: args.name.clone() };
-    let change =
-        change::Change { operation: operation.clone(), expected: None, steps: vec![step] };
+    let change = change::Change { operation: operation.clone(), expected: None, steps: vec![step] };
     let result = client.apply(&change).await?;
     outcome::report(&client, &operation, result, WAIT).await
 }
--- a/crates/cli/src/demo/example.rs
+++ b/crates/cli/src/demo/example.rs
@@ -6,6 +6,7 @@
 
 use model::cap;
 use model::document;
+use model::fraction;
 use model::id;
 use model::resource;
 use model::service;
@@ -114,7 +115,8 @@
 
     /// Returns the least time in which every cap lets all traffic move.
     pub fn time_to_move(&self) -> Duration {
-        self.caps().map(cap::Cap::time_to_move).max().unwrap_or_default()
+        let whole = fraction::Fraction::ONE;
+        self.caps().map(|cap| cap.time_to_move(whole)).max().unwrap_or_default()
     }
 
     /// Moves one resource, noting what the demo needs of it.
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -217,8 +217,7 @@
 
     async fn declare(&self, resources: Vec<resource::Resource>) -> anyhow::Result<()> {
         let steps = resources.into_iter().map(|resource| change::Step::Put { resource }).collect();
-        let change =
-            change::Change { operation: "demo-start".to_owned(), expected: None, steps };
+        let change = change::Change { operation: "demo-start".to_owned(), expected: None, steps };
         match self.operator()?.apply(&change).await? {
             accept::Outcome::Accepted { .. } => Ok(()),
             other => anyhow::bail!("the example was not accepted: {other:?}"),
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -25,10 +25,7 @@
 ///
 /// Fails when the example cannot be started, which says nothing about promises.
 pub async fn run(args: &args::Demo) -> anyhow::Result<Code> {
-    anyhow::ensure!(
-        args.seconds >= LEAST_SECONDS,
-        "--seconds: expected at least {LEAST_SECONDS}"
-    );
+    anyhow::ensure!(args.seconds >= LEAST_SECONDS, "--seconds: expected at least {LEAST_SECONDS}");
     node::logging::start(settings::Level::Error)?;
     let example = example::Example::load(args.example)?;
     printer::note(&format!("starting {} on loopback", example.name));
--- a/crates/cli/src/demo/phases.rs
+++ b/crates/cli/src/demo/phases.rs
@@ -39,7 +39,7 @@
 impl Phase {
     /// All phases in order.
     pub const ALL: [Self; 6] =
-        [Self::Steady, Self::Shift, Self::Hall, Self::Leave, Self::Kill, Self::Outage];
+        [Self::Steady, Self::Hall, Self::Leave, Self::Shift, Self::Kill, Self::Outage];
 
     /// Returns its name in the report.
     #[must_use]
@@ -54,12 +54,12 @@
         }
     }
 
-    /// Returns its part of the run, in fifteenths.
+    /// Returns its part of the run, in nineteenths.
     fn weight(self) -> u32 {
         match self {
-            Self::Steady | Self::Hall | Self::Outage => 2,
-            Self::Leave | Self::Kill => 2,
-            Self::Shift => 5,
+            Self::Steady | Self::Leave | Self::Kill | Self::Outage => 2,
+            Self::Hall => 5,
+            Self::Shift => 6,
         }
     }
 }
@@ -75,6 +75,9 @@
     pub broken: Vec<String>,
 }
 
+/// Time from the declaration of a hall's drain to its start: three windows of the examples' caps.
+const HALL_LEAD: Duration = Duration::from_millis(3_300);
+
 /// Runs all phases and reports.
 ///
 /// # Errors
@@ -95,7 +98,7 @@
     for (index, current) in Phase::ALL.into_iter().enumerate() {
         phase.store(index, atomic::Ordering::Relaxed);
         printer::note(current.name());
-        let time = length * current.weight() / 15;
+        let time = length * current.weight() / 19;
         let mut fleet = fleet.lock().await;
         measured.push(perform(current, &mut fleet, example, time).await?);
     }
@@ -170,7 +173,7 @@
     drain_for(fleet, target, lead, began + time, move |a| a.region == name).await
 }
 
-/// Drains the first hall of the first region, at once.
+/// Drains the first hall of the first region, as soon as what the other cannot hold has moved.
 async fn drain_hall(
     fleet: &fleet::Fleet,
     example: &example::Example,
@@ -180,7 +183,7 @@
     let Some(region) = example.regions.first() else { return Ok(Measured::default()) };
     let hall = format!("{region}-1");
     let target = drain::Target::Hall(id::Hall::new(&hall));
-    drain_for(fleet, target, Duration::ZERO, began + time, move |a| a.hall == hall).await
+    drain_for(fleet, target, HALL_LEAD, began + time, move |a| a.hall == hall).await
 }
 
 async fn drain_for(
@@ -193,12 +196,8 @@
     let start = Instant::now() + lead;
     let wall = SystemTime::now() + lead;
     let left = until.saturating_duration_since(start);
-    let drain = drain::Drain {
-        name: id::Drain::new("demo"),
-        target,
-        start: wall,
-        end: wall + left,
-    };
+    let drain =
+        drain::Drain { name: id::Drain::new("demo"), target, start: wall, end: wall + left };
     let resource = resource::Resource::Drain(drain);
     let outcome = fleet.apply(change::Step::Put { resource }).await?;
     let mut measured = Measured::default();
--- a/crates/cli/src/demo/report.rs
+++ b/crates/cli/src/demo/report.rs
@@ -125,8 +125,16 @@
     #[must_use]
     pub fn as_text(&self) -> String {
         let header = [
-            "phase", "requests", "whole", "not run", "may have run", "lost", "p50 ms", "p99 ms",
-            "p999 ms", "drain s",
+            "phase",
+            "requests",
+            "whole",
+            "not run",
+            "may have run",
+            "lost",
+            "p50 ms",
+            "p99 ms",
+            "p999 ms",
+            "drain s",
         ];
         let rows: Vec<Vec<String>> =
             self.rows.iter().chain([&self.total]).map(Row::cells).collect();
@@ -134,7 +142,10 @@
         lines.push(format!("ran twice: {}", self.ran_twice));
         lines.push(format!("told not run, but ran: {}", self.not_run_but_ran));
         lines.push(format!("requests that found their upstream full: {}", self.over_slots));
-        lines.push(format!("greatest use of an upstream's slots: {:.0} %", self.greatest_use * 100.0));
+        lines.push(format!(
+            "greatest use of an upstream's slots: {:.0} %",
+            self.greatest_use * 100.0
+        ));
         lines.push(format!(
             "greatest shift in a window: {:.1} %, cap {:.0} % (counted to within {:.1} %)",
             self.shift.share * 100.0,
--- a/crates/cli/src/demo/traffic.rs
+++ b/crates/cli/src/demo/traffic.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http::{header, Method, Request, Response};
+use http::{Method, Request, Response, header};
 use http_body_util::Full;
-use rand::{RngExt as _, SeedableRng as _};
 use rand::rngs;
+use rand::{RngExt as _, SeedableRng as _};
 use serde::Deserialize;
 use standin::pattern;
 use tokio::sync::watch;
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http::{header, Request};
+use http::{Request, header};
 use http_body_util::Full;
 use serde_json::json;
 use tokio::task::JoinSet;
--- a/crates/model/src/cap.rs
+++ b/crates/model/src/cap.rs
@@ -26,9 +26,12 @@
 }
 
 impl Cap {
-    /// Returns the least time in which all of a place's traffic can move.
+    /// Returns the least time in which `share` of a place's traffic can move.
+    ///
+    /// What one window allows may move within it; each further step waits for one window more.
     #[must_use]
-    pub fn time_to_move(&self) -> Duration {
-        self.window * (self.share.steps_to_whole() - 1)
+    pub fn time_to_move(&self, share: fraction::Fraction) -> Duration {
+        let steps = share.0.div_ceil(self.share.0.max(1));
+        self.window * steps
     }
 }
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -5,6 +5,7 @@
 
 use crate::cap;
 use crate::drain;
+use crate::fraction;
 use crate::id;
 use crate::place;
 use crate::refusal;
@@ -26,10 +27,13 @@
 pub struct Facts {
     /// The time of day.
     pub wall: SystemTime,
-    /// Slots in use by each service, over all regions, as last measured.
-    pub in_use: collections::BTreeMap<id::Service, u32>,
+    /// Slots in use by each service in each region, as last measured.
+    pub in_use: collections::BTreeMap<id::Service, Use>,
 }
 
+/// Slots in use by region.
+pub type Use = collections::BTreeMap<id::Region, u32>;
+
 impl Facts {
     /// Makes facts without any measurement.
     #[must_use]
@@ -62,7 +66,8 @@
     }
     check_one_cap_a_service(next, &mut found);
     for stored in next.drains.values() {
-        let changed = previous.drains.get(&stored.spec.name).map(|s| s.revision) != Some(stored.revision);
+        let changed =
+            previous.drains.get(&stored.spec.name).map(|s| s.revision) != Some(stored.revision);
         check_drain(&stored.spec, next, facts, changed, &mut found);
     }
     match found.problems.is_empty() {
@@ -221,7 +226,10 @@
     }
 }
 
-/// Refuses a drain of a region that its caps cannot empty before the start.
+/// Refuses a drain whose shift the service's cap does not allow before the start.
+///
+/// A drain of a region moves all of its traffic. One of a part of it moves what the rest of that
+/// region cannot hold.
 fn check_drain_time(
     drain: &drain::Drain,
     service: &service::Service,
@@ -230,16 +238,16 @@
     who: &str,
     found: &mut Findings,
 ) {
-    let drain::Target::Region(region) = &drain.target else { return };
     let Some(cap) = next.caps.values().map(|c| &c.spec).find(|c| c.service == service.name) else {
         return;
     };
-    let needed = cap.time_to_move();
+    let Some((region, share)) = share_to_move(drain, service, facts) else { return };
+    let needed = cap.time_to_move(share);
     let left = drain.start.duration_since(facts.wall).unwrap_or_default();
     if left < needed {
         let message = format!(
-            "cap {} moves {} in {}, so emptying region {region} of service {} takes {}, \
-             but the start is {} away",
+            "cap {} moves {} in {}, so moving {share} of service {} out of region {region} takes \
+             {}, but the start is {} away",
             cap.name,
             cap.share,
             humantime::format_duration(cap.window),
@@ -251,6 +259,33 @@
     }
 }
 
+/// Returns the region that must lose the greatest share of its traffic, with that share.
+fn share_to_move(
+    drain: &drain::Drain,
+    service: &service::Service,
+    facts: &Facts,
+) -> Option<(id::Region, fraction::Fraction)> {
+    let empty = Use::new();
+    let in_use = facts.in_use.get(&service.name).unwrap_or(&empty);
+    let regions: collections::BTreeSet<&id::Region> =
+        service.upstreams.iter().map(|u| &u.region).collect();
+    let share = |region: &id::Region| {
+        let of_region = service.upstreams.iter().filter(|u| u.region == *region);
+        let kept = of_region.filter(|u| !drain.target.holds(u)).map(|u| u.slots);
+        let kept: u32 = kept.sum();
+        let used = in_use.get(region).copied().unwrap_or(0);
+        match kept {
+            0 => fraction::Fraction::ONE,
+            _ => fraction::Fraction::of(used.saturating_sub(kept), used),
+        }
+    };
+    let hit = |region: &&id::Region| {
+        service.upstreams.iter().any(|u| u.region == **region && drain.target.holds(u))
+    };
+    let shares = regions.into_iter().filter(hit).map(|region| (region.clone(), share(region)));
+    shares.max_by_key(|(_, share)| *share).filter(|(_, share)| share.0 > 0)
+}
+
 /// Refuses a drain that leaves too few slots for the work that runs now, other drains counted.
 fn check_drain_room(
     drain: &drain::Drain,
@@ -266,7 +301,7 @@
     let all: u32 = service.upstreams.iter().map(|u| u.slots).sum();
     let gone: u32 = service.upstreams.iter().filter(drained).map(|u| u.slots).sum();
     let left = all - gone;
-    let in_use = facts.in_use.get(&service.name).copied().unwrap_or_default();
+    let in_use: u32 = facts.in_use.get(&service.name).into_iter().flatten().map(|(_, n)| n).sum();
     if left == 0 || left < in_use {
         let message = format!(
             "service {} has {all} slots, {gone} would be drained at the same time and {left} \
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -73,7 +73,11 @@
 /// # Errors
 ///
 /// Fails when the text is not a declaration of that kind.
-pub fn read_kind(file: &str, kind: resource::Kind, text: &str) -> Result<resource::Resource, Fault> {
+pub fn read_kind(
+    file: &str,
+    kind: resource::Kind,
+    text: &str,
+) -> Result<resource::Resource, Fault> {
     let text = without_kind(text);
     match kind {
         resource::Kind::Service => read(file, &text).map(resource::Resource::Service),
@@ -93,9 +97,8 @@
     let value: serde_yaml_ng::Value = read(file, text)?;
     let word = value.get("kind").and_then(serde_yaml_ng::Value::as_str);
     let word = word.ok_or_else(|| fault("every declaration starts with its kind".to_owned()))?;
-    let kind = resource::Kind::parse(word).ok_or_else(|| {
-        fault(format!("`{word}` is none of service, place, cap, drain"))
-    })?;
+    let kind = resource::Kind::parse(word)
+        .ok_or_else(|| fault(format!("`{word}` is none of service, place, cap, drain")))?;
     read_kind(file, kind, text)
 }
 
--- a/crates/model/src/fraction.rs
+++ b/crates/model/src/fraction.rs
@@ -31,10 +31,11 @@
         f64::from(self.0) / f64::from(WHOLE)
     }
 
-    /// Returns how often this fraction must be taken to reach the whole, rounded up.
+    /// Makes the fraction that `part` is of `whole`; nothing of nothing is nothing.
     #[must_use]
-    pub fn steps_to_whole(self) -> u32 {
-        WHOLE.div_ceil(self.0.max(1))
+    pub fn of(part: u32, whole: u32) -> Self {
+        let exact = u64::from(part) * u64::from(WHOLE) / u64::from(whole.max(1));
+        Self(u32::try_from(exact).unwrap_or(WHOLE).min(WHOLE))
     }
 }
 
--- a/crates/model/src/revision.rs
+++ b/crates/model/src/revision.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 /// The number of an accepted configuration; a later one is greater.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -119,10 +119,9 @@
     ) -> Option<(revision::Revision, resource::Resource)> {
         use resource::Resource;
         match kind {
-            resource::Kind::Service => self
-                .services
-                .get(name)
-                .map(|s| (s.revision, Resource::Service((*s.spec).clone()))),
+            resource::Kind::Service => {
+                self.services.get(name).map(|s| (s.revision, Resource::Service((*s.spec).clone())))
+            }
             resource::Kind::Place => {
                 self.places.get(name).map(|s| (s.revision, Resource::Place((*s.spec).clone())))
             }
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -3,8 +3,8 @@
 use std::io;
 
 use bytes::Bytes;
-use http_body_util::combinators;
 use http_body_util::BodyExt as _;
+use http_body_util::combinators;
 use http_body_util::{Empty, Full};
 use hyper::body::Incoming;
 
--- a/crates/node/src/callers/entry.rs
+++ b/crates/node/src/callers/entry.rs
@@ -225,10 +225,7 @@
 }
 
 /// Keeps the request counted as out at its home until its answer has passed.
-fn keep_routed(
-    answer: Response<body::Body>,
-    routed: decisions::Routed,
-) -> Response<body::Body> {
+fn keep_routed(answer: Response<body::Body>, routed: decisions::Routed) -> Response<body::Body> {
     answer.map(|body| {
         let held = body.map_frame(move |frame| {
             let _ = &routed;
--- a/crates/node/src/callers/face.rs
+++ b/crates/node/src/callers/face.rs
@@ -6,7 +6,7 @@
 use std::sync;
 use std::time::{Duration, Instant};
 
-use http::{header, Method, Request, Response};
+use http::{Method, Request, Response, header};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -110,7 +110,11 @@
 }
 
 impl Face {
-    async fn handle(&self, request: Request<Incoming>, caller: net::IpAddr) -> Response<body::Body> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        caller: net::IpAddr,
+    ) -> Response<body::Body> {
         if request.uri().path() == lookup::PATH {
             self.stats.lookup();
             let query = request.uri().query().unwrap_or_default();
@@ -147,9 +151,12 @@
         let Some(service) = service.map(sync::Arc::clone) else {
             return Err(verdict::Failure::not_run(verdict::Reason::UnknownHost));
         };
-        let asked = head::number(&parts.headers, &head::TIMEOUT).map_err(|()| bad)?;
-        let asked = asked.map_or(service.deadline, Duration::from_millis);
-        let deadline = self.decisions.now() + asked.min(service.deadline);
+        let allowed = match head::number(&parts.headers, &head::TIMEOUT) {
+            head::Number::Absent => service.deadline,
+            head::Number::Given(millis) => Duration::from_millis(millis).min(service.deadline),
+            head::Number::Malformed => return Err(bad),
+        };
+        let deadline = self.decisions.now() + allowed;
         let ticket = text(&parts.headers, &head::TICKET);
         let path = path.to_owned();
         head::clean(&mut parts.headers);
--- a/crates/node/src/callers/lookup.rs
+++ b/crates/node/src/callers/lookup.rs
@@ -111,11 +111,7 @@
     let nodes = view.nodes.get(region).into_iter().flatten();
     let nodes = nodes.filter(|n| n.is_alive && !n.is_leaving);
     let mut nodes: Vec<Node> = nodes
-        .map(|n| Node {
-            node: n.key.node.clone(),
-            region: region.clone(),
-            address: n.callers,
-        })
+        .map(|n| Node { node: n.key.node.clone(), region: region.clone(), address: n.callers })
         .collect();
     if !nodes.is_empty() {
         let start = spread(caller) % nodes.len();
--- a/crates/node/src/callers/respond.rs
+++ b/crates/node/src/callers/respond.rs
@@ -1,7 +1,7 @@
 //! Answers that yokespoke itself gives to callers.
 
 use bytes::Bytes;
-use http::{header, HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, header};
 use model::verdict;
 
 use crate::body;
--- a/crates/node/src/head.rs
+++ b/crates/node/src/head.rs
@@ -72,17 +72,21 @@
     }
 }
 
-/// Returns the number in a header; none when it is absent, an error when it is not a number.
-///
-/// # Errors
-///
-/// Fails when the header is there but holds no number.
-pub fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, ()> {
-    match headers.get(name) {
-        None => Ok(None),
-        Some(value) => {
-            let text = value.to_str().map_err(|_| ())?;
-            text.parse().map(Some).map_err(|_| ())
-        }
-    }
+/// A header that should hold a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Number {
+    /// It is not there.
+    Absent,
+    /// It holds this.
+    Given(u64),
+    /// It holds something else.
+    Malformed,
+}
+
+/// Reads a header that should hold a number.
+#[must_use]
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Number {
+    let Some(value) = headers.get(name) else { return Number::Absent };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    number.map_or(Number::Malformed, Number::Given)
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -75,8 +75,7 @@
         let (wishes, to_grant) = mpsc::channel(WISHES);
         let core = core::Core::new(me, settings.seeds.clone(), clock.now(), clock.wall());
         let outputs = decisions::Outputs { peers: outgoing, tables, view };
-        let (handle, thread) =
-            decisions::start(core, outputs, clock, settings.limits.requests)?;
+        let (handle, thread) = decisions::start(core, outputs, clock, settings.limits.requests)?;
         let stats = sync::Arc::new(stats::Stats::new());
         let calls = sync::Arc::new(store::client::Calls::default());
         let (stop_callers, stopped) = watch::channel(false);
@@ -242,8 +241,7 @@
     listener: std::net::TcpListener,
 ) -> io::Result<duty::Duty> {
     let access = operators::access::Access::new(&settings.operators);
-    let face =
-        operators::api::Face { decisions: handle.clone(), wishes, access, calls, stats };
+    let face = operators::api::Face { decisions: handle.clone(), wishes, access, calls, stats };
     duty::Duty::start("operators", move || async move {
         let Ok(listener) = TcpListener::from_std(listener) else { return };
         let _ = axum::serve(listener, operators::api::router(face)).await;
--- a/crates/node/src/operators/access.rs
+++ b/crates/node/src/operators/access.rs
@@ -1,6 +1,6 @@
 //! Who may use the operators' face.
 
-use http::{header, HeaderMap};
+use http::{HeaderMap, header};
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq as _;
 
--- a/crates/node/src/operators/api.rs
+++ b/crates/node/src/operators/api.rs
@@ -3,13 +3,13 @@
 use std::collections;
 use std::sync;
 
+use axum::Json;
 use axum::body;
 use axum::extract::{Path, Query, Request, State};
 use axum::middleware;
 use axum::response::{IntoResponse, Response};
 use axum::routing;
-use axum::Json;
-use http::{header, HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode, header};
 use model::change;
 use model::document;
 use model::resource;
@@ -53,7 +53,6 @@
 type Shared = sync::Arc<Face>;
 
 /// Returns the routes of the operators' face.
-#[must_use]
 pub fn router(face: Face) -> axum::Router {
     let face: Shared = sync::Arc::new(face);
     axum::Router::new()
@@ -181,7 +180,8 @@
     step: change::Step,
 ) -> Result<Response, Problem> {
     let operation = headers.get(OPERATION).and_then(|v| v.to_str().ok());
-    let operation = operation.map_or_else(|| format!("{:016x}", rand::random::<u64>()), str::to_owned);
+    let operation =
+        operation.map_or_else(|| format!("{:016x}", rand::random::<u64>()), str::to_owned);
     let expected = match headers.get(header::IF_MATCH) {
         None => None,
         Some(value) => Some(parse_etag(value).ok_or_else(|| {
--- a/crates/node/src/operators/problem.rs
+++ b/crates/node/src/operators/problem.rs
@@ -1,7 +1,7 @@
 //! Error answers of the operators' face.
 
-use axum::response::{IntoResponse, Response};
 use axum::Json;
+use axum::response::{IntoResponse, Response};
 use http::StatusCode;
 use serde_json::json;
 
--- a/crates/node/src/peers/beats.rs
+++ b/crates/node/src/peers/beats.rs
@@ -7,7 +7,7 @@
 use model::id;
 use steer::beat;
 use steer::event;
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::{Semaphore, mpsc};
 use wire::peer;
 
 use crate::decisions;
@@ -25,10 +25,7 @@
 const CALLS: usize = 64;
 
 /// Sends what the decisions ask for until their ring closes.
-pub async fn run(
-    decisions: decisions::Handle,
-    mut outgoing: mpsc::Receiver<decisions::Outgoing>,
-) {
+pub async fn run(decisions: decisions::Handle, mut outgoing: mpsc::Receiver<decisions::Outgoing>) {
     let links = links::Links::default();
     let calls = sync::Arc::new(Semaphore::new(CALLS));
     while let Some(next) = outgoing.recv().await {
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -176,10 +176,8 @@
 
 fn position_out(position: &beat::Position) -> peer::Position {
     let parts = position.split.parts();
-    let part = |(region, share): (&id::Region, u32)| peer::Part {
-        region: text(region.as_str()),
-        share,
-    };
+    let part =
+        |(region, share): (&id::Region, u32)| peer::Part { region: text(region.as_str()), share };
     peer::Position {
         service: text(position.service.as_str()),
         place: text(position.place.as_str()),
--- a/crates/node/src/peers/face.rs
+++ b/crates/node/src/peers/face.rs
@@ -158,9 +158,8 @@
     fn order(&self, head: &peer::RequestHead) -> Result<runner::Order, failed::Failed> {
         let view = self.decisions.view();
         let service = view.config.snapshot.services.get(head.service.as_str());
-        let not_home = || {
-            failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome))
-        };
+        let not_home =
+            || failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome));
         let service = service.ok_or_else(not_home)?;
         let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
         Ok(runner::Order {
--- a/crates/node/src/probes.rs
+++ b/crates/node/src/probes.rs
@@ -33,9 +33,8 @@
 
 /// Probes for ever, each upstream that this node is home of or stands in for.
 pub async fn run(decisions: decisions::Handle) {
-    let http: Http = legacy::Client::builder(rt::TokioExecutor::new())
-        .pool_max_idle_per_host(1)
-        .build_http();
+    let http: Http =
+        legacy::Client::builder(rt::TokioExecutor::new()).pool_max_idle_per_host(1).build_http();
     let permits = sync::Arc::new(Semaphore::new(PROBES));
     loop {
         let ranked = decisions.look(|state| ranked(state.core)).await.unwrap_or_default();
@@ -57,9 +56,7 @@
 }
 
 /// Returns the upstreams this node has a share of, the ones whose work it may have to run.
-fn ranked(
-    core: &steer::core::Core,
-) -> collections::BTreeMap<instance::Key, net::SocketAddr> {
+fn ranked(core: &steer::core::Core) -> collections::BTreeMap<instance::Key, net::SocketAddr> {
     let upstreams = core.home.upstreams.iter();
     let home = |u: &steer::upstream::Upstream| u.ledger.rights.home() == Some(&core.me.key);
     let used = upstreams.filter(|(_, u)| home(u) || u.ledger.in_flight() > 0);
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{header, HeaderMap, HeaderValue, Method, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt as _;
 use hyper_util::client::legacy;
@@ -102,9 +102,9 @@
                 Ok(Slot { upstream, address, offered })
             }
             decisions::Decision::Refuse(failure) => Err(failed::Failed::before(failure)),
-            decisions::Decision::Forward { .. } => Err(failed::Failed::before(
-                verdict::Failure::not_run(verdict::Reason::NotHome),
-            )),
+            decisions::Decision::Forward { .. } => {
+                Err(failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome)))
+            }
         }
     }
 
@@ -157,14 +157,10 @@
     }
 
     /// Builds the request that the upstream sees.
-    fn request(
-        &self,
-        slot: &Slot,
-        order: &Order,
-        body: body::Body,
-    ) -> Option<Request<body::Body>> {
+    fn request(&self, slot: &Slot, order: &Order, body: body::Body) -> Option<Request<body::Body>> {
         let uri = format!("http://{}{}", slot.address, order.path);
-        let mut request = Request::builder().method(order.method.clone()).uri(uri).body(body).ok()?;
+        let mut request =
+            Request::builder().method(order.method.clone()).uri(uri).body(body).ok()?;
         let headers = request.headers_mut();
         *headers = order.headers.clone();
         headers.insert(header::HOST, HeaderValue::from_str(&order.service.host).ok()?);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -175,10 +175,8 @@
             }
         }
         let limits = &self.limits;
-        let counts = [
-            ("limits.connections", limits.connections),
-            ("limits.requests", limits.requests),
-        ];
+        let counts =
+            [("limits.connections", limits.connections), ("limits.requests", limits.requests)];
         for (field, count) in counts {
             if count == 0 {
                 return Err(fault(field, "expected at least 1"));
--- a/crates/node/src/store/client.rs
+++ b/crates/node/src/store/client.rs
@@ -96,12 +96,11 @@
         let request = Request::builder().method(method).uri(uri).body(Full::new(body));
         let request = request.map_err(|_| edge::Error::Refused)?;
         let exchange = async {
-            let response = self.http.request(request).await.map_err(|error| {
-                match error.is_connect() {
+            let response =
+                self.http.request(request).await.map_err(|error| match error.is_connect() {
                     true => edge::Error::Refused,
                     false => edge::Error::Lost,
-                }
-            })?;
+                })?;
             read(response).await
         };
         let result = tokio::time::timeout(wait + CALL_TIME, exchange).await;
--- a/crates/node/src/store/edge.rs
+++ b/crates/node/src/store/edge.rs
@@ -47,8 +47,7 @@
 /// A key-value store with compare-and-swap and watches.
 pub trait Store: Send + Sync + 'static {
     /// Reads a value.
-    fn get(&self, key: &str)
-    -> impl future::Future<Output = Result<Option<Value>, Error>> + Send;
+    fn get(&self, key: &str) -> impl future::Future<Output = Result<Option<Value>, Error>> + Send;
 
     /// Waits for a value past revision `after`; none when `wait` passes before there is one.
     fn next(
--- a/crates/node/src/store/keep.rs
+++ b/crates/node/src/store/keep.rs
@@ -130,7 +130,8 @@
                 continue;
             }
             let Ok(bytes) = serde_json::to_vec(&*next) else { continue };
-            if let Ok(edge::Put::Written(_)) = self.store.put(&key, Bytes::from(bytes), version).await
+            if let Ok(edge::Put::Written(_)) =
+                self.store.put(&key, Bytes::from(bytes), version).await
             {
                 let seats = next.seats.len();
                 log::info!(region = self.region.as_str(), epoch = next.epoch.0, seats; "table-written");
@@ -142,10 +143,8 @@
     async fn grant(&self, mut wishes: mpsc::Receiver<Wish>) {
         while let Some(wish) = wishes.recv().await {
             let view = self.decisions.view();
-            let facts = check::Facts {
-                wall: self.decisions.clock().wall(),
-                in_use: view.in_use.clone(),
-            };
+            let facts =
+                check::Facts { wall: self.decisions.clock().wall(), in_use: view.in_use.clone() };
             let (outcome, snapshot) = accept::apply(&*self.store, &wish.change, &facts).await;
             if let Some(snapshot) = snapshot {
                 let _ = self.decisions.tell(event::Event::Configure { snapshot });
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use model::blocks;
+use model::check;
 use model::id;
 use model::revision;
 use model::seat;
@@ -31,8 +32,8 @@
     pub nodes: collections::BTreeMap<id::Region, Vec<Node>>,
     /// Live nodes that hold a lower revision.
     pub lagging: Vec<id::Node>,
-    /// Slots in use by each service over all regions.
-    pub in_use: collections::BTreeMap<id::Service, u32>,
+    /// Slots in use by each service in each region.
+    pub in_use: collections::BTreeMap<id::Service, check::Use>,
     /// Whether this node is one that watches the store for its region.
     pub is_watcher: bool,
 }
@@ -71,9 +72,8 @@
     pub fn new(snapshot: sync::Arc<snapshot::Snapshot>) -> Self {
         let document = serde_json::to_vec(&*snapshot).map_or_else(|_| Bytes::new(), Bytes::from);
         let services = snapshot.services.values();
-        let hosts = services
-            .map(|s| (s.spec.host.to_ascii_lowercase(), s.spec.name.clone()))
-            .collect();
+        let hosts =
+            services.map(|s| (s.spec.host.to_ascii_lowercase(), s.spec.name.clone())).collect();
         let blocks = blocks::Table::new(snapshot.places.values().map(|s| &*s.spec));
         Self { snapshot, document, blocks, hosts }
     }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -236,10 +236,7 @@
     with_revision(StatusCode::OK, revision, bytes::Bytes::new())
 }
 
-async fn grant(
-    State(inner): State<sync::Arc<Inner>>,
-    Query(query): Query<LeaseQuery>,
-) -> Answer {
+async fn grant(State(inner): State<sync::Arc<Inner>>, Query(query): Query<LeaseQuery>) -> Answer {
     if let Err(answer) = inner.enter().await {
         return answer;
     }
--- a/crates/standin/src/truth.rs
+++ b/crates/standin/src/truth.rs
@@ -105,8 +105,7 @@
         least: usize,
     ) -> Shift {
         let arrivals = self.arrivals_since(since);
-        let mut places: collections::BTreeMap<&str, Vec<&Arrival>> =
-            collections::BTreeMap::new();
+        let mut places: collections::BTreeMap<&str, Vec<&Arrival>> = collections::BTreeMap::new();
         for arrival in arrivals.iter().filter(|a| a.service == service) {
             places.entry(&arrival.place).or_default().push(arrival);
         }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -10,11 +10,11 @@
 use std::sync::atomic;
 use std::time::{Duration, Instant, SystemTime};
 
+use axum::Json;
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing;
-use axum::Json;
 use serde::Serialize;
 
 use crate::pattern;
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -6,10 +6,10 @@
 use std::sync;
 use std::time::Duration;
 
+use axum::Json;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing;
-use axum::Json;
 use serde::{Deserialize, Serialize};
 
 use crate::control;
--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time::{Duration, Instant, SystemTime};
 
+use model::check;
 use model::epoch;
 use model::id;
 use model::revision;
@@ -152,12 +153,13 @@
         alive.filter(|m| m.revision < revision).map(|m| m.key.node.clone()).collect()
     }
 
-    /// Returns the slots in use by each service over all regions.
+    /// Returns the slots in use by each service in each region.
     #[must_use]
-    pub fn in_use(&self, now: Instant) -> collections::BTreeMap<id::Service, u32> {
-        let mut in_use = collections::BTreeMap::new();
+    pub fn in_use(&self, now: Instant) -> collections::BTreeMap<id::Service, check::Use> {
+        let mut in_use: collections::BTreeMap<_, check::Use> = collections::BTreeMap::new();
         for summary in self.router.fresh(now) {
-            *in_use.entry(summary.service.clone()).or_insert(0) += summary.in_flight;
+            let of_service = in_use.entry(summary.service.clone()).or_default();
+            *of_service.entry(summary.region.clone()).or_insert(0) += summary.in_flight;
         }
         in_use
     }
@@ -174,9 +176,7 @@
             wall: self.wall,
         };
         let services = self.snapshot.services.values();
-        services
-            .map(|s| (s.spec.name.clone(), self.router.measure(&s.spec, &view)))
-            .collect()
+        services.map(|s| (s.spec.name.clone(), self.router.measure(&s.spec, &view))).collect()
     }
 
     /// Returns whether a node may be given work; this one always may.
@@ -268,8 +268,7 @@
 
     /// Brings homes and rights up to date when a table, a configuration or the living changed.
     fn refresh(&mut self, now: Instant) {
-        let alive: Vec<seat::Key> =
-            self.members.alive(now).map(|k| k.member.key.clone()).collect();
+        let alive: Vec<seat::Key> = self.members.alive(now).map(|k| k.member.key.clone()).collect();
         let is_changed = self.is_stale || alive != self.alive;
         self.alive = alive;
         self.is_stale = false;
--- a/crates/steer/src/home.rs
+++ b/crates/steer/src/home.rs
@@ -273,7 +273,8 @@
             if upstream.ledger.rights.home() == Some(me) {
                 continue;
             }
-            let of_lender = upstream.ledger.held().find(|(key, slots)| *key == lender && *slots > 0);
+            let of_lender =
+                upstream.ledger.held().find(|(key, slots)| *key == lender && *slots > 0);
             if let Some((_, slots)) = of_lender {
                 held.push(beat::Loan { instance: instance.clone(), slots });
             }
@@ -321,7 +322,8 @@
         served.spec = std::sync::Arc::clone(spec);
         for declared in spec.upstreams.iter().filter(|u| u.region == *region) {
             let key = key_of(&spec.name, &declared.name);
-            let upstream = self.upstreams.entry(key).or_insert_with(|| new_upstream(declared, is_first));
+            let upstream =
+                self.upstreams.entry(key).or_insert_with(|| new_upstream(declared, is_first));
             upstream.is_declared = true;
             upstream.ledger.slots = declared.slots;
             if upstream.address != declared.address {
--- a/crates/steer/src/lane.rs
+++ b/crates/steer/src/lane.rs
@@ -29,7 +29,7 @@
     }
 
     /// Returns the region of the next request.
-    pub fn next(&mut self) -> Option<id::Region> {
+    pub fn next_region(&mut self) -> Option<id::Region> {
         self.wheel.turn(self.ramp.position())
     }
 
--- a/crates/steer/src/peering.rs
+++ b/crates/steer/src/peering.rs
@@ -132,11 +132,7 @@
     }
 
     /// Returns the seeds at which no known node stands, when it is time to try them again.
-    fn due_seeds(
-        &mut self,
-        known: &[net::SocketAddr],
-        now: Instant,
-    ) -> Vec<net::SocketAddr> {
+    fn due_seeds(&mut self, known: &[net::SocketAddr], now: Instant) -> Vec<net::SocketAddr> {
         let recent = |at: Instant| now.saturating_duration_since(at) < SEED_EVERY;
         if self.seeded.is_some_and(recent) {
             return Vec::new();
--- a/crates/steer/src/ramp.rs
+++ b/crates/steer/src/ramp.rs
@@ -80,7 +80,8 @@
         let moved: u32 = self.moves.iter().map(|(_, share)| share).sum();
         let most = limit.share.0 / 100 * USED_PERCENT;
         let left = most.saturating_sub(moved);
-        let since = self.moves.back().map_or(PACE, |(at, _)| now.saturating_duration_since(*at)).min(PACE);
+        let since =
+            self.moves.back().map_or(PACE, |(at, _)| now.saturating_duration_since(*at)).min(PACE);
         let pace = u64::from(most) * duration_micros(since) / duration_micros(limit.window).max(1);
         let pace = u32::try_from(pace).unwrap_or(u32::MAX);
         fraction::Fraction(left.min(pace))
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time::{Duration, Instant, SystemTime};
 
+use model::fraction;
 use model::id;
 use model::seat;
 use model::snapshot;
@@ -127,12 +128,7 @@
     ) {
         self.budgets.entry(service.clone()).or_default().earn();
         let region = self.next_region(service, place, view);
-        let routed = Routed {
-            service: service.clone(),
-            region,
-            home: None,
-            tried: Vec::new(),
-        };
+        let routed = Routed { service: service.clone(), region, home: None, tried: Vec::new() };
         self.send(request, routed, view, out);
     }
 
@@ -171,9 +167,8 @@
                 lane.advance(&target, limit, view.now);
             }
         }
-        let known = |(service, _): &(id::Service, id::Place)| {
-            view.snapshot.services.contains_key(service)
-        };
+        let known =
+            |(service, _): &(id::Service, id::Place)| view.snapshot.services.contains_key(service);
         self.lanes.retain(|key, _| known(key));
         self.summaries.retain(|_, heard| view.now.saturating_duration_since(heard.at) < RATES_LIFE);
         self.outstanding.retain(|_, count| *count > 0);
@@ -265,7 +260,7 @@
     ) -> Option<id::Region> {
         let key = (service.clone(), place.clone());
         let first = || lane::Lane::new(first_position(service, place, view));
-        self.lanes.entry(key).or_insert_with(first).next()
+        self.lanes.entry(key).or_insert_with(first).next_region()
     }
 
     fn send(
@@ -356,14 +351,13 @@
 /// Returns the slots that a region declares, less those that a drain takes soon.
 ///
 /// A drain counts from as early before its start as its service's cap needs to move everything.
-fn declared_slots(
-    service: &model::service::Service,
-    region: &id::Region,
-    view: &View<'_>,
-) -> f64 {
+fn declared_slots(service: &model::service::Service, region: &id::Region, view: &View<'_>) -> f64 {
     let caps = view.snapshot.caps.values();
     let cap = caps.into_iter().find(|c| c.spec.service == service.name);
-    let lead = cap.map_or(Duration::ZERO, |c| c.spec.time_to_move() + c.spec.window);
+    let lead = cap.map_or(Duration::ZERO, |c| {
+        // The ramp uses a little less than the cap, and plans once a beat.
+        c.spec.time_to_move(fraction::Fraction::ONE) + c.spec.window
+    });
     let soon = |d: &model::drain::Drain| d.start <= view.wall + lead && view.wall < d.end;
     let drains: Vec<&model::drain::Drain> =
         view.snapshot.drains.values().map(|d| &*d.spec).filter(|d| soon(d)).collect();
--- a/crates/steer/src/ticket.rs
+++ b/crates/steer/src/ticket.rs
@@ -142,11 +142,7 @@
     /// Makes an empty table.
     #[must_use]
     pub fn new(issuer: Issuer) -> Self {
-        Self {
-            issuer,
-            used: collections::HashMap::new(),
-            ends: collections::VecDeque::new(),
-        }
+        Self { issuer, used: collections::HashMap::new(), ends: collections::VecDeque::new() }
     }
 
     /// Claims a ticket for a request.
