Fuzz a region's nodes against an oracle of what upstreams hold

Cases of up to 220 steps over five nodes: messages reordered and lost, pauses, kills, planned stops, cut links, a store that goes away and loses answers. After each step no upstream may hold more than its slots; after healing every home must have all slots again.

--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -3,9 +3,9 @@
 use std::process;
 
 use tokio::signal::unix;
-use yokespoke_node::logging;
-use yokespoke_node::node;
-use yokespoke_node::settings;
+use node::logging;
+use node::node;
+use node::settings;
 
 use crate::args;
 
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -17,8 +17,8 @@
     fern::Dispatch::new()
         .format(|out, message, record| out.finish(format_args!("{}", Line { message, record })))
         .level(log::LevelFilter::Warn)
-        .level_for("yokespoke_node", filter(level))
-        .level_for("yokespoke_steer", filter(level))
+        .level_for("node", filter(level))
+        .level_for("steer", filter(level))
         .level_for("yokespoked", filter(level))
         .chain(std::io::stderr())
         .apply()?;
--- /dev/null
+++ b/crates/steer/tests/fleet/coverage.rs
@@ -0,0 +1,74 @@
+//! Which faults cases meet.
+
+use std::collections;
+use std::fmt;
+
+/// What must be met by some case.
+const ALL: [&str; 15] = [
+    "run",
+    "run on a loan",
+    "run while another node is paused",
+    "run while links are cut",
+    "run while the store is away",
+    "run in doubt, by a node that is not home",
+    "queued",
+    "refused",
+    "paused with requests in flight",
+    "killed with requests in flight",
+    "abandoned",
+    "epoch changed with requests in flight",
+    "departed node forgotten",
+    "answer of a write lost",
+    "node stopped as planned",
+];
+
+/// What one case met.
+#[derive(Clone, Debug, Default)]
+pub struct Met(collections::BTreeSet<&'static str>);
+
+impl Met {
+    /// Notes that something was met.
+    pub fn note(&mut self, what: &'static str) {
+        debug_assert!(ALL.contains(&what), "{what} is not in the table");
+        self.0.insert(what);
+    }
+
+    /// Notes that something was met, if it was.
+    pub fn note_if(&mut self, met: bool, what: &'static str) {
+        if met {
+            self.note(what);
+        }
+    }
+}
+
+/// How many cases met what.
+#[derive(Debug, Default)]
+pub struct Table {
+    cases: usize,
+    met: collections::BTreeMap<&'static str, usize>,
+}
+
+impl Table {
+    /// Adds a case.
+    pub fn add(&mut self, met: &Met) {
+        self.cases += 1;
+        for what in &met.0 {
+            *self.met.entry(what).or_insert(0) += 1;
+        }
+    }
+
+    /// Returns what no case met.
+    pub fn unmet(&self) -> Vec<&'static str> {
+        ALL.into_iter().filter(|what| !self.met.contains_key(what)).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for what in ALL {
+            let met = self.met.get(what).copied().unwrap_or(0);
+            writeln!(f, "{:>3} % of {} cases: {what}", met * 100 / self.cases.max(1), self.cases)?;
+        }
+        Ok(())
+    }
+}
