Drive the real node over loopback: calls, operators, planned stop, kill, pause, store outage

Found and mended on the way: - A drain's target could not be read from JSON or plain YAML (it asked for a YAML tag). - A ticket's answer that came by another node was not remembered, since its length was not known beforehand: asked again, the caller was told 'may have run' in place of the answer. Bodies are now read up to the bound whatever length they announce. - The stand-in upstream raced the node at the deadline; it now notices a little late, as real ones.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 
 use crate::args;
-use crate::http1;
+use standin::client as http1;
 
 /// Longest time for an answer; a change waits for the store.
 const ANSWER_TIME: Duration = Duration::from_secs(30);
--- a/crates/cli/src/commands/lookup.rs
+++ b/crates/cli/src/commands/lookup.rs
@@ -7,8 +7,8 @@
 
 use crate::args;
 use crate::controller::Code;
-use crate::http1;
 use crate::printer;
+use standin::client as http1;
 
 /// Asks a node which nodes to use.
 ///
--- a/crates/cli/src/demo/traffic.rs
+++ b/crates/cli/src/demo/traffic.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::demo::example;
-use crate::http1;
+use standin::client as http1;
 
 /// Times a caller sends one request.
 const TRIES: usize = 3;
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -17,8 +17,8 @@
 
 use crate::args;
 use crate::controller::Code;
-use crate::http1;
 use crate::printer;
+use standin::client as http1;
 
 /// Requests that may be out at once; more are counted as unsent.
 const MOST_OUT: usize = 20_000;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,6 @@
 mod declarations;
 mod demo;
 mod diff;
-mod http1;
 mod load;
 mod printer;
 
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -6,7 +6,6 @@
 
 use anyhow::Context as _;
 
-
 fn main() -> anyhow::Result<()> {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let output = root.join(codegen::OUTPUT);
--- a/crates/model/src/drain.rs
+++ b/crates/model/src/drain.rs
@@ -14,6 +14,7 @@
     /// Its name.
     pub name: id::Drain,
     /// What is drained.
+    #[serde(with = "serde_yaml_ng::with::singleton_map")]
     pub target: Target,
     /// From when the target gets no new work; the shift begins earlier, as the caps ask.
     #[serde(with = "humantime_serde")]
--- a/crates/node/src/callers/entry.rs
+++ b/crates/node/src/callers/entry.rs
@@ -164,23 +164,21 @@
                 return Err(failure);
             }
         };
-        let size = http_body::Body::size_hint(response.body()).upper();
-        let is_small = size.is_some_and(|size| size <= answer::LARGEST as u64);
-        if !is_small {
-            self.decisions.finish(ticket, ticket::Outcome::Unkept);
-            return Ok(response);
-        }
         let (head, body) = response.into_parts();
-        let Ok(body) = body.collect().await else {
-            let failure = verdict::Failure::may_have_run(verdict::Reason::Broken);
-            self.decisions.finish(ticket, ticket::Outcome::Failed(failure));
-            return Err(failure);
+        let body = match answer::take(body).await {
+            Ok(answer::Taken::Whole(body)) => body,
+            Ok(answer::Taken::Longer(body)) => {
+                self.decisions.finish(ticket, ticket::Outcome::Unkept);
+                return Ok(Response::from_parts(head, body));
+            }
+            Err(_) => {
+                let failure = verdict::Failure::may_have_run(verdict::Reason::Broken);
+                self.decisions.finish(ticket, ticket::Outcome::Failed(failure));
+                return Err(failure);
+            }
         };
-        let answer = sync::Arc::new(answer::Answer {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        });
+        let answer =
+            sync::Arc::new(answer::Answer { status: head.status, headers: head.headers, body });
         let outcome = ticket::Outcome::Answered(sync::Arc::clone(&answer));
         self.decisions.finish(ticket, outcome);
         Ok(replay(&answer))
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -2,10 +2,10 @@
 
 use std::process;
 
+use ::node::logging;
+use ::node::node;
+use ::node::settings;
 use tokio::signal::unix;
-use node::logging;
-use node::node;
-use node::settings;
 
 use crate::args;
 
--- /dev/null
+++ b/crates/node/tests/process/main.rs
@@ -0,0 +1,7 @@
+//! The real `yokespoked` over loopback: requests, planned stops, kills, pauses, store outages.
+
+mod api;
+mod calls;
+mod check;
+mod failures;
+mod rig;
--- /dev/null
+++ b/crates/node/tests/process/rig.rs
@@ -0,0 +1,320 @@
+//! A rig: stand-ins in this process, and nodes as processes of their own.
+
+use std::collections;
+use std::io::{BufRead as _, BufReader};
+use std::net;
+use std::process;
+use std::sync;
+use std::sync::atomic;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use node::operators::access;
+use serde_json::Value;
+use standin::{client, pattern, store, truth, upstream, vms};
+
+/// The operators' token.
+pub const TOKEN: &str = "rig-token";
+
+/// A token that may only read.
+pub const READER: &str = "rig-reader";
+
+/// Host of the service.
+pub const HOST: &str = "catalogue.example";
+
+/// Longest time that the rig waits for anything.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Upstreams in each region, and the slots of each.
+const UPSTREAMS: usize = 3;
+const SLOTS: u32 = 4;
+
+/// Number of rigs started, so that each has addresses of its own.
+static RIGS: atomic::AtomicU8 = atomic::AtomicU8::new(0);
+
+/// Stand-ins and nodes.
+pub struct Rig {
+    pub store: store::Store,
+    pub vms: vms::Vms,
+    pub truth: sync::Arc<truth::Truth>,
+    pub nodes: collections::BTreeMap<String, Process>,
+    pub http: client::Client,
+    upstreams: Vec<upstream::Upstream>,
+    folder: tempfile::TempDir,
+    number: u8,
+}
+
+/// A node's process.
+pub struct Process {
+    pub callers: net::SocketAddr,
+    pub operators: net::SocketAddr,
+    pub peers: net::SocketAddr,
+    pub child: process::Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let status = process::Command::new("kill")
+            .args([&format!("-{signal}"), &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success(), "the process is there");
+    }
+}
+
+impl Rig {
+    /// Starts `nodes` nodes in each of `regions`, with the service declared and in force.
+    pub async fn start(regions: &[&str], nodes: usize) -> Self {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let mut rig = Self {
+            store: store::Store::start(any).await.expect("the store starts"),
+            vms: vms::Vms::start(any, Duration::from_millis(500)).await.expect("the list starts"),
+            truth: sync::Arc::new(truth::Truth::default()),
+            nodes: collections::BTreeMap::new(),
+            http: client::Client::new(None),
+            upstreams: Vec::new(),
+            folder: tempfile::tempdir().expect("a folder can be made"),
+            number: RIGS.fetch_add(1, atomic::Ordering::Relaxed),
+        };
+        for region in regions {
+            rig.start_upstreams(region).await;
+        }
+        for region in regions {
+            for number in 0..nodes {
+                rig.start_node(region, number, nodes);
+            }
+        }
+        rig.wait("all nodes are seated", async |rig| rig.all_seated(nodes).await).await;
+        let declared = rig.declare(&rig.service()).await;
+        assert_eq!(declared["state"], "accepted", "{declared}");
+        rig.wait("the service is in force", async |rig| rig.in_force().await).await;
+        rig.wait("homes have their slots", async |rig| rig.all_borrowed().await).await;
+        rig
+    }
+
+    /// Starts one node, or starts it again.
+    pub fn start_node(&mut self, region: &str, number: usize, nodes: usize) {
+        let name = format!("{region}-{number}");
+        let region_number = u8::try_from(region.len()).expect("names are short");
+        let last = region_number * 10 + u8::try_from(number).expect("nodes are few");
+        let ip = net::Ipv4Addr::new(127, 20, self.number, last);
+        self.vms.fill([ip.into()]);
+        let seeds: Vec<String> = self.nodes.values().map(|n| format!("\"{}\"", n.peers)).collect();
+        let settings = format!(
+            "node: {name}\nregion: {region}\nhall: {region}-{}\n\
+             listen: {{ callers: \"{ip}:0\", operators: \"{ip}:0\", peers: \"{ip}:0\" }}\n\
+             seeds: [{}]\nstore: \"{}\"\nvms: \"{}\"\noperators:\n  \
+             - {{ name: rig, token_sha256: {}, may: write }}\n  \
+             - {{ name: reader, token_sha256: {} }}\n\
+             limits: {{ lookup_cache: 300ms, stop_time: 30s }}\n",
+            number % nodes.max(1) % 2 + 1,
+            seeds.join(", "),
+            self.store.address,
+            self.vms.address,
+            access::hash(TOKEN),
+            access::hash(READER),
+        );
+        let file = self.folder.path().join(format!("{name}.yaml"));
+        std::fs::write(&file, settings).expect("the settings are written");
+        self.nodes.insert(name, spawn(&file));
+    }
+
+    /// Sends a request for the service to a node.
+    pub async fn get(&self, node: &str, id: &str, bytes: usize) -> anyhow::Result<Response<Bytes>> {
+        let request = Request::get(format!("http://{}/search", self.nodes[node].callers))
+            .header("host", HOST)
+            .header("x-request-id", id)
+            .header("x-answer-bytes", bytes)
+            .body(Full::default())?;
+        self.http.send(request).await
+    }
+
+    /// Calls the operators' face of the first node.
+    pub async fn operate(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
+        self.operate_with(TOKEN, method, path, body, &[]).await
+    }
+
+    /// Calls the operators' face of the first node, with a token and headers.
+    pub async fn operate_with(
+        &self,
+        token: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> (u16, Value) {
+        let node = self.nodes.values().next().expect("a node is left");
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", node.operators))
+            .header("authorization", format!("Bearer {token}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+        let request = request.body(body).expect("the request is valid");
+        let response = self.http.send(request).await.expect("the node answers");
+        let value = serde_json::from_slice(response.body()).unwrap_or(Value::Null);
+        (response.status().as_u16(), value)
+    }
+
+    /// Puts the service.
+    pub async fn declare(&self, service: &Value) -> Value {
+        self.operate("PUT", "/v1/services/catalogue", &service.to_string()).await.1
+    }
+
+    /// Returns the service's declaration.
+    pub fn service(&self) -> Value {
+        let upstreams: Vec<Value> = self.upstreams.iter().map(declaration).collect();
+        serde_json::json!({
+            "name": "catalogue",
+            "host": HOST,
+            "deadline": "3s",
+            "hold": "500ms",
+            "repeatable": [{ "method": "GET" }],
+            "once": [{ "method": "POST", "path": "/handover" }],
+            "shed": [429],
+            "report": "/report",
+            "upstreams": upstreams,
+        })
+    }
+
+    /// Waits until something holds.
+    pub async fn wait(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
+        let began = Instant::now();
+        while !holds(self).await {
+            assert!(began.elapsed() < PATIENCE, "waited too long until {what}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns a node's dump.
+    pub async fn state(&self, node: &Process) -> Value {
+        let request = Request::get(format!("http://{}/v1/state", node.operators))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .body(Full::default())
+            .expect("the request is valid");
+        match self.http.send(request).await {
+            Ok(response) => serde_json::from_slice(response.body()).unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        }
+    }
+
+    /// Returns whether each region's table has `nodes` seats, at every node.
+    pub async fn all_seated(&self, nodes: usize) -> bool {
+        for node in self.nodes.values() {
+            let state = self.state(node).await;
+            let seats = state["seats"].as_array().map_or(0, Vec::len);
+            let alive = state["members"]
+                .as_array()
+                .map_or(0, |members| members.iter().filter(|m| m["is_alive"] == true).count());
+            if seats != nodes || alive != self.nodes.len() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns whether the slots that nodes may use add up to all there are.
+    pub async fn all_borrowed(&self) -> bool {
+        let mut usable = 0;
+        for node in self.nodes.values() {
+            let state = self.state(node).await;
+            let upstreams = state["upstreams"].as_array().cloned().unwrap_or_default();
+            let home = upstreams.iter().filter(|u| u["home"] == state["node"]);
+            usable += home.filter_map(|u| u["limit"].as_u64()).sum::<u64>();
+        }
+        usable == u64::from(SLOTS) * u64::try_from(self.upstreams.len()).unwrap_or(0)
+    }
+
+    async fn in_force(&self) -> bool {
+        let item = self.operate("GET", "/v1/services/catalogue", "").await.1;
+        let mut ready = item["in_force"] == true;
+        for node in self.nodes.values() {
+            ready &= self.state(node).await["is_ready"] == true;
+        }
+        ready
+    }
+
+    async fn start_upstreams(&mut self, region: &str) {
+        for number in 0..UPSTREAMS {
+            let last = u8::try_from(self.upstreams.len() + 1).expect("upstreams are few");
+            let ip = net::Ipv4Addr::new(127, 21, self.number, last);
+            let spec = upstream::Spec {
+                service: "catalogue".to_owned(),
+                name: format!("{region}-{number}"),
+                region: region.to_owned(),
+                hall: format!("{region}-{}", number % 2 + 1),
+                slots: SLOTS,
+                time: Duration::from_millis(30),
+                cold_factor: 1.0,
+                report_lag: Duration::from_millis(200),
+            };
+            let truth = sync::Arc::clone(&self.truth);
+            let started = upstream::Upstream::start((ip, 0).into(), spec, truth).await;
+            self.vms.fill([ip.into()]);
+            self.upstreams.push(started.expect("the upstream starts"));
+        }
+    }
+}
+
+fn declaration(upstream: &upstream::Upstream) -> Value {
+    let spec = upstream.spec();
+    serde_json::json!({
+        "name": spec.name,
+        "region": spec.region,
+        "hall": spec.hall,
+        "address": upstream.address,
+        "slots": spec.slots,
+    })
+}
+
+/// Starts a node and learns its addresses from its first line of log.
+fn spawn(settings: &std::path::Path) -> Process {
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_yokespoked"))
+        .arg("--settings")
+        .arg(settings)
+        .stderr(process::Stdio::piped())
+        .spawn()
+        .expect("the node starts");
+    let stderr = child.stderr.take().expect("standard error is piped");
+    let mut lines = BufReader::new(stderr).lines();
+    let started = lines
+        .by_ref()
+        .map_while(Result::ok)
+        .find(|line| line.starts_with("event=node-started"))
+        .expect("the node tells where it listens");
+    let quiet = std::env::var_os("YOKESPOKE_RIG_LOGS").is_none();
+    std::thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            if !quiet {
+                eprintln!("{line}");
+            }
+        }
+    });
+    let field = |name: &str| {
+        let mut pairs = started.split(' ').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(key, _)| *key == name).map(|(_, value)| value);
+        value.and_then(|value| value.parse().ok()).expect("the line has every address")
+    };
+    Process {
+        callers: field("callers"),
+        operators: field("operators"),
+        peers: field("peers"),
+        child,
+    }
+}
+
+/// Returns whether an answer is whole and its own request's.
+pub fn is_whole(id: &str, bytes: usize, response: &Response<Bytes>) -> bool {
+    response.status().is_success() && pattern::is_whole(id, bytes, response.body())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They serve tests and the demo. Each can be made to fail on command, and the upstreams keep the
 //! record of truth: what ran, how often, and how many requests each held at once.
 
+pub mod client;
 pub mod control;
 pub mod pattern;
 pub mod server;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -27,6 +27,9 @@
 /// Requests after which a cold cache has warmed by two thirds.
 const WARMING: f64 = 60.0;
 
+/// How late it notices that a deadline has passed.
+const NOTICE: Duration = Duration::from_millis(100);
+
 /// Longest answer a request may ask for.
 const LONGEST_ANSWER: usize = 64 << 20;
 
@@ -192,7 +195,7 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let time = state.time(headers);
-    let limit = deadline(headers).flatten().unwrap_or(Duration::MAX);
+    let limit = deadline(headers).flatten().map_or(Duration::MAX, |left| left + NOTICE);
     if tokio::time::timeout(limit, tokio::time::sleep(time)).await.is_err() {
         return StatusCode::GATEWAY_TIMEOUT.into_response();
     }
--- a/crates/steer/tests/fleet/world.rs
+++ b/crates/steer/tests/fleet/world.rs
@@ -355,10 +355,8 @@
         self.met.note_if(!self.cuts.is_empty(), "run while links are cut");
         self.met.note_if(!self.is_store_up, "run while the store is away");
         let Some(core) = &self.nodes[number].core else { return };
-        let key = steer::instance::Key {
-            service: id::Service::new(SERVICE),
-            upstream: upstream.clone(),
-        };
+        let key =
+            steer::instance::Key { service: id::Service::new(SERVICE), upstream: upstream.clone() };
         let Some(ledger) = core.home.upstreams.get(&key).map(|u| &u.ledger) else { return };
         let in_doubt = ledger.rights.home() != Some(&core.me.key);
         let on_loan = ledger.held().any(|(_, slots)| slots > 0);
