Ask several homes for a free slot before a request waits

Cause: an entry chose one home by a summary up to half a second old, and a home without a free slot queued or refused the request while a sibling had slots free. With four homes a region, each pool is a quarter of the region and runs full at times even at 70 % load.

Change: homes tell how much of their slots is in use with every answer; an entry asks up to three homes of its own region for a slot that is free at once and only then lets the request wait at the least loaded. A request for another region is handed to a node there, which asks in its stead.

Also found by the tests against real processes: a request that was retried after it may have run, and then refused, was told 'not run'. The verdict now covers all tries. An operator's read after its own write is answered from the new revision.

--- /dev/null
+++ b/crates/bench/src/cost.rs
@@ -0,0 +1,4 @@
+//! Placeholder.
+pub fn run() -> anyhow::Result<crate::output::Output> {
+    anyhow::bail!("x")
+}
--- a/crates/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Measurements of decisions, cost and capacity.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,60 @@
+//! `yokespoke-bench`: measures decisions, costs and growth; its tables and plots are committed in
+//! `docs/measurements/`.
+
+mod cost;
+mod output;
+mod policy;
+mod scale;
+
+use std::path;
+
+use clap::Parser as _;
+
+/// Measures yokespoke.
+#[derive(Debug, clap::Parser)]
+#[command(name = "yokespoke-bench", version)]
+struct Args {
+    /// What to measure.
+    #[command(subcommand)]
+    command: Command,
+
+    /// Seed of random choices.
+    #[arg(long, global = true, default_value_t = 1)]
+    seed: u64,
+
+    /// Print one JSON object in place of tables.
+    #[arg(long, global = true)]
+    json: bool,
+
+    /// Folder in which tables and plots are written.
+    #[arg(long, global = true, value_name = "FOLDER")]
+    out: Option<path::PathBuf>,
+}
+
+/// What to measure.
+#[derive(Debug, clap::Subcommand)]
+enum Command {
+    /// Homes against simpler policies and an ideal, by a virtual clock.
+    Policy,
+    /// Requests and look-ups through real nodes against the upstream itself.
+    Cost,
+    /// How state, messages and time grow with the fleet, by a virtual clock.
+    Scale,
+}
+
+fn main() -> anyhow::Result<()> {
+    let args = Args::parse();
+    let result = match args.command {
+        Command::Policy => policy::run(args.seed)?,
+        Command::Cost => cost::run()?,
+        Command::Scale => scale::run(args.seed)?,
+    };
+    match args.json {
+        true => println!("{}", result.as_json()),
+        false => println!("{}", result.as_markdown()),
+    }
+    match &args.out {
+        Some(folder) => result.write(folder),
+        None => Ok(()),
+    }
+}
--- a/crates/model/src/verdict.rs
+++ b/crates/model/src/verdict.rs
@@ -46,6 +46,8 @@
     NoRegion,
     /// The node that was asked is not home of a usable upstream.
     NotHome,
+    /// No slot was free at once at the home that was asked.
+    Busy,
     /// Every slot is taken and the wait would exceed the deadline or the bound.
     Full,
     /// The deadline passed.
@@ -74,6 +76,7 @@
             Self::NotReady => "not-ready",
             Self::NoRegion => "no-region",
             Self::NotHome => "not-home",
+            Self::Busy => "busy",
             Self::Full => "full",
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
@@ -88,12 +91,13 @@
     /// Returns the reason whose word is `text`, or [`Reason::Broken`] for a word of a newer node.
     #[must_use]
     pub fn parse(text: &str) -> Self {
-        const ALL: [Reason; 13] = [
+        const ALL: [Reason; 14] = [
             Reason::UnknownHost,
             Reason::BadRequest,
             Reason::NotReady,
             Reason::NoRegion,
             Reason::NotHome,
+            Reason::Busy,
             Reason::Full,
             Reason::Deadline,
             Reason::Cancelled,
@@ -137,6 +141,17 @@
         Self { verdict: Verdict::MayHaveRun, reason, retry_after: None }
     }
 
+    /// Returns the failure of a request whose earlier tries ended with `earlier`.
+    ///
+    /// That the last try did not run says nothing about the tries before it.
+    #[must_use]
+    pub fn after_tries(mut self, earlier: Verdict) -> Self {
+        if earlier == Verdict::MayHaveRun {
+            self.verdict = Verdict::MayHaveRun;
+        }
+        self
+    }
+
     /// Adds the time after which asking again may help.
     #[must_use]
     pub fn after(mut self, wait: Duration) -> Self {
--- a/crates/node/src/callers/entry.rs
+++ b/crates/node/src/callers/entry.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt as _;
+use model::id;
 use model::verdict;
+use steer::beat;
 use steer::ticket;
 use wire::peer;
 
@@ -39,7 +41,8 @@
         Self { decisions, runner, carrier }
     }
 
-    /// Sends a request to the home that the decisions choose, and again while it may be.
+    /// Sends a request to the home that the decisions choose, and again while it may be; to one in
+    /// `region` when that was chosen already.
     ///
     /// # Errors
     ///
@@ -48,30 +51,46 @@
         &self,
         mut order: runner::Order,
         mut source: body::Source,
+        region: Option<id::Region>,
     ) -> Result<Response<body::Body>, verdict::Failure> {
         let repetition = order.service.repetition(order.method.as_str(), &order.path);
         let name = order.service.name.clone();
-        let (routed, mut decision) = self.decisions.route(name, order.place.clone()).await;
+        let place = order.place.clone();
+        let (routed, mut decision) = self.decisions.route(name, place, region).await;
+        let mut so_far = verdict::Verdict::NotRun;
         loop {
-            let (home, peers) = match decision {
-                decisions::Decision::Forward { home, peers, .. } => (home, peers),
+            let view = self.decisions.view();
+            let (home, peers, duty) = match decision {
+                decisions::Decision::Forward { region, home, peers, may_wait } => {
+                    order.may_wait = may_wait;
+                    let duty = match region == view.region {
+                        true => peer::Duty::Home,
+                        false => peer::Duty::Region,
+                    };
+                    (home, peers, duty)
+                }
                 decisions::Decision::Refuse(failure) => return Err(failure),
                 decisions::Decision::Run { .. } => {
                     return Err(verdict::Failure::not_run(verdict::Reason::NotReady));
                 }
             };
-            let is_here = home == self.decisions.view().me;
-            let result = match is_here {
-                true => self.run_here(&order, &mut source).await,
-                false => self.carry(peers, &order, &mut source).await,
+            let told = |usage| self.decisions.used(&home.node, &order.service.name, usage);
+            let result = match home == view.me {
+                true => self.run_here(&order, &mut source, told).await,
+                false => {
+                    let head = head_of(&order, duty, &self.decisions);
+                    self.carrier.carry(peers, head, &mut source, told).await
+                }
             };
             let failed = match result {
                 Ok(answer) => return Ok(keep_routed(answer, routed)),
                 Err(failed) => failed,
             };
             order.avoid.extend(failed.upstream);
+            let failure = failed.failure.after_tries(so_far);
+            so_far = failure.verdict;
             if !source.is_ready() || order.deadline <= self.decisions.now() {
-                return Err(failed.failure);
+                return Err(failure);
             }
             decision = routed.failed(failed.failure, repetition).await;
         }
@@ -102,7 +121,7 @@
         let mut head = head_of(&order, peer::Duty::Ticket, &self.decisions);
         head.ticket = text.to_owned();
         let mut source = body::Source::Kept(kept);
-        let result = self.carrier.carry(node.peers, head, &mut source).await;
+        let result = self.carrier.carry(node.peers, head, &mut source, |_| {}).await;
         // That this try was not sent says nothing about the tries before it.
         result.map_err(|failed| match failed.failure.reason {
             verdict::Reason::NotReady => verdict::Failure::may_have_run(verdict::Reason::Ticket),
@@ -144,7 +163,7 @@
         }
         let entry = self.clone();
         let run = tokio::spawn(async move {
-            let result = entry.enter(order, body::Source::Kept(kept)).await;
+            let result = entry.enter(order, body::Source::Kept(kept), None).await;
             entry.remember(ticket, result).await
         });
         let lost = verdict::Failure::may_have_run(verdict::Reason::Broken);
@@ -188,20 +207,14 @@
         &self,
         order: &runner::Order,
         source: &mut body::Source,
+        told: impl Fn(beat::Use),
     ) -> Result<Response<body::Body>, failed::Failed> {
-        let slot = self.runner.reserve(order).await?;
+        let slot = self.runner.reserve(order).await.inspect_err(|failed| {
+            failed.usage.into_iter().for_each(&told);
+        })?;
+        told(slot.usage);
         self.runner.run(slot, order, source.take()).await
     }
-
-    async fn carry(
-        &self,
-        peers: std::net::SocketAddr,
-        order: &runner::Order,
-        source: &mut body::Source,
-    ) -> Result<Response<body::Body>, failed::Failed> {
-        let head = head_of(order, peer::Duty::Home, &self.decisions);
-        self.carrier.carry(peers, head, source).await
-    }
 }
 
 fn head_of(
@@ -219,6 +232,7 @@
         place: order.place.as_str().to_owned(),
         avoid: order.avoid.iter().map(|u| u.as_str().to_owned()).collect(),
         ticket: String::new(),
+        may_wait: order.may_wait,
     }
 }
 
--- a/crates/node/src/callers/face.rs
+++ b/crates/node/src/callers/face.rs
@@ -168,6 +168,7 @@
             headers: parts.headers,
             deadline,
             avoid: Vec::new(),
+            may_wait: false,
             service,
         };
         let source = self.source(incoming, deadline).await?;
@@ -189,7 +190,7 @@
             (service::Repetition::Once, Some(_), _) => {
                 Err(verdict::Failure::not_run(verdict::Reason::BadRequest))
             }
-            (_, _, source) => self.entry.enter(order, source).await,
+            (_, _, source) => self.entry.enter(order, source, None).await,
         }
     }
 
--- a/crates/node/src/callers/respond.rs
+++ b/crates/node/src/callers/respond.rs
@@ -57,6 +57,7 @@
         Reason::NotReady => "the node is not ready",
         Reason::NoRegion => "no region can take the request now",
         Reason::NotHome => "the node is home of no usable upstream of the service",
+        Reason::Busy => "no slot is free at once",
         Reason::Full => "every slot is taken and the wait would be too long",
         Reason::Deadline => "the deadline has passed",
         Reason::Cancelled => "the caller gave up",
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -7,6 +7,7 @@
 use crossbeam_channel as ring;
 use model::clock;
 use model::epoch;
+use model::id;
 use model::revision;
 use steer::action;
 use steer::beat;
@@ -33,13 +34,20 @@
     outputs: decisions::Outputs,
     clock: sync::Arc<dyn clock::Clock>,
     tickets: ticket::Table<answer::Answer>,
-    waiting: collections::HashMap<request::Id, oneshot::Sender<decisions::Decision>>,
+    waiting: collections::HashMap<request::Id, Waiting>,
     config: sync::Arc<view::Config>,
     logged: (revision::Revision, epoch::Epoch, bool),
     dropped: u64,
     ticked: Instant,
 }
 
+/// Whoever asked, and for which service's slots here, if for any.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<(decisions::Decision, beat::Use)>,
+    offered: Option<id::Service>,
+}
+
 /// The state that a look sees.
 #[derive(Debug)]
 pub struct State<'a> {
@@ -120,7 +128,11 @@
         match message {
             decisions::Message::Event(event) => self.handle(event, now, None),
             decisions::Message::Ask(event, id, reply) => {
-                self.waiting.insert(id, reply);
+                let offered = match &event {
+                    event::Event::Offer { offer } => Some(offer.service.clone()),
+                    _ => None,
+                };
+                self.waiting.insert(id, Waiting { reply, offered });
                 self.handle(event, now, None);
             }
             decisions::Message::Beat(beat, reply) => {
@@ -192,7 +204,10 @@
     fn decide(&mut self, action: action::Action, now: Instant) {
         let Some((id, decision)) = decisions::decision(action) else { return };
         let unheard = match self.waiting.remove(&id) {
-            Some(reply) => reply.send(decision).err(),
+            Some(Waiting { reply, offered }) => {
+                let usage = offered.map(|service| self.core.home.use_of(&service, now));
+                reply.send((decision, usage.unwrap_or_default())).err().map(|(d, _)| d)
+            }
             None => Some(decision),
         };
         // Whoever asked gave up, and what it gave back may have come before its ask.
--- a/crates/node/src/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -44,6 +44,8 @@
         home: model::seat::Key,
         /// Its face for peers.
         peers: std::net::SocketAddr,
+        /// Whether it may wait there for a slot.
+        may_wait: bool,
     },
     /// Run it at this upstream.
     Run {
@@ -62,7 +64,7 @@
 /// What the deciding thread is told.
 pub(crate) enum Message {
     Event(event::Event),
-    Ask(event::Event, request::Id, oneshot::Sender<Decision>),
+    Ask(event::Event, request::Id, oneshot::Sender<(Decision, beat::Use)>),
     Beat(Box<beat::Request>, oneshot::Sender<beat::Reply>),
     Claim(ticket::Ticket, oneshot::Sender<ticket::Claim<answer::Answer>>),
     Finish(ticket::Ticket, ticket::Outcome<answer::Answer>),
@@ -193,33 +195,38 @@
         self.issuer.issue(self.clock.now(), rand::random())
     }
 
-    /// Routes a caller's request to a home.
-    pub async fn route(&self, service: id::Service, place: id::Place) -> (Routed, Decision) {
+    /// Routes a request to a home, in `region` when that was chosen already.
+    pub async fn route(
+        &self,
+        service: id::Service,
+        place: id::Place,
+        region: Option<id::Region>,
+    ) -> (Routed, Decision) {
         let id = self.next_id();
         let routed = Routed { id, handle: self.clone() };
-        let event = event::Event::Route { request: id, service, place };
-        (routed, self.ask(event, id).await)
+        let event = event::Event::Route { request: id, service, place, region };
+        (routed, self.ask(event, id).await.0)
     }
 
-    /// Asks for a slot here.
+    /// Asks for a slot here; tells too how much of its slots the service uses.
     pub async fn offer(
         &self,
         offer: impl FnOnce(request::Id) -> request::Offer,
-    ) -> (Offered, Decision) {
+    ) -> (Offered, Decision, beat::Use) {
         let id = self.next_id();
         let mut offered = Offered { id, handle: self.clone(), state: Held::Waiting };
         let over = self.in_flight.fetch_add(1, atomic::Ordering::Relaxed) >= self.most;
         if over {
             self.refused.fetch_add(1, atomic::Ordering::Relaxed);
             offered.state = Held::Nothing;
-            return (offered, Decision::Refuse(busy()));
+            return (offered, Decision::Refuse(busy()), beat::Use::default());
         }
-        let decision = self.ask(event::Event::Offer { offer: offer(id) }, id).await;
+        let (decision, usage) = self.ask(event::Event::Offer { offer: offer(id) }, id).await;
         offered.state = match &decision {
             Decision::Run { .. } => Held::Slot,
             _ => Held::Nothing,
         };
-        (offered, decision)
+        (offered, decision, usage)
     }
 
     /// Answers a peer's beat.
@@ -249,6 +256,13 @@
         self.asks.try_send(Message::Event(event)).is_ok()
     }
 
+    /// Tells how much of its slots a service uses at a home; lost when the ring is full, as the
+    /// next answer tells it again.
+    pub fn used(&self, home: &id::Node, service: &id::Service, usage: beat::Use) {
+        let (home, service) = (home.clone(), service.clone());
+        let _ = self.tell(event::Event::Used { home, service, usage });
+    }
+
     /// Looks at the decisions' state from their own thread.
     pub async fn look<T: Send + 'static>(
         &self,
@@ -273,13 +287,13 @@
         request::Id(self.next.fetch_add(1, atomic::Ordering::Relaxed))
     }
 
-    async fn ask(&self, event: event::Event, id: request::Id) -> Decision {
+    async fn ask(&self, event: event::Event, id: request::Id) -> (Decision, beat::Use) {
         let (reply, answer) = oneshot::channel();
         if self.asks.try_send(Message::Ask(event, id, reply)).is_err() {
             self.refused.fetch_add(1, atomic::Ordering::Relaxed);
-            return Decision::Refuse(busy());
+            return (Decision::Refuse(busy()), beat::Use::default());
         }
-        answer.await.unwrap_or_else(|_| Decision::Refuse(busy()))
+        answer.await.unwrap_or_else(|_| (Decision::Refuse(busy()), beat::Use::default()))
     }
 
     fn release(&self, message: Message) {
@@ -307,7 +321,7 @@
         repetition: service::Repetition,
     ) -> Decision {
         let event = event::Event::Failed { request: self.id, failure, repetition };
-        self.handle.ask(event, self.id).await
+        self.handle.ask(event, self.id).await.0
     }
 }
 
@@ -377,8 +391,8 @@
 /// Turns an action that answers an ask into a decision.
 pub(crate) fn decision(action: action::Action) -> Option<(request::Id, Decision)> {
     match action {
-        action::Action::Forward { request, region, home, peers } => {
-            Some((request, Decision::Forward { region, home, peers }))
+        action::Action::Forward { request, region, home, peers, may_wait } => {
+            Some((request, Decision::Forward { region, home, peers, may_wait }))
         }
         action::Action::Run { request, upstream, address } => {
             Some((request, Decision::Run { upstream, address }))
--- a/crates/node/src/failed.rs
+++ b/crates/node/src/failed.rs
@@ -2,6 +2,7 @@
 
 use model::id;
 use model::verdict;
+use steer::beat;
 
 /// How one try failed.
 #[derive(Clone, Debug)]
@@ -10,12 +11,14 @@
     pub failure: verdict::Failure,
     /// The upstream that was asked, if one was.
     pub upstream: Option<id::Upstream>,
+    /// How much of its slots the service uses at the home that refused, if it told.
+    pub usage: Option<beat::Use>,
 }
 
 impl Failed {
     /// Makes the failure of a try that reached no upstream.
     #[must_use]
     pub fn before(failure: verdict::Failure) -> Self {
-        Self { failure, upstream: None }
+        Self { failure, upstream: None, usage: None }
     }
 }
--- a/crates/node/src/operators/api.rs
+++ b/crates/node/src/operators/api.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::time::Duration;
 
 use axum::Json;
 use axum::body;
@@ -32,6 +33,9 @@
 /// Largest body of a change: a store's value.
 const LARGEST_BODY: usize = 1 << 20;
 
+/// Longest time for this node to act on a change that it has written.
+const READ_WRITTEN: Duration = Duration::from_secs(1);
+
 /// Header by which an operator names an operation.
 const OPERATION: &str = "yokespoke-operation";
 
@@ -198,6 +202,9 @@
     face.wishes.try_send(wish).map_err(|_| Problem::busy())?;
     // A lost reply means that the process is ending; the write may have been sent.
     let outcome = outcome.await.unwrap_or(accept::Outcome::Unknown { operation });
+    if let accept::Outcome::Accepted { revision } = &outcome {
+        await_revision(face, *revision).await;
+    }
     let status = match &outcome {
         accept::Outcome::Accepted { .. } => StatusCode::OK,
         accept::Outcome::Refused { refusal } => match refusal {
@@ -211,6 +218,13 @@
     Ok((status, Json(outcome)).into_response())
 }
 
+/// Waits until this node acts on a revision, so that an operator reads what was just written.
+async fn await_revision(face: &Face, revision: revision::Revision) {
+    let mut views = face.decisions.views();
+    let seen = views.wait_for(|view| view.config.revision() >= revision);
+    let _ = tokio::time::timeout(READ_WRITTEN, seen).await;
+}
+
 fn parse_kind(text: &str) -> Result<resource::Kind, Problem> {
     let kind = resource::Kind::ALL.into_iter().find(|kind| kind.plural() == text);
     kind.ok_or_else(|| Problem::missing(&format!("collection {text}")))
--- a/crates/node/src/peers/carrier.rs
+++ b/crates/node/src/peers/carrier.rs
@@ -10,12 +10,14 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use model::id;
 use model::verdict;
+use steer::beat;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use wire::peer;
 
 use crate::body;
 use crate::failed;
+use crate::peers::convert;
 use crate::peers::links;
 
 /// Parts of a body that wait to be sent.
@@ -43,6 +45,8 @@
     /// Carries a request to the node at `address`. A kept body goes at once; a streamed one when
     /// the home holds a slot, so that it can go elsewhere when there is none.
     ///
+    /// `told` hears how much of its slots the service uses at the home.
+    ///
     /// # Errors
     ///
     /// Fails with the verdict of the other node, or one about the connection.
@@ -51,9 +55,10 @@
         address: net::SocketAddr,
         head: peer::RequestHead,
         source: &mut body::Source,
+        told: impl Fn(beat::Use),
     ) -> Result<Response<body::Body>, failed::Failed> {
         let left = Duration::from_millis(head.remaining_ms) + VERDICT_GRACE;
-        match tokio::time::timeout(left, self.exchange(address, head, source)).await {
+        match tokio::time::timeout(left, self.exchange(address, head, source, told)).await {
             Ok(result) => result,
             Err(_) => Err(failed::Failed::before(verdict::Failure::may_have_run(
                 verdict::Reason::Deadline,
@@ -66,6 +71,7 @@
         address: net::SocketAddr,
         head: peer::RequestHead,
         source: &mut body::Source,
+        told: impl Fn(beat::Use),
     ) -> Result<Response<body::Body>, failed::Failed> {
         let Ok(mut client) = self.links.client(address).await else {
             return Err(unreached());
@@ -91,14 +97,22 @@
             let part = message.ok().flatten().and_then(|download| download.part);
             match part {
                 Some(peer::download::Part::Go(go)) => {
-                    upstream = Some(id::Upstream::new(&go.upstream));
+                    upstream = name_of(&go.upstream).or(upstream);
+                    if let Some(usage) = go.usage {
+                        told(convert::usage_in(usage));
+                    }
                     let is_streamed = matches!(source, body::Source::Streamed(_));
                     if let Some(parts) = parts.take_if(|_| is_streamed) {
                         tokio::spawn(send_body(source.take(), parts));
                     }
                 }
                 Some(peer::download::Part::Head(head)) => return answer(head, download, parts),
-                Some(peer::download::Part::Failure(failure)) => return Err(failure_of(&failure)),
+                Some(peer::download::Part::Failure(failure)) => {
+                    if let Some(usage) = failure.usage {
+                        told(convert::usage_in(usage));
+                    }
+                    return Err(failure_of(&failure));
+                }
                 Some(peer::download::Part::Data(_) | peer::download::Part::End(_)) | None => {
                     return Err(broken(upstream));
                 }
@@ -205,22 +219,23 @@
         peer::Verdict::MayHaveRun | peer::Verdict::Unspecified => verdict::Verdict::MayHaveRun,
     };
     let wait = Some(failure.retry_after_ms).filter(|ms| *ms > 0).map(Duration::from_millis);
-    let upstream = Some(failure.upstream.as_str()).filter(|name| !name.is_empty());
+    let reason = verdict::Reason::parse(&failure.reason);
     failed::Failed {
-        failure: verdict::Failure {
-            verdict,
-            reason: verdict::Reason::parse(&failure.reason),
-            retry_after: wait,
-        },
-        upstream: upstream.map(id::Upstream::new),
+        failure: verdict::Failure { verdict, reason, retry_after: wait },
+        upstream: name_of(&failure.upstream),
+        usage: failure.usage.map(convert::usage_in),
     }
 }
 
+fn name_of(text: &str) -> Option<id::Upstream> {
+    (!text.is_empty()).then(|| id::Upstream::new(text))
+}
+
 fn unreached() -> failed::Failed {
     failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotReady))
 }
 
 fn broken(upstream: Option<id::Upstream>) -> failed::Failed {
     let failure = verdict::Failure::may_have_run(verdict::Reason::Broken);
-    failed::Failed { failure, upstream }
+    failed::Failed { upstream, ..failed::Failed::before(failure) }
 }
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -73,6 +73,18 @@
     })
 }
 
+/// Returns a home's use of its slots as its message.
+#[must_use]
+pub fn usage_out(usage: beat::Use) -> peer::Usage {
+    peer::Usage { busy: usage.busy, usable: usage.usable }
+}
+
+/// Returns the use of a message.
+#[must_use]
+pub fn usage_in(usage: peer::Usage) -> beat::Use {
+    beat::Use { busy: usage.busy, usable: usage.usable }
+}
+
 fn member_out(member: &beat::Member) -> peer::Member {
     peer::Member {
         name: text(member.key.node.as_str()),
--- a/crates/node/src/peers/face.rs
+++ b/crates/node/src/peers/face.rs
@@ -117,6 +117,7 @@
         let result = match first {
             Some(peer::upload::Part::Head(head)) => match head.duty() {
                 peer::Duty::Home => self.run_at_home(head, upload, &parts).await,
+                peer::Duty::Region => self.run_in_region(head, upload, &parts).await,
                 peer::Duty::Ticket => self.run_ticket(head, upload).await,
                 peer::Duty::Unspecified => Err(malformed()),
             },
@@ -138,9 +139,26 @@
     ) -> Result<Response<body::Body>, failed::Failed> {
         let order = self.order(&head)?;
         let slot = self.runner.reserve(&order).await?;
-        let go = peer::Go { upstream: slot.upstream.as_str().to_owned() };
+        let go = peer::Go {
+            upstream: slot.upstream.as_str().to_owned(),
+            usage: Some(convert::usage_out(slot.usage)),
+        };
         let _ = send(parts, peer::download::Part::Go(go)).await;
-        self.runner.run(slot, &order, upload_body(upload)).await
+        self.runner.run(slot, &order, upload_body(upload, None)).await
+    }
+
+    /// Finds a home in this region. The body is asked for when the home wants it.
+    async fn run_in_region(
+        &self,
+        head: peer::RequestHead,
+        upload: Streaming<peer::Upload>,
+        parts: &Parts,
+    ) -> Result<Response<body::Body>, failed::Failed> {
+        let order = self.order(&head)?;
+        let body = upload_body(upload, Some(parts.clone()));
+        let region = self.decisions.view().region.clone();
+        let result = self.entry.enter(order, body::Source::Streamed(body), Some(region)).await;
+        result.map_err(failed::Failed::before)
     }
 
     async fn run_ticket(
@@ -149,7 +167,7 @@
         upload: Streaming<peer::Upload>,
     ) -> Result<Response<body::Body>, failed::Failed> {
         let order = self.order(&head)?;
-        let kept = upload_body(upload).collect().await;
+        let kept = upload_body(upload, None).collect().await;
         let kept = kept.map_err(|_| malformed())?.to_bytes();
         let result = self.entry.enter_ticket(order, &head.ticket, kept).await;
         result.map_err(failed::Failed::before)
@@ -170,6 +188,7 @@
             headers: carrier::headers(&head.headers),
             deadline: self.decisions.now() + Duration::from_millis(head.remaining_ms),
             avoid: head.avoid.iter().map(|name| id::Upstream::new(name)).collect(),
+            may_wait: head.may_wait,
         })
     }
 }
@@ -203,14 +222,19 @@
     let _ = send(parts, peer::download::Part::End(peer::End {})).await;
 }
 
-/// Returns a body as a peer sends it; without its end it fails.
-fn upload_body(upload: Streaming<peer::Upload>) -> body::Body {
-    let frames = futures_util::stream::unfold(Some(upload), |state| async move {
-        let mut upload = state?;
+/// Returns a body as a peer sends it; without its end it fails. The peer is told to go on at `ask`
+/// when the body is first wanted.
+fn upload_body(upload: Streaming<peer::Upload>, ask: Option<Parts>) -> body::Body {
+    let state = Some((upload, ask));
+    let frames = futures_util::stream::unfold(state, |state| async move {
+        let (mut upload, ask) = state?;
+        if let Some(parts) = ask {
+            let _ = send(&parts, peer::download::Part::Go(peer::Go::default())).await;
+        }
         let part = upload.message().await.ok().flatten().and_then(|upload| upload.part);
         match part {
             Some(peer::upload::Part::Data(data)) => {
-                Some((Ok(Frame::data(Bytes::from(data))), Some(upload)))
+                Some((Ok(Frame::data(Bytes::from(data))), Some((upload, None))))
             }
             Some(peer::upload::Part::End(_)) => None,
             _ => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
@@ -230,6 +254,7 @@
         reason: failed.failure.reason.as_str().to_owned(),
         retry_after_ms: u64::try_from(wait).unwrap_or(u64::MAX),
         upstream: failed.upstream.as_ref().map_or(String::new(), |u| u.as_str().to_owned()),
+        usage: failed.usage.map(convert::usage_out),
     }
 }
 
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -17,6 +17,7 @@
 use model::id;
 use model::service;
 use model::verdict;
+use steer::beat;
 use steer::request;
 
 use crate::body;
@@ -50,6 +51,8 @@
     pub deadline: Instant,
     /// Upstreams that earlier tries used.
     pub avoid: Vec<id::Upstream>,
+    /// Whether it may wait for a slot at the home it is sent to.
+    pub may_wait: bool,
 }
 
 /// What runs requests; each duty that does so has its own connections.
@@ -64,6 +67,8 @@
 pub struct Slot {
     /// The upstream.
     pub upstream: id::Upstream,
+    /// How much of its slots the service uses here.
+    pub usage: beat::Use,
     address: std::net::SocketAddr,
     offered: decisions::Offered,
 }
@@ -95,13 +100,16 @@
             place: order.place.clone(),
             deadline: order.deadline,
             avoid: order.avoid.clone(),
+            may_wait: order.may_wait,
         };
-        let (offered, decision) = self.decisions.offer(offer).await;
+        let (offered, decision, usage) = self.decisions.offer(offer).await;
         match decision {
             decisions::Decision::Run { upstream, address } => {
-                Ok(Slot { upstream, address, offered })
+                Ok(Slot { upstream, usage, address, offered })
+            }
+            decisions::Decision::Refuse(failure) => {
+                Err(failed::Failed { usage: Some(usage), ..failed::Failed::before(failure) })
             }
-            decisions::Decision::Refuse(failure) => Err(failed::Failed::before(failure)),
             decisions::Decision::Forward { .. } => {
                 Err(failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome)))
             }
@@ -120,7 +128,10 @@
         body: body::Body,
     ) -> Result<Response<body::Body>, failed::Failed> {
         let upstream = slot.upstream.clone();
-        let fail = |failure| failed::Failed { failure, upstream: Some(upstream.clone()) };
+        let fail = |failure| failed::Failed {
+            upstream: Some(upstream.clone()),
+            ..failed::Failed::before(failure)
+        };
         let Some(request) = self.request(&slot, order, body) else {
             slot.offered.done(request::Outcome::Shed);
             return Err(fail(verdict::Failure::not_run(verdict::Reason::BadRequest)));
--- a/crates/steer/src/action.rs
+++ b/crates/steer/src/action.rs
@@ -24,6 +24,8 @@
         home: seat::Key,
         /// The home's face for peers.
         peers: net::SocketAddr,
+        /// Whether the request may wait there for a slot.
+        may_wait: bool,
     },
     /// Run an offered request at an upstream; its slot is taken.
     Run {
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -62,6 +62,15 @@
     pub rates: Vec<(id::Place, u32)>,
 }
 
+/// How much of its slots a service uses at one home, told with every answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Use {
+    /// Requests that hold a slot or wait for one.
+    pub busy: u32,
+    /// Slots that may be used now.
+    pub usable: u32,
+}
+
 /// Slots of one upstream that the sender will not use for a while.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loan {
--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -93,8 +93,12 @@
             event::Event::Configure { snapshot } => self.configure(snapshot),
             event::Event::Adopt { table, is_stored } => self.adopt(table, is_stored),
             event::Event::Vms { list } => self.take_vms(list),
-            event::Event::Route { request, service, place } => {
-                self.route(request, &service, &place, now, out);
+            event::Event::Route { request, service, place, region } => {
+                let ask = router::Ask { request, service, place, region };
+                self.route(ask, now, out);
+            }
+            event::Event::Used { home, service, usage } => {
+                self.router.used(&home, &service, usage, now);
             }
             event::Event::Returned { request } => self.router.returned(request),
             event::Event::Failed { request, failure, repetition } => {
@@ -168,9 +172,11 @@
     #[must_use]
     pub fn measured(&self, now: Instant) -> collections::BTreeMap<id::Service, router::Measured> {
         let is_alive = |key: &seat::Key| self.is_alive(key, now);
+        let is_lost = |region: &id::Region| self.members.is_lost(region, now);
         let view = router::View {
             snapshot: &self.snapshot,
             is_alive: &is_alive,
+            is_lost: &is_lost,
             region: &self.me.region,
             now,
             wall: self.wall,
@@ -217,21 +223,12 @@
         self.home.drain(&self.snapshot, &self.vms, self.wall);
     }
 
-    fn route(
-        &mut self,
-        request: crate::request::Id,
-        service: &id::Service,
-        place: &id::Place,
-        now: Instant,
-        out: &mut Vec<action::Action>,
-    ) {
+    fn route(&mut self, ask: router::Ask, now: Instant, out: &mut Vec<action::Action>) {
         match self.is_ready(now) {
-            true => self.with_router(now, |router, view| {
-                router.route(request, service, place, view, out);
-            }),
+            true => self.with_router(now, |router, view| router.route(ask, view, out)),
             false => {
                 let failure = verdict::Failure::not_run(verdict::Reason::NotReady).after(LISTEN);
-                out.push(action::Action::Refuse { request, failure });
+                out.push(action::Action::Refuse { request: ask.request, failure });
             }
         }
     }
@@ -461,9 +458,11 @@
         let is_alive = |key: &seat::Key| {
             key == me || members.incarnation(key).is_some_and(|k| k.is_alive(now))
         };
+        let is_lost = |region: &id::Region| members.is_lost(region, now);
         let view = router::View {
             snapshot: &self.snapshot,
             is_alive: &is_alive,
+            is_lost: &is_lost,
             region: &self.me.region,
             now,
             wall: self.wall,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -43,12 +43,23 @@
         service: id::Service,
         /// The caller's place.
         place: id::Place,
+        /// The region, when the caller's entry has chosen it already.
+        region: Option<id::Region>,
     },
     /// A routed request was answered, or its caller gave up.
     Returned {
         /// The request.
         request: request::Id,
     },
+    /// A home told how much of its slots a service uses.
+    Used {
+        /// The home.
+        home: id::Node,
+        /// The service.
+        service: id::Service,
+        /// What it told.
+        usage: beat::Use,
+    },
     /// A routed request failed at its home; it is routed again, or refused for good.
     Failed {
         /// The request.
--- a/crates/steer/src/home.rs
+++ b/crates/steer/src/home.rs
@@ -135,7 +135,14 @@
         let is_first = self.queue_len(&offer.service) == 0;
         match self.choose(&offer, now) {
             Some(found) if is_first => self.start(offer, found, now, out),
-            _ => self.hold(offer, now, out),
+            _ if offer.may_wait => self.hold(offer, now, out),
+            _ => {
+                let reason = match self.capacity(&offer.service, now) {
+                    0 => verdict::Reason::NotHome,
+                    _ => verdict::Reason::Busy,
+                };
+                refuse(offer.id, verdict::Failure::not_run(reason), out);
+            }
         }
     }
 
@@ -301,6 +308,16 @@
         self.running.len() + self.services.values().map(|s| s.queue.len()).sum::<usize>()
     }
 
+    /// Returns how much of its slots a service uses here, requests that wait included.
+    #[must_use]
+    pub fn use_of(&self, service: &id::Service, now: Instant) -> beat::Use {
+        let of_service = self.upstreams_of(service);
+        let in_flight: u32 = of_service.clone().map(|(_, u)| u.ledger.in_flight()).sum();
+        let queued = u32::try_from(self.queue_len(service)).unwrap_or(u32::MAX);
+        let usable = of_service.map(|(_, u)| u.limit(now)).sum();
+        beat::Use { busy: in_flight.saturating_add(queued), usable }
+    }
+
     /// Returns how many requests of a service wait.
     #[must_use]
     pub fn queue_len(&self, service: &id::Service) -> usize {
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -90,6 +90,13 @@
         self.known.values().filter(move |k| k.is_alive(now))
     }
 
+    /// Returns whether a region's nodes are known and all of them have long been silent.
+    #[must_use]
+    pub fn is_lost(&self, region: &id::Region, now: Instant) -> bool {
+        let mut of_region = self.known.values().filter(|k| k.member.region == *region).peekable();
+        of_region.peek().is_some() && of_region.all(|k| k.is_dead(now))
+    }
+
     /// Forgets nodes that were silent for long.
     pub fn forget(&mut self, now: Instant) {
         self.known.retain(|_, k| now.saturating_duration_since(k.heard) < FORGET_AFTER);
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -21,6 +21,8 @@
     pub deadline: Instant,
     /// Upstreams that earlier tries used.
     pub avoid: Vec<id::Upstream>,
+    /// Whether it may wait here for a slot; otherwise other homes are asked first.
+    pub may_wait: bool,
 }
 
 /// How a request ended at an upstream.
--- a/crates/steer/src/retry.rs
+++ b/crates/steer/src/retry.rs
@@ -5,7 +5,7 @@
 
 use crate::budget;
 
-/// Most times one request is sent to a home.
+/// Most times one request is sent to a home, beside homes that had no slot free at once.
 pub const MOST_TRIES: u32 = 3;
 
 /// Decides on one more try of a request that was tried `tries` times.
@@ -19,10 +19,10 @@
     budget: &mut budget::Budget,
 ) -> bool {
     use verdict::{Reason, Verdict};
-    if tries >= MOST_TRIES {
-        return false;
-    }
     match (failure.verdict, failure.reason) {
+        // Another home is asked, and the last one lets it wait.
+        (Verdict::NotRun, Reason::Busy) => true,
+        _ if tries >= MOST_TRIES => false,
         (Verdict::NotRun, Reason::NotHome | Reason::NotReady) => true,
         (Verdict::NotRun, Reason::Shed | Reason::Unreachable) => budget.spend(),
         (Verdict::MayHaveRun, Reason::Broken) if repetition == service::Repetition::Free => {
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -30,6 +30,9 @@
 /// Usual time of an answer before one was measured, in seconds.
 const FIRST_GUESS: f64 = 0.05;
 
+/// Homes of its own region that an entry asks for a slot that is free at once.
+const PROBES: usize = 3;
+
 /// When a caller may ask again after no home could be reached: nodes are suspected, and regional
 /// tables rewritten, within about this time.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -43,14 +46,22 @@
     routed: collections::HashMap<request::Id, Routed>,
     budgets: collections::BTreeMap<id::Service, budget::Budget>,
     outstanding: collections::BTreeMap<(id::Service, id::Node), u32>,
+    told: collections::BTreeMap<(id::Service, id::Node), Told>,
+}
+
+/// What a home told last of its use, less what this entry had out there.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    others: u32,
+    usable: u32,
+    at: Instant,
 }
 
-/// A home's summary, with what this entry had outstanding there when it came.
+/// A home's summary.
 #[derive(Debug)]
 struct Heard {
     summary: beat::Summary,
     at: Instant,
-    own: u32,
 }
 
 /// A request that is out at a home.
@@ -60,6 +71,23 @@
     region: Option<id::Region>,
     home: Option<id::Node>,
     tried: Vec<id::Node>,
+    /// Homes that had no slot free at once.
+    busy: usize,
+    /// Whether any try so far may have run.
+    so_far: verdict::Verdict,
+}
+
+/// A request that wants a region and a home.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The request.
+    pub request: request::Id,
+    /// The service.
+    pub service: id::Service,
+    /// The caller's place.
+    pub place: id::Place,
+    /// The region, when another entry has chosen it.
+    pub region: Option<id::Region>,
 }
 
 /// What the planner of one service works from, for reading and for the dump.
@@ -80,8 +108,10 @@
         match self.summaries.get(&key) {
             Some(heard) if heard.summary.sequence >= summary.sequence => false,
             _ => {
-                let own = self.outstanding(&summary.service, &summary.key.node);
-                self.summaries.insert(key, Heard { summary: summary.clone(), at: now, own });
+                let usage =
+                    beat::Use { busy: summary.in_flight + summary.queued, usable: summary.usable };
+                self.used(&summary.key.node, &summary.service, usage, now);
+                self.summaries.insert(key, Heard { summary: summary.clone(), at: now });
                 true
             }
         }
@@ -117,19 +147,32 @@
         }
     }
 
-    /// Decides where a caller's request goes.
-    pub fn route(
-        &mut self,
-        request: request::Id,
-        service: &id::Service,
-        place: &id::Place,
-        view: &View<'_>,
-        out: &mut Vec<action::Action>,
-    ) {
-        self.budgets.entry(service.clone()).or_default().earn();
-        let region = self.next_region(service, place, view);
-        let routed = Routed { service: service.clone(), region, home: None, tried: Vec::new() };
-        self.send(request, routed, view, out);
+    /// Decides where a request goes.
+    pub fn route(&mut self, ask: Ask, view: &View<'_>, out: &mut Vec<action::Action>) {
+        let region = match ask.region {
+            Some(region) => Some(region),
+            None => {
+                self.budgets.entry(ask.service.clone()).or_default().earn();
+                self.next_region(&ask.service, &ask.place, view)
+            }
+        };
+        let routed = Routed {
+            service: ask.service,
+            region,
+            home: None,
+            tried: Vec::new(),
+            busy: 0,
+            so_far: verdict::Verdict::NotRun,
+        };
+        self.send(ask.request, routed, view, out);
+    }
+
+    /// Notes how much of its slots a service uses at a home, as it told with an answer.
+    pub fn used(&mut self, home: &id::Node, service: &id::Service, usage: beat::Use, now: Instant) {
+        let own = self.outstanding(service, home);
+        let others = usage.busy.saturating_sub(own);
+        let key = (service.clone(), home.clone());
+        self.told.insert(key, Told { others, usable: usage.usable, at: now });
     }
 
     /// Notes that a routed request is over.
@@ -146,10 +189,14 @@
         view: &View<'_>,
         out: &mut Vec<action::Action>,
     ) {
-        let Some(routed) = self.take(request) else { return };
-        let tries = u32::try_from(routed.tried.len()).unwrap_or(u32::MAX);
+        let Some(mut routed) = self.take(request) else { return };
+        let last = failure;
+        let failure = last.after_tries(routed.so_far);
+        routed.so_far = failure.verdict;
+        routed.busy += usize::from(failure.reason == verdict::Reason::Busy);
+        let tries = u32::try_from(routed.tried.len() - routed.busy).unwrap_or(u32::MAX);
         let budget = self.budgets.entry(routed.service.clone()).or_default();
-        match retry::may_retry(failure, repetition, tries, budget) {
+        match retry::may_retry(last, repetition, tries, budget) {
             true => self.send(request, routed, view, out),
             false => out.push(action::Action::Refuse { request, failure }),
         }
@@ -159,7 +206,7 @@
     pub fn plan(&mut self, view: &View<'_>) {
         for stored in view.snapshot.services.values() {
             let measured = self.measure(&stored.spec, view);
-            let limit = limit(view, &stored.spec.name, &self.lost_regions(&stored.spec.name, view));
+            let limit = limit(view, &stored.spec);
             let demands = demands(&stored.spec, &measured, view);
             for (place, target) in planner::plan(&measured.capacities, &demands) {
                 let key = (stored.spec.name.clone(), place);
@@ -172,6 +219,7 @@
         self.lanes.retain(|key, _| known(key));
         self.summaries.retain(|_, heard| view.now.saturating_duration_since(heard.at) < RATES_LIFE);
         self.outstanding.retain(|_, count| *count > 0);
+        self.told.retain(|_, told| view.now.saturating_duration_since(told.at) < SUMMARY_LIFE);
     }
 
     /// Starts a lane where a peer's stands; one that has a position already keeps it.
@@ -242,16 +290,6 @@
             .take_while(move |((name, _), _)| name == service)
     }
 
-    /// Returns the regions that a service's splits still use and where no home is alive.
-    fn lost_regions(&self, service: &id::Service, view: &View<'_>) -> Vec<id::Region> {
-        let spec = view.snapshot.services.get(service).map(|s| &s.spec);
-        let Some(spec) = spec else { return Vec::new() };
-        let regions: collections::BTreeSet<&id::Region> =
-            spec.upstreams.iter().map(|u| &u.region).collect();
-        let lost = |r: &&id::Region| !self.homes.contains_key(&(service.clone(), (*r).clone()));
-        regions.into_iter().filter(lost).cloned().collect()
-    }
-
     fn next_region(
         &mut self,
         service: &id::Service,
@@ -270,8 +308,9 @@
         view: &View<'_>,
         out: &mut Vec<action::Action>,
     ) {
-        let Some((region, home)) = self.pick(&routed, view.now) else {
+        let Some((region, home, may_wait)) = self.pick(&routed, view) else {
             let failure = verdict::Failure::not_run(verdict::Reason::NoRegion).after(RETRY_AFTER);
+            let failure = failure.after_tries(routed.so_far);
             return out.push(action::Action::Refuse { request, failure });
         };
         let node = &home.key.node;
@@ -279,7 +318,8 @@
         routed.home = Some(node.clone());
         routed.tried.push(node.clone());
         self.routed.insert(request, routed);
-        out.push(action::Action::Forward { request, region, home: home.key, peers: home.peers });
+        let homes::Home { key: home, peers, .. } = home;
+        out.push(action::Action::Forward { request, region, home, peers, may_wait });
     }
 
     fn take(&mut self, request: request::Id) -> Option<Routed> {
@@ -293,33 +333,36 @@
         Some(routed)
     }
 
-    /// Returns the home in the request's region that has the least work for its slots.
+    /// Returns the home in the request's region that has the least work for its slots, and whether
+    /// the request may wait there.
     ///
-    /// One that was tried is taken again only when there is no other.
-    fn pick(&self, routed: &Routed, now: Instant) -> Option<(id::Region, homes::Home)> {
+    /// Homes that were not tried come first. In its own region an entry asks up to [`PROBES`] homes
+    /// for a slot that is free at once before it lets the request wait at the least loaded. Another
+    /// region is too far for that; there the node it is sent to does so.
+    fn pick(&self, routed: &Routed, view: &View<'_>) -> Option<(id::Region, homes::Home, bool)> {
         let region = routed.region.clone()?;
         let homes = self.homes.get(&(routed.service.clone(), region.clone()))?;
-        let was_tried = |home: &homes::Home| routed.tried.contains(&home.key.node);
-        let cost = |home: &homes::Home| self.cost(&routed.service, home, now);
+        let may_wait = region != *view.region || routed.busy >= PROBES.min(homes.len() - 1);
+        let was_tried = |home: &homes::Home| {
+            let is_waiting = may_wait && routed.busy > 0;
+            !is_waiting && routed.tried.contains(&home.key.node)
+        };
+        let cost = |home: &homes::Home| self.cost(&routed.service, home, view.now);
         let best = homes.iter().min_by(|a, b| {
             was_tried(a).cmp(&was_tried(b)).then_with(|| cost(a).total_cmp(&cost(b)))
         })?;
-        Some((region, best.clone()))
+        Some((region, best.clone(), may_wait))
     }
 
     /// Returns the use that one more request would bring a home to.
     ///
     /// What this entry sent is counted exactly; what others sent is known from the last summary.
     fn cost(&self, service: &id::Service, home: &homes::Home, now: Instant) -> f64 {
-        let own = self.outstanding(service, &home.key.node);
-        let heard = self.summaries.get(&(service.clone(), home.key.clone()));
-        let (others, usable) = match heard {
-            Some(h) if now.saturating_duration_since(h.at) < SUMMARY_LIFE => {
-                let total = h.summary.in_flight + h.summary.queued;
-                (total.saturating_sub(h.own), h.summary.usable)
-            }
-            _ => (0, home.weight),
-        };
+        let key = (service.clone(), home.key.node.clone());
+        let own = self.outstanding.get(&key).copied().unwrap_or(0);
+        let told = self.told.get(&key);
+        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < SUMMARY_LIFE);
+        let (others, usable) = fresh.map_or((0, home.weight), |t| (t.others, t.usable));
         f64::from(own + others + 1) / f64::from(usable).max(0.1)
     }
 
@@ -334,6 +377,8 @@
     pub snapshot: &'a snapshot::Snapshot,
     /// Whether a node may be given work.
     pub is_alive: &'a dyn Fn(&seat::Key) -> bool,
+    /// Whether all nodes of a region have been silent for so long that it counts as lost.
+    pub is_lost: &'a dyn Fn(&id::Region) -> bool,
     /// The region of this node.
     pub region: &'a id::Region,
     /// The time.
@@ -387,11 +432,13 @@
     view.snapshot.places.values().map(|stored| demand(&stored.spec)).collect()
 }
 
-/// Returns the limit that binds a service's splits now.
-fn limit(view: &View<'_>, service: &id::Service, lost: &[id::Region]) -> Option<ramp::Limit> {
+/// Returns the limit that binds a service's splits now; while one of its regions is lost, the
+/// cap's part for that holds.
+fn limit(view: &View<'_>, service: &model::service::Service) -> Option<ramp::Limit> {
     let caps = view.snapshot.caps.values();
-    let cap = caps.into_iter().find(|c| c.spec.service == *service)?;
-    Some(ramp::Limit::of(&cap.spec, !lost.is_empty()))
+    let cap = caps.into_iter().find(|c| c.spec.service == service.name)?;
+    let is_lost = service.upstreams.iter().any(|u| (view.is_lost)(&u.region));
+    Some(ramp::Limit::of(&cap.spec, is_lost))
 }
 
 /// Returns where a lane starts that neither planner nor peer has placed: the nearest region.
--- a/crates/steer/tests/fleet/main.rs
+++ b/crates/steer/tests/fleet/main.rs
@@ -64,3 +64,46 @@
     println!("YOKESPOKE_SEED={seed} YOKESPOKE_CASES={cases}");
     check(seed, cases);
 }
+
+/// Offers every node more than it can hold.
+fn flood() -> Vec<step::Step> {
+    (0..5).flat_map(|node| [step::Step::Offer(node, 11), step::Step::Offer(node, 10)]).collect()
+}
+
+fn must_hold(steps: &[step::Step]) {
+    if let Err(broken) = world::run(steps) {
+        panic!("{steps:?}: {broken}");
+    }
+}
+
+/// What a killed incarnation sent runs on while the next one starts within a second.
+#[test]
+fn a_quick_restart_does_not_forget_what_still_runs() {
+    for node in 0..5 {
+        for wait in (0..4_000).step_by(250) {
+            let mut steps = flood();
+            steps.extend([step::Step::Kill(node), step::Step::Start(node)]);
+            steps.extend([step::Step::Quiet(wait), step::Step::Quiet(100)]);
+            steps.extend(flood());
+            steps.push(step::Step::Quiet(1_000));
+            steps.extend(flood());
+            must_hold(&steps);
+        }
+    }
+}
+
+/// A home that gives an upstream back to a node that returns starts nothing more on its loans.
+#[test]
+fn a_hand_over_ends_the_loans_of_the_old_home() {
+    for node in 0..5 {
+        for wait in (0..5_000).step_by(250) {
+            let mut steps = vec![step::Step::Kill(node), step::Step::Gone(node)];
+            steps.extend([step::Step::Quiet(4_000); 6]);
+            steps.extend([step::Step::Start(node), step::Step::Quiet(wait)]);
+            steps.extend(flood());
+            steps.push(step::Step::Quiet(300));
+            steps.extend(flood());
+            must_hold(&steps);
+        }
+    }
+}
--- a/crates/steer/tests/fleet/world.rs
+++ b/crates/steer/tests/fleet/world.rs
@@ -320,6 +320,7 @@
             place: id::Place::new("quai"),
             deadline,
             avoid: Vec::new(),
+            may_wait: !extra.is_multiple_of(3),
         };
         self.deadlines.push(deadline);
         let before = self.queued(number);
