Regional summaries, short signs of life, loans by their own service's deadline

Measured first: 12 nodes without requests spent 32.6 KB/s a node on control. Every beat repeated every member's whole description and every home's summary to every region. - Regions are told of each other by one summary a region and service; homes' own stay inside. - A member whose description is known is passed on as a sign of life of three fields. - Regional sums are numbered as by Lamport's clock. Numbering them by the sum of their homes' numbers froze a region's summary when a home died, as the sum then fell (seen: 129 slots 'in use' of 42 for ten seconds). - A loan is tied up after its home's death for its own service's deadline, not the longest of all. - A home that cannot be reached gets no more work at once; it looked like the least loaded of all. - The peers' server had no TCP_NODELAY: each hop could wait for a delayed acknowledgement.

--- a/crates/cli/src/demo/phases.rs
+++ b/crates/cli/src/demo/phases.rs
@@ -102,10 +102,11 @@
         let mut fleet = fleet.lock().await;
         measured.push(perform(current, &mut fleet, example, time).await?);
     }
+    let load = (began, Instant::now());
     let _ = stop.send(true);
     while streams.join_next().await.is_some() {}
     let mut fleet = fleet.lock().await;
-    let report = report::Report::new(example, &fleet.truth, &log.records(), measured, began)?;
+    let report = report::Report::new(example, &fleet.truth, &log.records(), measured, load)?;
     fleet.stop().await;
     Ok(report)
 }
--- a/crates/cli/src/demo/report.rs
+++ b/crates/cli/src/demo/report.rs
@@ -64,7 +64,7 @@
         truth: &truth::Truth,
         records: &[traffic::Record],
         measured: Vec<phases::Measured>,
-        began: Instant,
+        load: (Instant, Instant),
     ) -> anyhow::Result<Self> {
         let mut rows = Vec::new();
         for (index, phase) in phases::Phase::ALL.into_iter().enumerate() {
@@ -78,7 +78,7 @@
         let ran_twice = once.filter(|r| truth.runs(&r.id) > 1).count();
         let told_not_run = records.iter().filter(|r| r.end == traffic::End::NotRun);
         let not_run_but_ran = told_not_run.filter(|r| truth.runs(&r.id) > 0).count();
-        let (shift, cap) = greatest_shift(example, truth, began);
+        let (shift, cap) = greatest_shift(example, truth, load);
         let mut report = Self {
             rows,
             total,
@@ -152,6 +152,7 @@
             self.cap * 100.0,
             self.grain() * 100.0
         ));
+        lines.push(format!("  {}", self.shift.detail));
         for row in self.rows.iter().filter(|row| !row.reasons.is_empty()) {
             let reasons = row.reasons.iter().map(|(reason, n)| format!("{reason} {n}"));
             let reasons = reasons.collect::<Vec<_>>().join(", ");
@@ -269,15 +270,18 @@
 }
 
 /// Returns the greatest shift over its service's cap, and that cap.
+///
+/// Only what arrives while callers send counts: afterwards only what waited at full homes arrives,
+/// and its shares are those of the queues.
 fn greatest_shift(
     example: &example::Example,
     truth: &truth::Truth,
-    began: Instant,
+    load: (Instant, Instant),
 ) -> (truth::Shift, f64) {
     let shifts = example.caps().map(|cap| {
         let window = cap.window.saturating_sub(SPAN);
         let name = cap.service.as_str();
-        let shift = truth.greatest_shift(name, began, window, SPAN, LEAST_IN_SPAN);
+        let shift = truth.greatest_shift(name, load, window, SPAN, LEAST_IN_SPAN);
         (shift, cap.share.as_f64())
     });
     let over = |(shift, cap): &(truth::Shift, f64)| shift.share - cap;
--- a/crates/node/src/peers/carrier.rs
+++ b/crates/node/src/peers/carrier.rs
@@ -81,7 +81,10 @@
             body::Source::Kept(bytes) => Some(bytes.clone()),
             body::Source::Streamed(_) | body::Source::Spent => None,
         };
+        let is_kept = kept.is_some();
         send_first(&parts, head, kept).await;
+        // A kept body ends here, so that the way up is closed cleanly and not reset afterwards.
+        let mut parts = (!is_kept).then_some(parts);
         let mut download = match client.carry(ReceiverStream::new(upload)).await {
             Ok(answer) => answer.into_inner(),
             Err(status) if links::was_never_sent(&status) => {
@@ -90,7 +93,6 @@
             }
             Err(_) => return Err(broken(None)),
         };
-        let mut parts = Some(parts);
         let mut upstream = None;
         loop {
             let message = download.message().await;
@@ -101,12 +103,11 @@
                     if let Some(usage) = go.usage {
                         told(convert::usage_in(usage));
                     }
-                    let is_streamed = matches!(source, body::Source::Streamed(_));
-                    if let Some(parts) = parts.take_if(|_| is_streamed) {
+                    if let Some(parts) = parts.take() {
                         tokio::spawn(send_body(source.take(), parts));
                     }
                 }
-                Some(peer::download::Part::Head(head)) => return answer(head, download, parts),
+                Some(peer::download::Part::Head(head)) => return answer(head, download),
                 Some(peer::download::Part::Failure(failure)) => {
                     if let Some(usage) = failure.usage {
                         told(convert::usage_in(usage));
@@ -160,18 +161,15 @@
 fn answer(
     head: peer::ResponseHead,
     download: tonic::Streaming<peer::Download>,
-    parts: Option<mpsc::Sender<peer::Upload>>,
 ) -> Result<Response<body::Body>, failed::Failed> {
     let status = u16::try_from(head.status).ok().and_then(|s| StatusCode::from_u16(s).ok());
     let Some(status) = status else { return Err(broken(None)) };
-    // The way up stays open as long as the answer comes, or the home would see a caller that left.
-    let state = Some((download, parts));
-    let frames = futures_util::stream::unfold(state, |state| async move {
-        let (mut download, parts) = state?;
+    let frames = futures_util::stream::unfold(Some(download), |state| async move {
+        let mut download = state?;
         let part = download.message().await.ok().flatten().and_then(|download| download.part);
         match part {
             Some(peer::download::Part::Data(data)) => {
-                Some((Ok(Frame::data(Bytes::from(data))), Some((download, parts))))
+                Some((Ok(Frame::data(Bytes::from(data))), Some(download)))
             }
             Some(peer::download::Part::End(_)) => None,
             _ => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -55,7 +55,6 @@
         news: Some(news_out(reply.news)),
         loans: reply.loans.iter().map(loan_out).collect(),
         term_ms: millis(reply.term),
-        tail_ms: millis(reply.tail),
         positions: reply.positions.iter().map(position_out).collect(),
     }
 }
@@ -68,7 +67,6 @@
         news: news_in(&message.news.unwrap_or_default()),
         loans: message.loans.iter().map(loan_in).collect(),
         term: Duration::from_millis(message.term_ms),
-        tail: Duration::from_millis(message.tail_ms),
         positions: message.positions.iter().map(position_in).collect(),
     })
 }
@@ -120,9 +118,16 @@
 
 fn news_out(news: beat::News) -> peer::News {
     let table = |table: &sync::Arc<table::Table>| serde_json::to_vec(&**table).ok();
+    let pulse = |pulse: beat::Pulse| peer::Pulse {
+        name: text(pulse.key.node.as_str()),
+        incarnation: pulse.key.incarnation,
+        sequence: pulse.sequence,
+    };
     peer::News {
         members: news.members.iter().map(member_out).collect(),
+        pulses: news.pulses.into_iter().map(pulse).collect(),
         summaries: news.summaries.into_iter().map(summary_out).collect(),
+        regions: news.regions.into_iter().map(summary_out).collect(),
         tables: news.tables.iter().filter_map(table).collect(),
     }
 }
@@ -131,9 +136,15 @@
 /// came by way of others does not silence a peer.
 fn news_in(news: &peer::News) -> beat::News {
     let table = |bytes: &Vec<u8>| serde_json::from_slice(bytes).ok().map(sync::Arc::new);
+    let pulse = |pulse: &peer::Pulse| beat::Pulse {
+        key: seat::Key { node: id::Node::new(&pulse.name), incarnation: pulse.incarnation },
+        sequence: pulse.sequence,
+    };
     beat::News {
         members: news.members.iter().filter_map(member_in).collect(),
+        pulses: news.pulses.iter().map(pulse).collect(),
         summaries: news.summaries.iter().map(summary_in).collect(),
+        regions: news.regions.iter().map(summary_in).collect(),
         tables: news.tables.iter().filter_map(table).collect(),
     }
 }
@@ -175,6 +186,7 @@
         service: text(loan.instance.service.as_str()),
         upstream: text(loan.instance.upstream.as_str()),
         slots: loan.slots,
+        tail_ms: millis(loan.tail),
     }
 }
 
@@ -183,7 +195,7 @@
         service: id::Service::new(&loan.service),
         upstream: id::Upstream::new(&loan.upstream),
     };
-    beat::Loan { instance, slots: loan.slots }
+    beat::Loan { instance, slots: loan.slots, tail: Duration::from_millis(loan.tail_ms) }
 }
 
 fn position_out(position: &beat::Position) -> peer::Position {
--- a/crates/node/src/peers/face.rs
+++ b/crates/node/src/peers/face.rs
@@ -13,7 +13,8 @@
 use model::verdict;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server;
 use tonic::{Request, Status, Streaming};
 use wire::peer;
 use wire::peer::peer_server::{Peer, PeerServer};
@@ -55,12 +56,13 @@
     let server = PeerServer::new(face)
         .max_decoding_message_size(LARGEST_MESSAGE)
         .max_encoding_message_size(LARGEST_MESSAGE);
+    // The server's own setting does not reach connections that it did not accept itself.
+    let incoming = server::TcpIncoming::from(listener).with_nodelay(Some(true));
     tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .http2_adaptive_window(Some(true))
         .max_concurrent_streams(Some(STREAMS))
         .add_service(server)
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(incoming)
         .await
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use axum::Router;
+use axum::serve::ListenerExt as _;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -24,6 +25,9 @@
     pub async fn start(address: net::SocketAddr, router: Router) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
+        let listener = listener.tap_io(|stream| {
+            let _ = stream.set_nodelay(true);
+        });
         let (stop, mut stopped) = watch::channel(false);
         let ended = async move {
             let _ = stopped.wait_for(|stop| *stop).await;
--- a/crates/standin/src/truth.rs
+++ b/crates/standin/src/truth.rs
@@ -99,14 +99,14 @@
     pub fn greatest_shift(
         &self,
         service: &str,
-        since: Instant,
+        (since, until): (Instant, Instant),
         window: Duration,
         span: Duration,
         least: usize,
     ) -> Shift {
         let arrivals = self.arrivals_since(since);
         let mut places: collections::BTreeMap<&str, Vec<&Arrival>> = collections::BTreeMap::new();
-        for arrival in arrivals.iter().filter(|a| a.service == service) {
+        for arrival in arrivals.iter().filter(|a| a.service == service && a.at < until) {
             places.entry(&arrival.place).or_default().push(arrival);
         }
         let shifts = places.values().map(|of_place| shift_of(of_place, window, span, least));
@@ -119,12 +119,14 @@
 }
 
 /// A shift of traffic, as counted.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Shift {
     /// The share that changed region.
     pub share: f64,
     /// The fewest requests in the spans it was counted from.
     pub least: usize,
+    /// Where and when, for a person.
+    pub detail: String,
 }
 
 fn shift_of(arrivals: &[&Arrival], window: Duration, span: Duration, least: usize) -> Shift {
@@ -136,7 +138,11 @@
             let count = first.total().min(second.total());
             let share = first.distance(second);
             if count >= least && share > greatest.share {
-                greatest = Shift { share, least: count };
+                let place = &arrivals[0].place;
+                let at = start.duration_since(arrivals[0].at).as_secs_f64();
+                let (before, after) = (&first.0, &second.0);
+                let detail = format!("{place} at {at:.2} s: {before:?} to {after:?}");
+                greatest = Shift { share, least: count, detail };
             }
         }
     }
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -41,16 +41,16 @@
     pub is_leaving: bool,
 }
 
-/// The standing of one service at one home.
+/// The standing of one service at one home, or summed over a region.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Summary {
-    /// The home.
+    /// The home; whoever summed it up, for a region.
     pub key: seat::Key,
     /// Its region.
     pub region: id::Region,
     /// The service.
     pub service: id::Service,
-    /// Orders the summaries of one home.
+    /// Orders the summaries of one home or region.
     pub sequence: u64,
     /// Slots it would use now.
     pub usable: u32,
@@ -78,6 +78,8 @@
     pub instance: instance::Key,
     /// The slots.
     pub slots: u32,
+    /// Time after the loan's term in which work on it must end: its service's deadline.
+    pub tail: Duration,
 }
 
 /// Where one split stands at the sender.
@@ -119,19 +121,30 @@
     pub loans: Vec<Loan>,
     /// Time in which work may start on the loans.
     pub term: Duration,
-    /// Time after that in which it must end.
-    pub tail: Duration,
     /// Where its splits stand, when asked.
     pub positions: Vec<Position>,
 }
 
+/// A sign of life of a member whose description the receiver has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pulse {
+    /// Which incarnation of which node.
+    pub key: seat::Key,
+    /// Its latest beat.
+    pub sequence: u64,
+}
+
 /// What a node passes on.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
-    /// Members heard of lately.
+    /// Members whose descriptions changed lately.
     pub members: Vec<Member>,
-    /// Summaries heard of lately.
+    /// Members that were heard of lately.
+    pub pulses: Vec<Pulse>,
+    /// Summaries of homes of the region that sender and receiver share.
     pub summaries: Vec<Summary>,
+    /// Summaries of whole regions.
+    pub regions: Vec<Summary>,
     /// Tables that the other does not have.
     pub tables: Vec<sync::Arc<table::Table>>,
 }
--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -17,7 +17,6 @@
 use crate::beat;
 use crate::event;
 use crate::home;
-use crate::loan;
 use crate::members;
 use crate::peering;
 use crate::registrar;
@@ -30,6 +29,12 @@
 /// Time for which a starting node listens for peers before it believes that there are none.
 const LISTEN: Duration = Duration::from_secs(2);
 
+/// Most members in one message, the latest news first; more than a fleet of today has.
+const MOST_MEMBERS: usize = 64;
+
+/// Most summaries in one message, the latest first; more than a fleet of today has.
+const MOST_SUMMARIES: usize = 64;
+
 /// The decisions of one node.
 #[derive(Debug)]
 pub struct Core {
@@ -102,6 +107,9 @@
             }
             event::Event::Returned { request } => self.router.returned(request),
             event::Event::Failed { request, failure, repetition } => {
+                if failure.reason == verdict::Reason::NotReady {
+                    self.suspect_home(request, now);
+                }
                 self.with_router(now, |router, view| {
                     router.failed(request, failure, repetition, view, out);
                 });
@@ -161,9 +169,9 @@
     #[must_use]
     pub fn in_use(&self, now: Instant) -> collections::BTreeMap<id::Service, check::Use> {
         let mut in_use: collections::BTreeMap<_, check::Use> = collections::BTreeMap::new();
-        for summary in self.router.fresh(now) {
+        for summary in self.router.fresh_regions(now) {
             let of_service = in_use.entry(summary.service.clone()).or_default();
-            *of_service.entry(summary.region.clone()).or_insert(0) += summary.in_flight;
+            of_service.insert(summary.region.clone(), summary.in_flight);
         }
         in_use
     }
@@ -233,6 +241,15 @@
         }
     }
 
+    /// Gives no more work to a home that could not be reached, until it is heard of again. It has
+    /// nothing outstanding, so it would look like the least loaded of all.
+    fn suspect_home(&mut self, request: crate::request::Id, now: Instant) {
+        if let Some(home) = self.router.home_of(request).cloned() {
+            self.members.fail(&home, now);
+            self.refresh(now);
+        }
+    }
+
     fn tick(&mut self, wall: SystemTime, now: Instant, out: &mut Vec<action::Action>) {
         self.wall = wall;
         self.home.tick(now, out);
@@ -256,6 +273,7 @@
         for summary in self.home.summaries(&self.me.key, &self.me.region, sequence, now) {
             self.router.hear(&summary, now);
         }
+        self.router.sum_up(&self.me, now);
         if self.is_ready(now) {
             self.with_router(now, |router, view| router.plan(view));
         }
@@ -331,12 +349,14 @@
     }
 
     fn make_beat(&mut self, node: Option<&id::Node>, now: Instant) -> beat::Request {
-        let key = node.and_then(|n| self.members.get(n)).map(|k| k.member.key.clone());
+        let member = node.and_then(|n| self.members.get(n)).map(|k| &k.member);
+        let region = member.map(|m| m.region.clone());
+        let key = member.map(|m| m.key.clone());
         let held = key.map_or(Vec::new(), |key| self.home.held(&self.me.key, &key));
         let since = node.and_then(|n| self.peering.told(n, now));
         beat::Request {
             sender: self.me.clone(),
-            news: self.news(since, None),
+            news: self.news(region.as_ref(), since, None),
             epochs: self.tables.iter().map(|(r, t)| (r.clone(), t.epoch)).collect(),
             borrows: true,
             held,
@@ -359,7 +379,7 @@
             match sender.epoch.cmp(&self.me.epoch) {
                 std::cmp::Ordering::Equal => {
                     self.home.take_back(&sender.key, &beat.held);
-                    loans = self.home.lend(&sender.key, now, self.tail());
+                    loans = self.home.lend(&sender.key, now);
                 }
                 std::cmp::Ordering::Less | std::cmp::Ordering::Greater => {}
             }
@@ -371,10 +391,9 @@
         };
         beat::Reply {
             sender: self.me.clone(),
-            news: self.news(since, Some(&beat.epochs)),
+            news: self.news(Some(&beat.sender.region), since, Some(&beat.epochs)),
             loans,
             term: home::LOAN_TERM,
-            tail: self.tail(),
             positions,
         }
     }
@@ -393,9 +412,8 @@
         self.has_positions |= !reply.positions.is_empty();
         // A loan was made to the home of that epoch; by now this node may be home no more.
         if reply.sender.region == self.me.region && self.asked_under(sent) == self.me.epoch {
-            let terms = loan::Terms { term: reply.term, tail: reply.tail };
             let lender = &reply.sender.key;
-            self.home.borrow(lender, &self.me.key, &reply.loans, sent, terms);
+            self.home.borrow(lender, &self.me.key, &reply.loans, sent, reply.term);
         }
     }
 
@@ -416,9 +434,15 @@
                 self.members.hear(member, now);
             }
         }
+        for pulse in news.pulses.iter().filter(|p| p.key.node != self.me.key.node) {
+            self.members.pulse(pulse, now);
+        }
         for summary in &news.summaries {
             self.router.hear(summary, now);
         }
+        for summary in &news.regions {
+            self.router.hear_region(summary, now);
+        }
         for table in &news.tables {
             self.adopt(sync::Arc::clone(table), false);
         }
@@ -432,18 +456,25 @@
 
     fn news(
         &self,
+        to: Option<&id::Region>,
         since: Option<Instant>,
         known: Option<&collections::BTreeMap<id::Region, epoch::Epoch>>,
     ) -> beat::News {
-        let heard = |k: &&members::Known| since.is_none_or(|since| k.heard > since);
         let is_newer = |table: &&sync::Arc<table::Table>| {
             known.is_some_and(|known| {
                 known.get(&table.region).copied().unwrap_or_default() < table.epoch
             })
         };
+        let (members, pulses) = self.members.news(since, MOST_MEMBERS);
+        let summaries = match to == Some(&self.me.region) {
+            true => self.router.news(since, MOST_SUMMARIES),
+            false => Vec::new(),
+        };
         beat::News {
-            members: self.members.iter().filter(heard).map(|k| k.member.clone()).collect(),
-            summaries: self.router.news(since).cloned().collect(),
+            members,
+            pulses,
+            summaries,
+            regions: self.router.regional_news(since),
             tables: self.tables.values().filter(is_newer).cloned().collect(),
         }
     }
--- a/crates/steer/src/home.rs
+++ b/crates/steer/src/home.rs
@@ -225,8 +225,7 @@
     }
 
     /// Lends to `home` what this node does not use of the upstreams it is home of.
-    pub fn lend(&mut self, home: &seat::Key, now: Instant, tail: Duration) -> Vec<beat::Loan> {
-        let until = now + LOAN_TERM + tail;
+    pub fn lend(&mut self, home: &seat::Key, now: Instant) -> Vec<beat::Loan> {
         let mut loans = Vec::new();
         for (instance, upstream) in &mut self.upstreams {
             let led = upstream.ledger.rights.home() == Some(home);
@@ -234,9 +233,11 @@
             if !led || !ranked {
                 continue;
             }
-            let slots = upstream.ledger.lend(home, now, until);
+            let Some(served) = self.services.get(&instance.service) else { continue };
+            let tail = served.spec.deadline + CANCEL_GRACE;
+            let slots = upstream.ledger.lend(home, now, now + LOAN_TERM + tail);
             if slots > 0 {
-                loans.push(beat::Loan { instance: instance.clone(), slots });
+                loans.push(beat::Loan { instance: instance.clone(), slots, tail });
             }
         }
         loans
@@ -249,9 +250,10 @@
         me: &seat::Key,
         loans: &[beat::Loan],
         asked: Instant,
-        terms: loan::Terms,
+        term: Duration,
     ) {
         for loan in loans {
+            let terms = loan::Terms { term, tail: loan.tail };
             match self.upstreams.get_mut(&loan.instance) {
                 Some(upstream) if upstream.ledger.rights.home() == Some(me) => {
                     upstream.ledger.borrow(lender, loan.slots, asked, terms);
@@ -283,7 +285,8 @@
             let of_lender =
                 upstream.ledger.held().find(|(key, slots)| *key == lender && *slots > 0);
             if let Some((_, slots)) = of_lender {
-                held.push(beat::Loan { instance: instance.clone(), slots });
+                let instance = instance.clone();
+                held.push(beat::Loan { instance, slots, tail: Duration::ZERO });
             }
         }
         held
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -28,8 +28,10 @@
 pub struct Known {
     /// As it last described itself.
     pub member: beat::Member,
-    /// When that description became known here.
+    /// When it was last heard of here.
     pub heard: Instant,
+    /// When its description last changed here, its beats' number aside.
+    pub changed: Instant,
     /// When it last failed to answer; none once it was heard of again.
     pub failed: Option<Instant>,
 }
@@ -53,14 +55,48 @@
     pub fn hear(&mut self, member: &beat::Member, now: Instant) -> bool {
         match self.known.get(&member.key.node) {
             Some(known) if !is_newer(member, known, now) => false,
-            _ => {
-                let known = Known { member: member.clone(), heard: now, failed: None };
+            before => {
+                let kept = before.filter(|known| is_same(&known.member, member));
+                let changed = kept.map_or(now, |known| known.changed);
+                let known = Known { member: member.clone(), heard: now, changed, failed: None };
                 self.known.insert(member.key.node.clone(), known);
                 true
             }
         }
     }
 
+    /// Takes in a sign of life of a member whose description is known.
+    pub fn pulse(&mut self, pulse: &beat::Pulse, now: Instant) {
+        match self.known.get_mut(&pulse.key.node) {
+            Some(known)
+                if known.member.key == pulse.key && pulse.sequence > known.member.sequence =>
+            {
+                known.member.sequence = pulse.sequence;
+                known.heard = now;
+                known.failed = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the latest news since `since`: descriptions that changed, and signs of life.
+    #[must_use]
+    pub fn news(
+        &self,
+        since: Option<Instant>,
+        most: usize,
+    ) -> (Vec<beat::Member>, Vec<beat::Pulse>) {
+        let is_after = |at: Instant| since.is_none_or(|since| at > since);
+        let mut fresh: Vec<&Known> = self.known.values().filter(|k| is_after(k.heard)).collect();
+        fresh.sort_by_key(|k| std::cmp::Reverse(k.heard));
+        fresh.truncate(most);
+        let (changed, alive): (Vec<_>, Vec<_>) =
+            fresh.into_iter().partition(|k| is_after(k.changed));
+        let pulse =
+            |k: &Known| beat::Pulse { key: k.member.key.clone(), sequence: k.member.sequence };
+        (changed.iter().map(|k| k.member.clone()).collect(), alive.into_iter().map(pulse).collect())
+    }
+
     /// Notes that a node did not answer.
     pub fn fail(&mut self, node: &id::Node, now: Instant) {
         if let Some(known) = self.known.get_mut(node) {
@@ -103,6 +139,12 @@
     }
 }
 
+/// Returns whether two descriptions say the same, the number of their beats aside.
+fn is_same(before: &beat::Member, after: &beat::Member) -> bool {
+    let before = beat::Member { sequence: after.sequence, ..before.clone() };
+    before == *after
+}
+
 /// Returns whether `member` says more than what is known.
 ///
 /// Incarnations grow with the time of day, which may have gone back; so a silent node's name may
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -21,9 +21,15 @@
 use crate::retry;
 use crate::split;
 
-/// Age at which a summary says nothing any more.
+/// Age at which a home's summary says nothing any more.
 const SUMMARY_LIFE: Duration = Duration::from_secs(4);
 
+/// Age at which a region's summary says nothing any more.
+const REGION_LIFE: Duration = Duration::from_secs(6);
+
+/// Time between two sums of a region.
+const SUM_EVERY: Duration = Duration::from_secs(1);
+
 /// Age at which a summary's rates are no longer taken as demand.
 const RATES_LIFE: Duration = Duration::from_secs(60);
 
@@ -43,6 +49,8 @@
     lanes: collections::BTreeMap<(id::Service, id::Place), lane::Lane>,
     homes: collections::BTreeMap<(id::Service, id::Region), Vec<homes::Home>>,
     summaries: collections::BTreeMap<(id::Service, seat::Key), Heard>,
+    regions: collections::BTreeMap<(id::Service, id::Region), Heard>,
+    summed: Option<Instant>,
     routed: collections::HashMap<request::Id, Routed>,
     budgets: collections::BTreeMap<id::Service, budget::Budget>,
     outstanding: collections::BTreeMap<(id::Service, id::Node), u32>,
@@ -117,16 +125,69 @@
         }
     }
 
-    /// Returns the summaries that came after `since`, to pass on.
-    pub fn news(&self, since: Option<Instant>) -> impl Iterator<Item = &beat::Summary> {
-        let fresh = move |heard: &&Heard| since.is_none_or(|since| heard.at > since);
-        self.summaries.values().filter(fresh).map(|heard| &heard.summary)
+    /// Returns the summaries that came after `since`, the latest `most` of them, to pass on.
+    #[must_use]
+    pub fn news(&self, since: Option<Instant>, most: usize) -> Vec<beat::Summary> {
+        let is_news = |heard: &&Heard| since.is_none_or(|since| heard.at > since);
+        let mut news: Vec<&Heard> = self.summaries.values().filter(is_news).collect();
+        news.sort_by_key(|heard| std::cmp::Reverse(heard.at));
+        news.truncate(most);
+        news.into_iter().map(|heard| heard.summary.clone()).collect()
+    }
+
+    /// Takes in the summary of a whole region.
+    pub fn hear_region(&mut self, summary: &beat::Summary, now: Instant) {
+        let key = (summary.service.clone(), summary.region.clone());
+        match self.regions.get(&key) {
+            Some(heard) if heard.summary.sequence >= summary.sequence => {}
+            _ => {
+                self.regions.insert(key, Heard { summary: summary.clone(), at: now });
+            }
+        }
+    }
+
+    /// Sums up this node's own region, now and then.
+    ///
+    /// Every node of the region does so. The results are ordered as by Lamport's clock: each takes
+    /// the number after the greatest it has heard of, so that a sum without a home that died is
+    /// newer than the sums before it.
+    pub fn sum_up(&mut self, me: &beat::Member, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < SUM_EVERY;
+        if self.summed.is_some_and(recent) {
+            return;
+        }
+        self.summed = Some(now);
+        let mut sums: collections::BTreeMap<id::Service, beat::Summary> =
+            collections::BTreeMap::new();
+        let is_fresh = |h: &&Heard| now.saturating_duration_since(h.at) <= SUMMARY_LIFE;
+        let homes = self.summaries.values().filter(is_fresh).map(|h| &h.summary);
+        for summary in homes.filter(|s| s.region == me.region) {
+            match sums.get_mut(&summary.service) {
+                Some(sum) => add(sum, summary),
+                None => {
+                    let sum = beat::Summary { key: me.key.clone(), ..summary.clone() };
+                    sums.insert(summary.service.clone(), sum);
+                }
+            }
+        }
+        for (service, mut sum) in sums {
+            let before = self.regions.get(&(service, me.region.clone()));
+            sum.sequence = before.map_or(0, |heard| heard.summary.sequence) + 1;
+            self.hear_region(&sum, now);
+        }
+    }
+
+    /// Returns the regions' summaries that came after `since`, to pass on.
+    #[must_use]
+    pub fn regional_news(&self, since: Option<Instant>) -> Vec<beat::Summary> {
+        let is_news = |heard: &&Heard| since.is_none_or(|since| heard.at > since);
+        self.regions.values().filter(is_news).map(|heard| heard.summary.clone()).collect()
     }
 
-    /// Returns the summaries that still count.
-    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = &beat::Summary> {
-        let fresh = move |h: &&Heard| now.saturating_duration_since(h.at) <= SUMMARY_LIFE;
-        self.summaries.values().filter(fresh).map(|heard| &heard.summary)
+    /// Returns the regions' summaries that still count.
+    pub fn fresh_regions(&self, now: Instant) -> impl Iterator<Item = &beat::Summary> {
+        let fresh = move |h: &&Heard| now.saturating_duration_since(h.at) <= REGION_LIFE;
+        self.regions.values().filter(fresh).map(|heard| &heard.summary)
     }
 
     /// Finds the homes of every service anew.
@@ -175,6 +236,12 @@
         self.told.insert(key, Told { others, usable: usage.usable, at: now });
     }
 
+    /// Returns the home that a request was sent to last.
+    #[must_use]
+    pub fn home_of(&self, request: request::Id) -> Option<&id::Node> {
+        self.routed.get(&request).and_then(|routed| routed.home.as_ref())
+    }
+
     /// Notes that a routed request is over.
     pub fn returned(&mut self, request: request::Id) {
         self.take(request);
@@ -217,7 +284,9 @@
         let known =
             |(service, _): &(id::Service, id::Place)| view.snapshot.services.contains_key(service);
         self.lanes.retain(|key, _| known(key));
-        self.summaries.retain(|_, heard| view.now.saturating_duration_since(heard.at) < RATES_LIFE);
+        let age = |heard: &Heard| view.now.saturating_duration_since(heard.at);
+        self.summaries.retain(|_, heard| age(heard) < SUMMARY_LIFE);
+        self.regions.retain(|_, heard| age(heard) < RATES_LIFE);
         self.outstanding.retain(|_, count| *count > 0);
         self.told.retain(|_, told| view.now.saturating_duration_since(told.at) < SUMMARY_LIFE);
     }
@@ -252,20 +321,20 @@
             measured.capacities.entry(upstream.region.clone()).or_insert(0.0);
         }
         let mut reported: collections::BTreeSet<&id::Region> = collections::BTreeSet::new();
-        for ((_, key), heard) in self.summaries_of(&service.name) {
+        for heard in self.regions_of(&service.name) {
             let age = view.now.saturating_duration_since(heard.at);
             let summary = &heard.summary;
             for (place, rate) in &summary.rates {
                 *measured.rates.entry(place.clone()).or_insert(0.0) += f64::from(*rate) / 1_000.0;
             }
-            if age > SUMMARY_LIFE || !(view.is_alive)(key) {
+            if age > REGION_LIFE {
                 continue;
             }
             reported.insert(&summary.region);
-            let capacity = measured.capacities.entry(summary.region.clone()).or_insert(0.0);
-            *capacity += f64::from(summary.usable);
-            let in_use = measured.in_use.entry(summary.region.clone()).or_insert(0.0);
-            *in_use += f64::from(summary.in_flight + summary.queued);
+            let usable = f64::from(summary.usable);
+            measured.capacities.insert(summary.region.clone(), usable);
+            let in_use = f64::from(summary.in_flight + summary.queued);
+            measured.in_use.insert(summary.region.clone(), in_use);
         }
         for (region, capacity) in &mut measured.capacities {
             let declared = declared_slots(service, region, view);
@@ -280,14 +349,10 @@
         measured
     }
 
-    fn summaries_of<'a>(
-        &'a self,
-        service: &'a id::Service,
-    ) -> impl Iterator<Item = (&'a (id::Service, seat::Key), &'a Heard)> {
-        let first = seat::Key { node: id::Node::new(""), incarnation: 0 };
-        self.summaries
-            .range((service.clone(), first)..)
-            .take_while(move |((name, _), _)| name == service)
+    fn regions_of<'a>(&'a self, service: &'a id::Service) -> impl Iterator<Item = &'a Heard> {
+        let first = (service.clone(), id::Region::new(""));
+        let of_service = self.regions.range(first..);
+        of_service.take_while(move |((name, _), _)| name == service).map(|(_, heard)| heard)
     }
 
     fn next_region(
@@ -393,6 +458,19 @@
     }
 }
 
+/// Adds a home's summary to its region's.
+fn add(sum: &mut beat::Summary, home: &beat::Summary) {
+    sum.usable += home.usable;
+    sum.in_flight += home.in_flight;
+    sum.queued += home.queued;
+    for (place, rate) in &home.rates {
+        match sum.rates.iter_mut().find(|(other, _)| other == place) {
+            Some((_, total)) => *total += rate,
+            None => sum.rates.push((place.clone(), *rate)),
+        }
+    }
+}
+
 /// Returns the slots that a region declares, less those that a drain takes soon.
 ///
 /// A drain counts from as early before its start as its service's cap needs to move everything.
