--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -45,7 +45,7 @@
     serde_path_to_error::deserialize(deserializer).map_err(|error| {
         let field = error.path().to_string();
         let inner = error.into_inner();
-        let line = inner.location().map(|l| l.line());
+        let line = line_of(text, &field).or_else(|| inner.location().map(|l| l.line()));
         let message = strip_location(&inner.to_string(), &field);
         Fault { file: file.to_owned(), line, field, message }
     })
@@ -128,6 +128,46 @@
     parts
 }
 
+/// Returns the line of a field, which the YAML library tells only for the mapping around it.
+///
+/// Follows the path's keys and indices down the lines, as block and one-line items are written.
+fn line_of(text: &str, path: &str) -> Option<usize> {
+    let path = path.replace('[', ".[");
+    let mut lines = text.lines().enumerate().peekable();
+    let mut found = None;
+    for segment in path.split('.').filter(|segment| !segment.is_empty()) {
+        let index = segment.strip_prefix('[').and_then(|s| s.strip_suffix(']')?.parse().ok());
+        let mut left = index.unwrap_or(0);
+        loop {
+            let (number, line) = lines.peek()?;
+            let is_hit = match index {
+                Some(_) => line.trim_start().starts_with('-'),
+                None => has_key(line, segment),
+            };
+            match (is_hit, left) {
+                (true, 0) => {
+                    found = Some(number + 1);
+                    break;
+                }
+                (true, _) => left -= 1,
+                (false, _) => {}
+            }
+            lines.next();
+        }
+        // The key of an item may stand on the item's own line.
+        if index.is_none() {
+            lines.next();
+        }
+    }
+    found
+}
+
+fn has_key(line: &str, key: &str) -> bool {
+    let key = format!("{key}:");
+    let starts = line.split(['{', ',']).map(|part| part.trim_start_matches([' ', '-']));
+    starts.into_iter().any(|part| part.starts_with(&key))
+}
+
 /// Removes the place that the YAML library repeats before and after its message.
 fn strip_location(message: &str, field: &str) -> String {
     let prefix = format!("{field}: ");
--- /dev/null
+++ b/crates/model/tests/declarations.rs
@@ -0,0 +1,113 @@
+//! Declarations: faults name file, line and field; rules hold across resources.
+
+use std::time::{Duration, SystemTime};
+
+use model::change::{Change, Step};
+use model::check::{Facts, Use};
+use model::document;
+use model::id;
+use model::refusal::Refusal;
+use model::resource::Kind;
+use model::revision::Revision;
+use model::snapshot::Snapshot;
+
+const EXAMPLES: [&str; 2] = ["diagne", "taf"];
+
+fn example(name: &str) -> Snapshot {
+    let folder = format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    let mut steps = Vec::new();
+    for file in ["services.yaml", "places.yaml", "caps.yaml"] {
+        let text =
+            std::fs::read_to_string(format!("{folder}/{file}")).expect("the example is there");
+        let resources = document::read_resources(file, &text).expect("the example is valid");
+        steps.extend(resources.into_iter().map(|resource| Step::Put { resource }));
+    }
+    let change = Change { operation: "start".to_owned(), expected: None, steps };
+    let empty = Snapshot::default();
+    empty.apply(&change, &Facts::at(SystemTime::now())).expect("the example is accepted")
+}
+
+fn put(kind: Kind, text: &str) -> Change {
+    let resource = document::read_kind("test", kind, text).expect("the declaration is well-formed");
+    Change { operation: text.to_owned(), expected: None, steps: vec![Step::Put { resource }] }
+}
+
+fn problems(snapshot: &Snapshot, change: &Change, facts: &Facts) -> String {
+    match snapshot.apply(change, facts) {
+        Err(Refusal::Invalid { problems }) => {
+            problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+        }
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+fn drain(target: &str, after: Duration, now: SystemTime) -> Change {
+    let at = |time| humantime::format_rfc3339(time);
+    let (start, end) = (at(now + after), at(now + after + Duration::from_secs(600)));
+    put(Kind::Drain, &format!("name: plan\ntarget: {{ {target} }}\nstart: {start}\nend: {end}\n"))
+}
+
+#[test]
+fn examples_are_accepted_and_stay_the_same_when_applied_again() {
+    for name in EXAMPLES {
+        let first = example(name);
+        let steps: Vec<Step> =
+            first.resources().into_iter().map(|(_, resource)| Step::Put { resource }).collect();
+        let again = Change { operation: "again".to_owned(), expected: None, steps };
+        let second = first.apply(&again, &Facts::at(SystemTime::now())).expect("it is accepted");
+        assert_eq!(second.revision, Revision(2));
+        assert_eq!(second.services, first.services, "nothing changed, so no resource's revision");
+    }
+}
+
+#[test]
+fn a_fault_names_its_line_in_a_file_of_several_documents() {
+    let text = "kind: cap\nname: a\nservice: s\nshare: 5\nwindow: 10s\n---\n\
+                kind: cap\nname: b\nservice: s\nshare: 500\nwindow: 10s\n";
+    let fault = document::read_resources("caps.yaml", text).expect_err("500 % is too much");
+    assert_eq!(fault.to_string(), "caps.yaml:10: share: 500 is not a percentage from 0 to 100");
+    let fault = document::read_resources("x.yaml", "kind: cake\nname: a\n").expect_err("no kind");
+    assert_eq!(fault.to_string(), "x.yaml:1: kind: `cake` is none of service, place, cap, drain");
+}
+
+#[test]
+fn a_drain_that_the_cap_cannot_make_in_time_is_refused_with_its_arithmetic() {
+    let snapshot = example("diagne");
+    let now = SystemTime::now();
+    let facts = Facts::at(now);
+    let soon = drain("region: dakar", Duration::from_secs(2), now);
+    let message = problems(&snapshot, &soon, &facts);
+    assert!(message.contains("moves 25% in 1s"), "{message}");
+    assert!(message.contains("out of region dakar takes 4s, but the start is"), "{message}");
+    let later = drain("region: dakar", Duration::from_secs(5), now);
+    snapshot.apply(&later, &facts).expect("four seconds are enough");
+}
+
+#[test]
+fn drains_that_leave_too_little_together_are_refused() {
+    let snapshot = example("diagne");
+    let now = SystemTime::now();
+    let used = Use::from([(id::Region::new("dakar"), 30), (id::Region::new("thies"), 30)]);
+    let facts = Facts { wall: now, in_use: [(id::Service::new("catalogue"), used)].into() };
+    let later = Duration::from_secs(60);
+    let one = drain("region: ziguinchor", later, now);
+    let one = snapshot.apply(&one, &facts).expect("84 slots are left for 60");
+    let mut two = drain("region: thies", later, now);
+    if let Step::Put { resource: model::resource::Resource::Drain(drain) } = &mut two.steps[0] {
+        drain.name = id::Drain::new("other");
+    }
+    let message = problems(&one, &two, &facts);
+    assert!(message.contains("120 slots, 78 would be drained"), "{message}");
+}
+
+#[test]
+fn a_change_is_all_or_nothing_and_knows_its_base() {
+    let snapshot = example("taf");
+    let cap = "name: other\nservice: rhestr\nshare: 5\nwindow: 10s\n";
+    let message = problems(&snapshot, &put(Kind::Cap, cap), &Facts::at(SystemTime::now()));
+    assert!(message.contains("cap other binds the same service") || message.contains("binds"));
+    let mut stale = put(Kind::Place, "name: p\nblocks: [\"10.9.0.0/16\"]\nlinks: []\n");
+    stale.expected = Some(Revision(9));
+    let conflict = Refusal::Conflict { expected: Revision(9), found: Revision(1) };
+    assert_eq!(snapshot.apply(&stale, &Facts::at(SystemTime::now())), Err(conflict));
+}
