Other regions' nodes are spoken for by their table

Cause: every node passed on signs of life of every other, and a message holds only so many: past about 60 nodes living nodes were taken for silent (83 of 96 known alive). Change: signs of life and homes' summaries stay inside the region. A node of another region is alive when its region's table lists it, and is passed over for five seconds when it fails to answer; a region is lost after six seconds without its summary or a word from any of its nodes.

--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -139,7 +139,7 @@
 pub struct News {
     /// Members whose descriptions changed lately.
     pub members: Vec<Member>,
-    /// Members that were heard of lately.
+    /// Members of the region that sender and receiver share, heard of lately.
     pub pulses: Vec<Pulse>,
     /// Summaries of homes of the region that sender and receiver share.
     pub summaries: Vec<Summary>,
--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -29,11 +29,11 @@
 /// Time for which a starting node listens for peers before it believes that there are none.
 const LISTEN: Duration = Duration::from_secs(2);
 
-/// Most members in one message, the latest news first; more than a fleet of today has.
-const MOST_MEMBERS: usize = 64;
+/// Most members in one message, the latest news first: the whole target fleet, for one that starts.
+const MOST_MEMBERS: usize = 512;
 
-/// Most summaries in one message, the latest first; more than a fleet of today has.
-const MOST_SUMMARIES: usize = 64;
+/// Most summaries of homes in one message, the latest first.
+const MOST_SUMMARIES: usize = 256;
 
 /// The decisions of one node.
 #[derive(Debug)]
@@ -73,10 +73,10 @@
     ) -> Self {
         let peering = peering::Peering::new(seeds, me.peers);
         Self {
+            members: members::Members::new(me.region.clone()),
             me,
             snapshot: sync::Arc::default(),
             tables: collections::BTreeMap::new(),
-            members: members::Members::default(),
             home: home::Home::default(),
             router: router::Router::default(),
             registrar: registrar::Registrar::default(),
@@ -222,6 +222,7 @@
         if is_own {
             self.me.epoch = table.epoch;
         }
+        self.members.list(&table);
         self.tables.insert(table.region.clone(), table);
         self.is_stale = true;
     }
@@ -441,8 +442,11 @@
             self.router.hear(summary, now);
         }
         for summary in &news.regions {
-            self.router.hear_region(summary, now);
+            if self.router.hear_region(summary, now) {
+                self.members.sign(&summary.region, now);
+            }
         }
+        self.members.sign(&sender.region, now);
         for table in &news.tables {
             self.adopt(sync::Arc::clone(table), false);
         }
@@ -466,9 +470,10 @@
             })
         };
         let (members, pulses) = self.members.news(since, MOST_MEMBERS);
-        let summaries = match to == Some(&self.me.region) {
-            true => self.router.news(since, MOST_SUMMARIES),
-            false => Vec::new(),
+        // Only the own region hears of single nodes' lives and homes.
+        let (pulses, summaries) = match to == Some(&self.me.region) {
+            true => (pulses, self.router.news(since, MOST_SUMMARIES)),
+            false => (Vec::new(), Vec::new()),
         };
         beat::News {
             members,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -1,10 +1,15 @@
 //! Members: the nodes that are known, and when each was last heard of.
+//!
+//! Nodes of the own region pass signs of life of each other on, and a silent one is suspected. For a
+//! node of another region its region's table speaks, so that the traffic of a node does not grow
+//! with the fleet; it is passed over for a while when it fails to answer.
 
 use std::collections;
 use std::time::{Duration, Instant};
 
 use model::id;
 use model::seat;
+use model::table;
 
 use crate::beat;
 
@@ -14,13 +19,23 @@
 /// Silence after which a node may be taken off its region's table.
 pub const DEAD_AFTER: Duration = Duration::from_secs(5);
 
+/// Silence after which another region counts as lost. Its summary is made every second and takes
+/// some beats to come.
+pub const LOST_AFTER: Duration = Duration::from_secs(6);
+
+/// Time for which a node of another region is passed over after it failed to answer.
+const FAR_PAUSE: Duration = Duration::from_secs(5);
+
 /// Silence after which a node is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
 /// The nodes that are known.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
+    own: id::Region,
     known: collections::BTreeMap<id::Node, Known>,
+    seats: collections::BTreeMap<id::Region, collections::BTreeSet<seat::Key>>,
+    signs: collections::BTreeMap<id::Region, Instant>,
 }
 
 /// One known node.
@@ -34,23 +49,62 @@
     pub changed: Instant,
     /// When it last failed to answer; none once it was heard of again.
     pub failed: Option<Instant>,
+    /// Whether it stands in another region, and whether that region's table lists it.
+    far: Option<bool>,
 }
 
 impl Known {
     /// Returns whether it may be given work.
     #[must_use]
     pub fn is_alive(&self, now: Instant) -> bool {
-        self.failed.is_none() && now.saturating_duration_since(self.heard) < SUSPECT_AFTER
+        let silent = now.saturating_duration_since(self.heard);
+        match (self.far, self.failed) {
+            (None, failed) => failed.is_none() && silent < SUSPECT_AFTER,
+            (Some(is_listed), None) => is_listed,
+            (Some(is_listed), Some(at)) => {
+                is_listed && now.saturating_duration_since(at) >= FAR_PAUSE
+            }
+        }
     }
 
     /// Returns whether it was silent for so long that it may be taken off its table.
     #[must_use]
     pub fn is_dead(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) >= DEAD_AFTER
+        let is_listed = self.far.unwrap_or(false);
+        !is_listed && now.saturating_duration_since(self.heard) >= DEAD_AFTER
     }
 }
 
 impl Members {
+    /// Makes the members that a node of the region `own` knows when it starts.
+    #[must_use]
+    pub fn new(own: id::Region) -> Self {
+        Self {
+            own,
+            known: collections::BTreeMap::new(),
+            seats: collections::BTreeMap::new(),
+            signs: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes in another region's table.
+    pub fn list(&mut self, table: &table::Table) {
+        if table.region == self.own {
+            return;
+        }
+        let keys = table.seats.iter().map(|seat| seat.key.clone()).collect();
+        self.seats.insert(table.region.clone(), keys);
+        let of_region = self.known.values_mut().filter(|k| k.member.region == table.region);
+        for known in of_region {
+            known.far = Some(table.seat(&known.member.key).is_some());
+        }
+    }
+
+    /// Notes a sign of life of a whole region.
+    pub fn sign(&mut self, region: &id::Region, now: Instant) {
+        self.signs.insert(region.clone(), now);
+    }
+
     /// Takes in a description; returns whether it was news.
     pub fn hear(&mut self, member: &beat::Member, now: Instant) -> bool {
         match self.known.get(&member.key.node) {
@@ -58,7 +112,9 @@
             before => {
                 let kept = before.filter(|known| is_same(&known.member, member));
                 let changed = kept.map_or(now, |known| known.changed);
-                let known = Known { member: member.clone(), heard: now, changed, failed: None };
+                let far = self.far(member);
+                let known =
+                    Known { member: member.clone(), heard: now, changed, failed: None, far };
                 self.known.insert(member.key.node.clone(), known);
                 true
             }
@@ -87,7 +143,8 @@
         most: usize,
     ) -> (Vec<beat::Member>, Vec<beat::Pulse>) {
         let is_after = |at: Instant| since.is_none_or(|since| at > since);
-        let mut fresh: Vec<&Known> = self.known.values().filter(|k| is_after(k.heard)).collect();
+        let is_news = |k: &&Known| is_after(k.changed) || (k.far.is_none() && is_after(k.heard));
+        let mut fresh: Vec<&Known> = self.known.values().filter(is_news).collect();
         fresh.sort_by_key(|k| std::cmp::Reverse(k.heard));
         fresh.truncate(most);
         let (changed, alive): (Vec<_>, Vec<_>) =
@@ -126,16 +183,30 @@
         self.known.values().filter(move |k| k.is_alive(now))
     }
 
-    /// Returns whether a region's nodes are known and all of them have long been silent.
+    /// Returns whether another region has given no sign of life for long.
     #[must_use]
     pub fn is_lost(&self, region: &id::Region, now: Instant) -> bool {
-        let mut of_region = self.known.values().filter(|k| k.member.region == *region).peekable();
-        of_region.peek().is_some() && of_region.all(|k| k.is_dead(now))
+        let sign = self.signs.get(region);
+        *region != self.own
+            && sign.is_some_and(|at| now.saturating_duration_since(*at) >= LOST_AFTER)
     }
 
     /// Forgets nodes that were silent for long.
     pub fn forget(&mut self, now: Instant) {
-        self.known.retain(|_, k| now.saturating_duration_since(k.heard) < FORGET_AFTER);
+        let is_recent = |k: &Known| now.saturating_duration_since(k.heard) < FORGET_AFTER;
+        self.known.retain(|_, k| k.far == Some(true) || is_recent(k));
+    }
+
+    /// Returns whether a node stands in another region, and whether that region's table lists it. A
+    /// region whose table is not known yet is given the benefit of the doubt.
+    fn far(&self, member: &beat::Member) -> Option<bool> {
+        match member.region == self.own {
+            true => None,
+            false => {
+                let seats = self.seats.get(&member.region);
+                Some(seats.is_none_or(|seats| seats.contains(&member.key)))
+            }
+        }
     }
 }
 
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -135,13 +135,14 @@
         news.into_iter().map(|heard| heard.summary.clone()).collect()
     }
 
-    /// Takes in the summary of a whole region.
-    pub fn hear_region(&mut self, summary: &beat::Summary, now: Instant) {
+    /// Takes in the summary of a whole region; returns whether it was news.
+    pub fn hear_region(&mut self, summary: &beat::Summary, now: Instant) -> bool {
         let key = (summary.service.clone(), summary.region.clone());
         match self.regions.get(&key) {
-            Some(heard) if heard.summary.sequence >= summary.sequence => {}
+            Some(heard) if heard.summary.sequence >= summary.sequence => false,
             _ => {
                 self.regions.insert(key, Heard { summary: summary.clone(), at: now });
+                true
             }
         }
     }
