--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -184,6 +184,7 @@
         region: "here".to_owned(),
         hall: "here-1".to_owned(),
         slots: 6,
+        connections: 100,
         time: Duration::from_millis(u64::from(WORK_MS)),
         cold_factor: 1.0,
         report_lag: Duration::from_millis(500),
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -154,6 +154,7 @@
                     region: declared.region.to_string(),
                     hall: declared.hall.to_string(),
                     slots: declared.slots,
+                    connections: declared.connections,
                     time,
                     // The example has been running for long; what starts here is only its stand-in.
                     cold_factor: 1.0,
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -19,6 +19,10 @@
 /// Most slots one upstream may declare.
 const MOST_SLOTS: u32 = 4096;
 
+/// Connections that a home may hold beside those in use: eight idle ones in each of two duties, one
+/// for probes, and a few that are closing.
+const SPARE_CONNECTIONS: u32 = 24;
+
 /// Longest deadline a service may declare; homes wait that long after a hand-over in doubt.
 pub const LONGEST_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -132,12 +136,12 @@
     found.expect(names.iter().all(|n| id::is_valid(n)), who, field, NAME_RULE);
     let slots_ok = (1..=MOST_SLOTS).contains(&upstream.slots);
     found.expect(slots_ok, who, &format!("{field}.slots"), "expected 1 to 4096");
-    let connections_ok = upstream.connections >= upstream.slots;
+    let connections_ok = upstream.connections >= upstream.slots + SPARE_CONNECTIONS;
     found.expect(
         connections_ok,
         who,
         &format!("{field}.connections"),
-        "expected at least as many connections as slots",
+        "expected at least 24 more connections than slots",
     );
 }
 
--- a/crates/node/tests/process/calls.rs
+++ b/crates/node/tests/process/calls.rs
@@ -19,6 +19,9 @@
     a_ticket_runs_its_request_once(&rig).await;
     a_deadline_that_has_passed_is_told(&rig).await;
     smuggled_and_huge_heads_are_refused(&rig).await;
+    bodies_that_stop_half_way_disturb_nobody(&rig).await;
+    http_2_is_answered_too(&rig).await;
+    assert_eq!(rig.over_connections(), 0);
     assert_eq!(rig.truth.over_slots(), 0);
 }
 
@@ -161,3 +164,47 @@
     let response = rig.get(rig.nodes.keys().next().expect("a node"), "after", 10).await;
     assert!(rig::is_whole("after", 10, &response.expect("the node answers")));
 }
+
+async fn bodies_that_stop_half_way_disturb_nobody(rig: &rig::Rig) {
+    let node = rig.nodes.values().next().expect("a node");
+    for length in [100, 100_000] {
+        let mut stream = TcpStream::connect(node.callers).await.expect("the node listens");
+        let head = format!(
+            "POST /half HTTP/1.1\r\nhost: {}\r\ncontent-length: {length}\r\n\r\nhalf",
+            rig::HOST
+        );
+        stream.write_all(head.as_bytes()).await.expect("the node reads");
+        drop(stream);
+    }
+    // The slots that were held for them are free again.
+    rig.wait("nothing is in flight", async |rig| {
+        let mut at_home = 0;
+        for node in rig.nodes.values() {
+            at_home += rig.state(node).await["requests"]["at_home"].as_u64().unwrap_or(1);
+        }
+        at_home == 0
+    })
+    .await;
+    let response = rig.get(rig.nodes.keys().next().expect("a node"), "whole", 10).await;
+    assert!(rig::is_whole("whole", 10, &response.expect("the node answers")));
+}
+
+async fn http_2_is_answered_too(rig: &rig::Rig) {
+    let node = rig.nodes.values().next().expect("a node");
+    let stream = TcpStream::connect(node.callers).await.expect("the node listens");
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let handshake = hyper::client::conn::http2::handshake(executor, io);
+    let (mut client, connection) = handshake.await.expect("the node speaks HTTP/2");
+    tokio::spawn(connection);
+    let request = Request::get(format!("http://{}/search", rig::HOST))
+        .header("x-request-id", "two")
+        .header("x-answer-bytes", 100_000)
+        .body(Full::<Bytes>::default())
+        .expect("the request is valid");
+    let response = client.send_request(request).await.expect("the node answers");
+    assert_eq!(response.version(), http::Version::HTTP_2);
+    let (head, body) = response.into_parts();
+    let body = http_body_util::BodyExt::collect(body).await.expect("the body is whole").to_bytes();
+    assert!(rig::is_whole("two", 100_000, &http::Response::from_parts(head, body)));
+}
--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -236,6 +236,11 @@
         usable == u64::from(SLOTS) * u64::try_from(self.upstreams.len()).unwrap_or(0)
     }
 
+    /// Returns the connections that upstreams closed because they had too many.
+    pub fn over_connections(&self) -> u64 {
+        self.upstreams.iter().map(|u| u.refused.load(atomic::Ordering::Relaxed)).sum()
+    }
+
     async fn in_force(&self) -> bool {
         let item = self.operate("GET", "/v1/services/catalogue", "").await.1;
         let mut ready = item["in_force"] == true;
@@ -255,6 +260,7 @@
                 region: region.to_owned(),
                 hall: format!("{region}-{}", number % 2 + 1),
                 slots: SLOTS,
+                connections: 28,
                 time: Duration::from_millis(30),
                 cold_factor: 1.0,
                 report_lag: Duration::from_millis(200),
@@ -275,6 +281,7 @@
         "hall": spec.hall,
         "address": upstream.address,
         "slots": spec.slots,
+        "connections": spec.connections,
     })
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -121,7 +121,8 @@
             .route("/leases/{id}", routing::post(renew))
             .layer(axum::extract::DefaultBodyLimit::max(LARGEST_VALUE))
             .with_state(sync::Arc::clone(&inner));
-        let server = server::Server::start(address, router).await?;
+        let server =
+            server::Server::start(address, router, server::MANY, sync::Arc::default()).await?;
         Ok(Self { address: server.address, faults, inner, server })
     }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -46,6 +46,8 @@
     pub hall: String,
     /// Requests it can run at once.
     pub slots: u32,
+    /// Connections it accepts.
+    pub connections: u32,
     /// Usual time of a request when warm.
     pub time: Duration,
     /// How many times longer a request takes when it is cold; 1 for one that starts warm.
@@ -59,6 +61,8 @@
 pub struct Upstream {
     /// Where it listens.
     pub address: net::SocketAddr,
+    /// Connections that it closed because it had too many.
+    pub refused: sync::Arc<atomic::AtomicU64>,
     state: sync::Arc<Inner>,
     server: server::Server,
 }
@@ -104,13 +108,16 @@
             started: now,
             reported: sync::Mutex::new((now, first)),
         });
+        let most = usize::try_from(state.spec.connections).unwrap_or(server::MANY);
+        let refused = sync::Arc::default();
         let router = axum::Router::new()
             .route("/report", routing::get(report))
             .fallback(run)
             .layer(axum::extract::DefaultBodyLimit::disable())
             .with_state(sync::Arc::clone(&state));
-        let server = server::Server::start(address, router).await?;
-        Ok(Self { address: server.address, state, server })
+        let server =
+            server::Server::start(address, router, most, sync::Arc::clone(&refused)).await?;
+        Ok(Self { address: server.address, refused, state, server })
     }
 
     /// Says in its reports that it leaves.
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -57,7 +57,8 @@
         let list = sync::Arc::new(sync::Mutex::new(List::default()));
         let shared: Shared = (sync::Arc::clone(&faults), sync::Arc::clone(&list));
         let router = axum::Router::new().route("/vms", routing::get(show)).with_state(shared);
-        let server = server::Server::start(address, router).await?;
+        let server =
+            server::Server::start(address, router, server::MANY, sync::Arc::default()).await?;
         Ok(Self { address: server.address, faults, list, lag, server })
     }
 
