--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -169,7 +169,7 @@
     #[must_use]
     pub fn in_use(&self, now: Instant) -> collections::BTreeMap<id::Service, check::Use> {
         let mut in_use: collections::BTreeMap<_, check::Use> = collections::BTreeMap::new();
-        for summary in self.router.fresh_regions(now) {
+        for summary in self.router.summaries.fresh_regions(now) {
             let of_service = in_use.entry(summary.service.clone()).or_default();
             of_service.insert(summary.region.clone(), summary.in_flight);
         }
@@ -277,7 +277,7 @@
                 self.router.hear(&summary, now);
             }
         }
-        self.router.sum_up(&self.me, now);
+        self.router.summaries.sum_up(&self.me, now);
         if self.is_ready(now) {
             self.with_router(now, |router, view| router.plan(view));
         }
@@ -445,7 +445,7 @@
             self.router.hear(summary, now);
         }
         for summary in &news.regions {
-            if self.router.hear_region(summary, now) {
+            if self.router.summaries.hear_region(summary, now) {
                 self.members.sign(&summary.region, now);
             }
         }
@@ -475,14 +475,14 @@
         let (members, pulses) = self.members.news(since, MOST_MEMBERS);
         // Only the own region hears of single nodes' lives and homes.
         let (pulses, summaries) = match to == Some(&self.me.region) {
-            true => (pulses, self.router.news(since, MOST_SUMMARIES)),
+            true => (pulses, self.router.summaries.news(since, MOST_SUMMARIES)),
             false => (Vec::new(), Vec::new()),
         };
         beat::News {
             members,
             pulses,
             summaries,
-            regions: self.router.regional_news(since),
+            regions: self.router.summaries.regional_news(since),
             tables: self.tables.values().filter(is_newer).cloned().collect(),
         }
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod router;
 pub mod share;
 pub mod split;
+pub mod summaries;
 pub mod ticket;
 pub mod upstream;
 pub mod vms;
--- a/crates/steer/src/router.rs
+++ b/crates/steer/src/router.rs
@@ -20,18 +20,7 @@
 use crate::request;
 use crate::retry;
 use crate::split;
-
-/// Age at which a home's summary says nothing any more.
-const SUMMARY_LIFE: Duration = Duration::from_secs(4);
-
-/// Age at which a region's summary says nothing any more.
-const REGION_LIFE: Duration = Duration::from_secs(6);
-
-/// Time between two sums of a region.
-const SUM_EVERY: Duration = Duration::from_secs(1);
-
-/// Age at which a summary's rates are no longer taken as demand.
-const RATES_LIFE: Duration = Duration::from_secs(60);
+use crate::summaries;
 
 /// Usual time of an answer before one was measured, in seconds.
 const FIRST_GUESS: f64 = 0.05;
@@ -48,9 +37,8 @@
 pub struct Router {
     lanes: collections::BTreeMap<(id::Service, id::Place), lane::Lane>,
     homes: collections::BTreeMap<(id::Service, id::Region), Vec<homes::Home>>,
-    summaries: collections::BTreeMap<(id::Service, seat::Key), Heard>,
-    regions: collections::BTreeMap<(id::Service, id::Region), Heard>,
-    summed: Option<Instant>,
+    /// What homes and regions told of themselves.
+    pub summaries: summaries::Summaries,
     routed: collections::HashMap<request::Id, Routed>,
     budgets: collections::BTreeMap<id::Service, budget::Budget>,
     outstanding: collections::BTreeMap<(id::Service, id::Node), u32>,
@@ -65,13 +53,6 @@
     at: Instant,
 }
 
-/// A home's summary.
-#[derive(Debug)]
-struct Heard {
-    summary: beat::Summary,
-    at: Instant,
-}
-
 /// A request that is out at a home.
 #[derive(Debug)]
 struct Routed {
@@ -110,87 +91,15 @@
 }
 
 impl Router {
-    /// Takes in a home's summary; returns whether it was news.
-    pub fn hear(&mut self, summary: &beat::Summary, now: Instant) -> bool {
-        let key = (summary.service.clone(), summary.key.clone());
-        match self.summaries.get(&key) {
-            Some(heard) if heard.summary.sequence >= summary.sequence => false,
-            _ => {
-                let usage =
-                    beat::Use { busy: summary.in_flight + summary.queued, usable: summary.usable };
-                self.used(&summary.key.node, &summary.service, usage, now);
-                self.summaries.insert(key, Heard { summary: summary.clone(), at: now });
-                true
-            }
+    /// Takes in a home's summary.
+    pub fn hear(&mut self, summary: &beat::Summary, now: Instant) {
+        if self.summaries.hear(summary, now) {
+            let busy = summary.in_flight + summary.queued;
+            let usage = beat::Use { busy, usable: summary.usable };
+            self.used(&summary.key.node, &summary.service, usage, now);
         }
     }
 
-    /// Returns the summaries that came after `since`, the latest `most` of them, to pass on.
-    #[must_use]
-    pub fn news(&self, since: Option<Instant>, most: usize) -> Vec<beat::Summary> {
-        let is_news = |heard: &&Heard| since.is_none_or(|since| heard.at > since);
-        let mut news: Vec<&Heard> = self.summaries.values().filter(is_news).collect();
-        news.sort_by_key(|heard| std::cmp::Reverse(heard.at));
-        news.truncate(most);
-        news.into_iter().map(|heard| heard.summary.clone()).collect()
-    }
-
-    /// Takes in the summary of a whole region; returns whether it was news.
-    pub fn hear_region(&mut self, summary: &beat::Summary, now: Instant) -> bool {
-        let key = (summary.service.clone(), summary.region.clone());
-        match self.regions.get(&key) {
-            Some(heard) if heard.summary.sequence >= summary.sequence => false,
-            _ => {
-                self.regions.insert(key, Heard { summary: summary.clone(), at: now });
-                true
-            }
-        }
-    }
-
-    /// Sums up this node's own region, now and then.
-    ///
-    /// Every node of the region does so. The results are ordered as by Lamport's clock: each takes
-    /// the number after the greatest it has heard of, so that a sum without a home that died is
-    /// newer than the sums before it.
-    pub fn sum_up(&mut self, me: &beat::Member, now: Instant) {
-        let recent = |at: Instant| now.saturating_duration_since(at) < SUM_EVERY;
-        if self.summed.is_some_and(recent) {
-            return;
-        }
-        self.summed = Some(now);
-        let mut sums: collections::BTreeMap<id::Service, beat::Summary> =
-            collections::BTreeMap::new();
-        let is_fresh = |h: &&Heard| now.saturating_duration_since(h.at) <= SUMMARY_LIFE;
-        let homes = self.summaries.values().filter(is_fresh).map(|h| &h.summary);
-        for summary in homes.filter(|s| s.region == me.region) {
-            match sums.get_mut(&summary.service) {
-                Some(sum) => add(sum, summary),
-                None => {
-                    let sum = beat::Summary { key: me.key.clone(), ..summary.clone() };
-                    sums.insert(summary.service.clone(), sum);
-                }
-            }
-        }
-        for (service, mut sum) in sums {
-            let before = self.regions.get(&(service, me.region.clone()));
-            sum.sequence = before.map_or(0, |heard| heard.summary.sequence) + 1;
-            self.hear_region(&sum, now);
-        }
-    }
-
-    /// Returns the regions' summaries that came after `since`, to pass on.
-    #[must_use]
-    pub fn regional_news(&self, since: Option<Instant>) -> Vec<beat::Summary> {
-        let is_news = |heard: &&Heard| since.is_none_or(|since| heard.at > since);
-        self.regions.values().filter(is_news).map(|heard| heard.summary.clone()).collect()
-    }
-
-    /// Returns the regions' summaries that still count.
-    pub fn fresh_regions(&self, now: Instant) -> impl Iterator<Item = &beat::Summary> {
-        let fresh = move |h: &&Heard| now.saturating_duration_since(h.at) <= REGION_LIFE;
-        self.regions.values().filter(fresh).map(|heard| &heard.summary)
-    }
-
     /// Finds the homes of every service anew.
     pub fn find_homes(
         &mut self,
@@ -285,11 +194,10 @@
         let known =
             |(service, _): &(id::Service, id::Place)| view.snapshot.services.contains_key(service);
         self.lanes.retain(|key, _| known(key));
-        let age = |heard: &Heard| view.now.saturating_duration_since(heard.at);
-        self.summaries.retain(|_, heard| age(heard) < SUMMARY_LIFE);
-        self.regions.retain(|_, heard| age(heard) < RATES_LIFE);
+        self.summaries.forget(view.now);
         self.outstanding.retain(|_, count| *count > 0);
-        self.told.retain(|_, told| view.now.saturating_duration_since(told.at) < SUMMARY_LIFE);
+        self.told
+            .retain(|_, told| view.now.saturating_duration_since(told.at) < summaries::HOME_LIFE);
     }
 
     /// Starts a lane where a peer's stands; one that has a position already keeps it.
@@ -322,13 +230,11 @@
             measured.capacities.entry(upstream.region.clone()).or_insert(0.0);
         }
         let mut reported: collections::BTreeSet<&id::Region> = collections::BTreeSet::new();
-        for heard in self.regions_of(&service.name) {
-            let age = view.now.saturating_duration_since(heard.at);
-            let summary = &heard.summary;
+        for (summary, is_fresh) in self.summaries.regions_of(&service.name, view.now) {
             for (place, rate) in &summary.rates {
                 *measured.rates.entry(place.clone()).or_insert(0.0) += f64::from(*rate) / 1_000.0;
             }
-            if age > REGION_LIFE {
+            if !is_fresh {
                 continue;
             }
             reported.insert(&summary.region);
@@ -350,12 +256,6 @@
         measured
     }
 
-    fn regions_of<'a>(&'a self, service: &'a id::Service) -> impl Iterator<Item = &'a Heard> {
-        let first = (service.clone(), id::Region::new(""));
-        let of_service = self.regions.range(first..);
-        of_service.take_while(move |((name, _), _)| name == service).map(|(_, heard)| heard)
-    }
-
     fn next_region(
         &mut self,
         service: &id::Service,
@@ -427,7 +327,7 @@
         let key = (service.clone(), home.key.node.clone());
         let own = self.outstanding.get(&key).copied().unwrap_or(0);
         let told = self.told.get(&key);
-        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < SUMMARY_LIFE);
+        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < summaries::HOME_LIFE);
         let (others, usable) = fresh.map_or((0, home.weight), |t| (t.others, t.usable));
         f64::from(own + others + 1) / f64::from(usable).max(0.1)
     }
@@ -459,19 +359,6 @@
     }
 }
 
-/// Adds a home's summary to its region's.
-fn add(sum: &mut beat::Summary, home: &beat::Summary) {
-    sum.usable += home.usable;
-    sum.in_flight += home.in_flight;
-    sum.queued += home.queued;
-    for (place, rate) in &home.rates {
-        match sum.rates.iter_mut().find(|(other, _)| other == place) {
-            Some((_, total)) => *total += rate,
-            None => sum.rates.push((place.clone(), *rate)),
-        }
-    }
-}
-
 /// Returns the slots that a region declares, less those that a drain takes soon.
 ///
 /// A drain counts from as early before its start as its service's cap needs to move everything.
