--- a/crates/node/tests/process/calls.rs
+++ b/crates/node/tests/process/calls.rs
@@ -20,6 +20,7 @@
     a_deadline_that_has_passed_is_told(&rig).await;
     smuggled_and_huge_heads_are_refused(&rig).await;
     bodies_that_stop_half_way_disturb_nobody(&rig).await;
+    slow_senders_are_shown_the_door(&rig).await;
     http_2_is_answered_too(&rig).await;
     assert_eq!(rig.over_connections(), 0);
     assert_eq!(rig.truth.over_slots(), 0);
@@ -208,3 +209,13 @@
     let body = http_body_util::BodyExt::collect(body).await.expect("the body is whole").to_bytes();
     assert!(rig::is_whole("two", 100_000, &http::Response::from_parts(head, body)));
 }
+
+async fn slow_senders_are_shown_the_door(rig: &rig::Rig) {
+    let node = rig.nodes.values().next().expect("a node");
+    let mut stream = TcpStream::connect(node.callers).await.expect("the node listens");
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: cata").await.expect("the node reads");
+    // The head's time is one second; without it this would never end.
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    assert!(!answer.starts_with(b"HTTP/1.1 200"));
+}
--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -115,7 +115,7 @@
              seeds: [{}]\nstore: \"{}\"\nvms: \"{}\"\noperators:\n  \
              - {{ name: rig, token_sha256: {}, may: write }}\n  \
              - {{ name: reader, token_sha256: {} }}\n\
-             limits: {{ lookup_cache: 300ms, stop_time: 30s }}\n",
+             limits: {{ lookup_cache: 300ms, stop_time: 30s, head_time: 1s }}\n",
             number % nodes.max(1) % 2 + 1,
             seeds.join(", "),
             self.store.address,
