--- a/crates/node/tests/process/calls.rs
+++ b/crates/node/tests/process/calls.rs
@@ -22,6 +22,7 @@
     bodies_that_stop_half_way_disturb_nobody(&rig).await;
     slow_senders_are_shown_the_door(&rig).await;
     http_2_is_answered_too(&rig).await;
+    short_answers_are_never_passed_on_as_whole(&rig).await;
     assert_eq!(rig.over_connections(), 0);
     assert_eq!(rig.truth.over_slots(), 0);
 }
@@ -219,3 +220,42 @@
     let _ = stream.read_to_end(&mut answer).await;
     assert!(!answer.starts_with(b"HTTP/1.1 200"));
 }
+
+/// An upstream that breaks off in the middle of its answer, asked by way of its home and of others.
+async fn short_answers_are_never_passed_on_as_whole(rig: &rig::Rig) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it listens");
+    rig.vms.fill([address.ip()]);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 2_048];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort").await;
+        }
+    });
+    let service = serde_json::json!({
+        "name": "short",
+        "host": "short.example",
+        "upstreams": [{ "name": "s", "region": "dakar", "hall": "dakar-1", "address": address,
+                        "slots": 8 }],
+    });
+    let (status, told) = rig.operate("PUT", "/v1/services/short", &service.to_string()).await;
+    assert_eq!(status, 200, "{told}");
+    for node in rig.nodes.values() {
+        rig.wait("the upstream is asked", async |rig| {
+            let request = Request::get(format!("http://{}/", node.callers))
+                .header("host", "short.example")
+                .body(Full::default())
+                .expect("the request is valid");
+            match rig.http.send(request).await {
+                // Cut off, as it must be.
+                Err(_) => true,
+                Ok(answer) => {
+                    assert!(!answer.status().is_success(), "a short answer looked whole");
+                    false
+                }
+            }
+        })
+        .await;
+    }
+}
