The short answer of the test has no length, or only the length would be tested

With the relay's cut taken out, the first version of the test still passed: the announced length alone showed the caller that the answer was short. An answer in chunks fails the test as it should.

--- a/crates/node/tests/process/calls.rs
+++ b/crates/node/tests/process/calls.rs
@@ -230,7 +230,9 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut request = [0; 2_048];
             let _ = stream.read(&mut request).await;
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort").await;
+            // Without a length, only the missing last chunk tells that the answer is short.
+            let answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n";
+            let _ = stream.write_all(answer).await;
         }
     });
     let service = serde_json::json!({
