--- a/crates/steer/src/core.rs
+++ b/crates/steer/src/core.rs
@@ -179,18 +179,10 @@
     /// Returns what the planner would work from now, by service.
     #[must_use]
     pub fn measured(&self, now: Instant) -> collections::BTreeMap<id::Service, router::Measured> {
-        let is_alive = |key: &seat::Key| self.is_alive(key, now);
-        let is_lost = |region: &id::Region| self.members.is_lost(region, now);
-        let view = router::View {
-            snapshot: &self.snapshot,
-            is_alive: &is_alive,
-            is_lost: &is_lost,
-            region: &self.me.region,
-            now,
-            wall: self.wall,
-        };
-        let services = self.snapshot.services.values();
-        services.map(|s| (s.spec.name.clone(), self.router.measure(&s.spec, &view))).collect()
+        self.with_view(now, |view| {
+            let services = self.snapshot.services.values();
+            services.map(|s| (s.spec.name.clone(), self.router.measure(&s.spec, view))).collect()
+        })
     }
 
     /// Returns whether a node may be given work; this one always may.
@@ -492,21 +484,23 @@
         now: Instant,
         work: impl FnOnce(&mut router::Router, &router::View<'_>),
     ) {
-        let me = &self.me.key;
-        let members = &self.members;
-        let is_alive = |key: &seat::Key| {
-            key == me || members.incarnation(key).is_some_and(|k| k.is_alive(now))
-        };
-        let is_lost = |region: &id::Region| members.is_lost(region, now);
-        let view = router::View {
+        let mut router = std::mem::take(&mut self.router);
+        self.with_view(now, |view| work(&mut router, view));
+        self.router = router;
+    }
+
+    /// Shows what routing and planning look at.
+    fn with_view<T>(&self, now: Instant, look: impl FnOnce(&router::View<'_>) -> T) -> T {
+        let is_alive = |key: &seat::Key| self.is_alive(key, now);
+        let is_lost = |region: &id::Region| self.members.is_lost(region, now);
+        look(&router::View {
             snapshot: &self.snapshot,
             is_alive: &is_alive,
             is_lost: &is_lost,
             region: &self.me.region,
             now,
             wall: self.wall,
-        };
-        work(&mut self.router, &view);
+        })
     }
 }
 
