--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,12 +3,14 @@
 //! Nothing here performs input or output; the packages above it do.
 
 pub mod blocks;
+pub mod bounds;
 pub mod cap;
 pub mod change;
 pub mod check;
 pub mod clock;
 pub mod document;
 pub mod drain;
+pub mod endpoint;
 pub mod epoch;
 pub mod fraction;
 pub mod id;
@@ -16,6 +18,8 @@
 pub mod refusal;
 pub mod resource;
 pub mod revision;
+pub mod route;
+pub mod routing;
 pub mod seat;
 pub mod service;
 pub mod snapshot;
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -66,3 +66,14 @@
         }
     }
 }
+
+/// Returns a body of `first` and then `rest` as it arrives.
+#[must_use]
+pub fn after(first: Bytes, rest: Incoming) -> Body {
+    let first = http_body::Frame::data(first);
+    let stream = futures_util::StreamExt::chain(
+        futures_util::stream::once(std::future::ready(Ok(first))),
+        http_body_util::BodyStream::new(rest.map_err(io::Error::other)),
+    );
+    http_body_util::StreamBody::new(stream).boxed_unsync()
+}
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -2,6 +2,7 @@
 
 use std::process;
 
+use ::node::gateway;
 use ::node::logging;
 use ::node::node;
 use ::node::settings;
@@ -21,6 +22,12 @@
 ///
 /// Fails when the settings cannot be used or the node cannot start.
 pub fn run(args: &args::Args) -> anyhow::Result<process::ExitCode> {
+    let text = std::fs::read_to_string(&args.settings).map_err(|error| {
+        anyhow::anyhow!("cannot read settings {}: {error}", args.settings.display())
+    })?;
+    if gateway::settings::Settings::is_gateway(&text) {
+        return run_gateway(args);
+    }
     let settings = settings::Settings::read(&args.settings)?;
     if args.check {
         println!("{}: settings of node {} are valid", args.settings.display(), settings.node);
@@ -31,6 +38,50 @@
     runtime.block_on(serve(&settings))
 }
 
+fn run_gateway(args: &args::Args) -> anyhow::Result<process::ExitCode> {
+    let settings = gateway::settings::Settings::read(&args.settings)?;
+    if args.check {
+        println!("{}: settings of gateway {} are valid", args.settings.display(), settings.node);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    logging::start(settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, serve_gateway(args, settings))
+}
+
+async fn serve_gateway(
+    args: &args::Args,
+    settings: gateway::settings::Settings,
+) -> anyhow::Result<process::ExitCode> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    let name = settings.node.clone();
+    let gateway = gateway::gateway::Gateway::start(settings).await?;
+    log::info!(node = name.as_str(); "gateway-started");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match gateway::settings::Settings::read(&args.settings) {
+                Ok(settings) => gateway.reload(settings),
+                Err(error) => {
+                    let error = format!("{error:#}");
+                    log::error!(error = error.as_str(); "settings-malformed");
+                }
+            },
+        }
+    }
+    log::info!(node = name.as_str(); "gateway-stopping");
+    let is_done = gateway.stop().await;
+    log::info!(node = name.as_str(), done = is_done; "gateway-stopped");
+    Ok(match is_done {
+        true => process::ExitCode::SUCCESS,
+        false => process::ExitCode::from(CUT_OFF),
+    })
+}
+
 async fn serve(settings: &settings::Settings) -> anyhow::Result<process::ExitCode> {
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
--- /dev/null
+++ b/crates/node/src/gateway/control.rs
@@ -0,0 +1,98 @@
+//! What a gateway answers to other nodes and to operators: changes, metrics, a state dump.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::gateway::peer;
+use crate::gateway::state;
+
+/// Path of the metrics.
+pub const METRICS: &str = "/metrics";
+
+/// Path of the state dump.
+pub const DUMP: &str = "/dump";
+
+/// Answers a request to the address for peers.
+#[must_use]
+pub fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        peer::CHANGES => changes(state, request.uri().query().unwrap_or_default()),
+        METRICS => with_type("text/plain; version=0.0.4", state.metrics.text().into_bytes()),
+        DUMP => with_type("application/json", dump(state)),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn changes(state: &state::State, after: &str) -> Response<Full<Bytes>> {
+    let Ok(after) = after.parse::<u64>() else { return status(StatusCode::BAD_REQUEST) };
+    let replica = state.replica.borrow();
+    match replica.is_complete() {
+        false => status(StatusCode::SERVICE_UNAVAILABLE),
+        true => {
+            let extract = replica.extract(after);
+            with_type("application/json", serde_json::to_vec(&extract).unwrap_or_default())
+        }
+    }
+}
+
+/// Returns what the node knows and believes.
+fn dump(state: &state::State) -> Vec<u8> {
+    let now = Instant::now();
+    let dispatcher = state.dispatcher.borrow();
+    let upstreams: Vec<serde_json::Value> = dispatcher
+        .backends()
+        .map(|b| {
+            serde_json::json!({
+                "id": b.endpoint.id.as_str(),
+                "service": b.endpoint.service.as_str(),
+                "address": b.endpoint.address.to_string(),
+                "hall": b.endpoint.hall.as_str(),
+                "usable": b.is_usable(),
+                "cold": b.cold.is_cold(now),
+                "ejected": b.health.is_ejected(now),
+                "in_flight": b.load.in_flight(),
+                "requests": b.load.requests(now),
+                "failures": b.health.failures(),
+            })
+        })
+        .collect();
+    let splits: Vec<serde_json::Value> = dispatcher
+        .splits()
+        .map(|(service, split)| {
+            let parts: serde_json::Map<String, serde_json::Value> = split
+                .parts()
+                .map(|(region, part)| (region.as_str().to_owned(), part.into()))
+                .collect();
+            serde_json::json!({ "service": service.as_str(), "millionths": parts })
+        })
+        .collect();
+    let members = state.members.borrow();
+    let alive: Vec<&str> = members.alive(now).map(|m| m.node.as_str()).collect();
+    let replica = state.replica.borrow();
+    let dump = serde_json::json!({
+        "me": *state.me.borrow(),
+        "store_reached": state.is_store_reached.get(),
+        "revision": replica.at(),
+        "config_version": state.routing().map(|r| r.version),
+        "peers_alive": alive,
+        "splits": splits,
+        "upstreams": upstreams,
+    });
+    serde_json::to_vec_pretty(&dump).unwrap_or_default()
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+fn with_type(kind: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/crates/node/src/gateway/gateway.rs
@@ -0,0 +1,136 @@
+//! A gateway process: its parts, started together and stopped together.
+
+use std::net;
+use std::rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use platform::store::client;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::gateway::heartbeat;
+use crate::gateway::proxy::face;
+use crate::gateway::proxy::pool;
+use crate::gateway::registration;
+use crate::gateway::server;
+use crate::gateway::settings;
+use crate::gateway::shutdown;
+use crate::gateway::state;
+use crate::gateway::sync;
+
+/// Longest time for an answer of the store.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time within which a tick must come; a longer gap means that the process stood still.
+const STANDSTILL: Duration = Duration::from_millis(1_500);
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    /// What its tasks share.
+    pub state: rc::Rc<state::State>,
+    open: rc::Rc<face::Open>,
+    close: watch::Sender<bool>,
+    tasks: Vec<task::JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Starts a gateway on the current thread, inside a [`task::LocalSet`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start(settings: settings::Settings) -> anyhow::Result<Self> {
+        let callers = listen("listen.callers", settings.listen.callers).await?;
+        let ready = listen("listen.ready", settings.listen.ready).await?;
+        let directory = listen("listen.directory", settings.listen.directory).await?;
+        let peers = listen("listen.peers", settings.listen.peers).await?;
+        let mut settings = settings;
+        settings.listen = settings::Listen {
+            callers: callers.local_addr()?,
+            ready: ready.local_addr()?,
+            directory: directory.local_addr()?,
+            peers: peers.local_addr()?,
+        };
+        let datagrams = UdpSocket::bind(settings.listen.peers).await.map_err(|error| {
+            anyhow::anyhow!("listen.peers: cannot receive on {}: {error}", settings.listen.peers)
+        })?;
+        let datagrams = rc::Rc::new(datagrams);
+        let client = client::Client::new(settings.store, CALL_TIME);
+        let state = rc::Rc::new(state::State::new(settings, incarnation()));
+        let open = rc::Rc::new(face::Open::default());
+        let (close, closed) = watch::channel(false);
+        let pool = rc::Rc::new(pool::Pool::default());
+        let face = face::Face::new(
+            rc::Rc::clone(&state),
+            rc::Rc::clone(&open),
+            rc::Rc::clone(&pool),
+            closed,
+        );
+        let tasks = vec![
+            task::spawn_local(face::serve(face, callers)),
+            task::spawn_local(server::serve(rc::Rc::clone(&state), ready)),
+            task::spawn_local(server::serve(rc::Rc::clone(&state), directory)),
+            task::spawn_local(server::serve(rc::Rc::clone(&state), peers)),
+            task::spawn_local(sync::run(rc::Rc::clone(&state), client.clone())),
+            task::spawn_local(registration::run(rc::Rc::clone(&state), client)),
+            task::spawn_local(heartbeat::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
+            task::spawn_local(heartbeat::receive(rc::Rc::clone(&state), datagrams)),
+            task::spawn_local(heartbeat::catch_up(rc::Rc::clone(&state))),
+            task::spawn_local(tick(rc::Rc::clone(&state), pool)),
+        ];
+        Ok(Self { state, open, close, tasks })
+    }
+
+    /// Takes the settings that may change while the process runs: seeds and bounds.
+    pub fn reload(&self, new: settings::Settings) {
+        let mut settings = self.state.settings.borrow_mut();
+        let mut changed = (**settings).clone();
+        changed.seeds = new.seeds;
+        changed.bounds = new.bounds;
+        let is_changed = changed != **settings;
+        *settings = rc::Rc::new(changed);
+        log::info!(changed = is_changed; "settings-reloaded");
+    }
+
+    /// Stops as planned; returns whether every request had ended.
+    pub async fn stop(self) -> bool {
+        let is_done = shutdown::run(&self.state, &self.open, &self.close).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        is_done
+    }
+}
+
+async fn listen(field: &str, address: net::SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| anyhow::anyhow!("{field}: cannot listen on {address}: {error}"))
+}
+
+/// Returns a number that grows with each start.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn tick(state: rc::Rc<state::State>, pool: rc::Rc<pool::Pool>) {
+    let mut last = std::time::Instant::now();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = std::time::Instant::now();
+        let gap = now.saturating_duration_since(last);
+        last = now;
+        if gap > STANDSTILL {
+            let gap = humantime::format_duration(gap).to_string();
+            log::warn!(gap = gap.as_str(); "stood-still");
+        }
+        state.dispatcher.borrow_mut().tick(now);
+        pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -0,0 +1,141 @@
+//! Heartbeats: datagrams by which nodes tell each other that they are alive and what they know.
+
+use std::collections;
+use std::net;
+use std::rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::UdpSocket;
+
+use crate::gateway::member;
+use crate::gateway::peer;
+use crate::gateway::state;
+
+/// Time between two heartbeats.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Time for which a node waits for the store's news before it asks a node that has them.
+const PATIENCE: Duration = Duration::from_millis(700);
+
+/// Pause after a node that was asked did not answer.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Largest datagram that is read, in bytes.
+const LARGEST: usize = 2_048;
+
+/// Sends heartbeats until the task ends.
+pub async fn send(state: rc::Rc<state::State>, socket: rc::Rc<UdpSocket>) {
+    loop {
+        beat(&state, &socket).await;
+        tokio::select! {
+            () = tokio::time::sleep(PERIOD) => {}
+            () = state.beat.notified() => {}
+        }
+    }
+}
+
+async fn beat(state: &state::State, socket: &UdpSocket) {
+    let datagram = {
+        let mut me = state.me.borrow_mut();
+        me.sequence += 1;
+        serde_json::to_vec(&*me).unwrap_or_default()
+    };
+    for address in addresses(state) {
+        // A datagram that cannot be sent is one that was lost.
+        let _ = socket.send_to(&datagram, address).await;
+        state.metrics.heartbeats.add(1);
+    }
+    let now = Instant::now();
+    state.members.borrow_mut().forget(now);
+    state.update_nodes();
+}
+
+fn addresses(state: &state::State) -> collections::BTreeSet<net::SocketAddr> {
+    let settings = rc::Rc::clone(&state.settings.borrow());
+    let mut addresses = state.members.borrow().addresses();
+    addresses.extend(settings.seeds.iter().copied());
+    addresses.remove(&settings.listen.peers);
+    addresses
+}
+
+/// Receives heartbeats until the task ends.
+pub async fn receive(state: rc::Rc<state::State>, socket: rc::Rc<UdpSocket>) {
+    let mut buffer = vec![0; LARGEST];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let Ok(member) = serde_json::from_slice::<member::Member>(&buffer[..length]) else {
+            continue;
+        };
+        if member.node == state.me.borrow().node {
+            continue;
+        }
+        let name = member.node.clone();
+        let is_new = state.members.borrow_mut().hear(member, Instant::now());
+        if is_new {
+            log::info!(peer = name.as_str(); "peer-alive");
+            state.update_nodes();
+        }
+    }
+}
+
+/// Asks other nodes for what they know of the store and this node does not.
+pub async fn catch_up(state: rc::Rc<state::State>) {
+    let mut behind_since: Option<Instant> = None;
+    let mut turn: usize = 0;
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        let sources = sources(&state);
+        if sources.is_empty() {
+            behind_since = None;
+            continue;
+        }
+        let now = Instant::now();
+        let since = *behind_since.get_or_insert(now);
+        let is_complete = state.replica.borrow().is_complete();
+        if is_complete && now.saturating_duration_since(since) < PATIENCE {
+            continue;
+        }
+        let source = sources[turn % sources.len()];
+        turn += 1;
+        fetch(&state, source).await;
+    }
+}
+
+/// Returns the nodes that know more than this one, or any node while this one knows nothing.
+fn sources(state: &state::State) -> Vec<net::SocketAddr> {
+    let replica = state.replica.borrow();
+    let members = state.members.borrow();
+    let newer = members.alive(Instant::now()).filter(|m| m.at > replica.at()).map(|m| m.peers);
+    let newer: Vec<_> = newer.collect();
+    match newer.is_empty() && !replica.is_complete() && !state.is_store_reached.get() {
+        true => state
+            .settings
+            .borrow()
+            .seeds
+            .iter()
+            .copied()
+            .filter(|s| *s != state.me.borrow().peers)
+            .collect(),
+        false => newer,
+    }
+}
+
+async fn fetch(state: &state::State, source: net::SocketAddr) {
+    let after = state.replica.borrow().at();
+    state.metrics.peer_fetches.add(1);
+    match peer::fetch(source, after).await {
+        Ok(extract) => {
+            let is_newer = extract.page.at > state.replica.borrow().at();
+            if is_newer {
+                state.learn("peer", |replica| replica.merge_extract(extract));
+            }
+        }
+        Err(error) => {
+            let (source, error) = (source.to_string(), format!("{error:#}"));
+            log::debug!(peer = source.as_str(), error = error.as_str(); "peer-fetch-failed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/member.rs
@@ -0,0 +1,31 @@
+//! Members: nodes of this fleet, as they tell of themselves.
+
+use std::net;
+
+use model::id;
+use serde::{Deserialize, Serialize};
+
+/// What a node tells of itself, in heartbeats and in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: id::Node,
+    /// Grows with each start of its process, by the time of day at the start.
+    pub incarnation: u64,
+    /// Grows with each heartbeat.
+    pub sequence: u64,
+    /// Its region.
+    pub region: id::Region,
+    /// Its hall.
+    pub hall: id::Hall,
+    /// Its address for callers.
+    pub callers: net::SocketAddr,
+    /// Its address for peers.
+    pub peers: net::SocketAddr,
+    /// Whether it serves callers.
+    pub is_ready: bool,
+    /// Whether it is stopping.
+    pub is_leaving: bool,
+    /// The store's revision up to which its copy is complete.
+    pub at: u64,
+}
--- /dev/null
+++ b/crates/node/src/gateway/metrics.rs
@@ -0,0 +1,126 @@
+//! Figures of a gateway, as text in the Prometheus format.
+
+use std::cell;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// Largest latency that the histogram tells apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// Significant digits of the histogram.
+const DIGITS: u8 = 2;
+
+/// Quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// A count that only grows.
+#[derive(Debug, Default)]
+pub struct Counter(cell::Cell<u64>);
+
+impl Counter {
+    /// Adds `more`.
+    pub fn add(&self, more: u64) {
+        self.0.set(self.0.get() + more);
+    }
+
+    /// Returns the count.
+    #[must_use]
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+/// Latencies of answered requests.
+#[derive(Debug)]
+pub struct Latencies(cell::RefCell<hdrhistogram::Histogram<u32>>);
+
+impl Default for Latencies {
+    fn default() -> Self {
+        let histogram = hdrhistogram::Histogram::new_with_max(LONGEST_MICROS, DIGITS);
+        Self(cell::RefCell::new(histogram.expect("the bounds are constants")))
+    }
+}
+
+impl Latencies {
+    /// Notes one request's time.
+    pub fn record(&self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.0.borrow_mut().saturating_record(micros);
+    }
+}
+
+/// Figures of a gateway.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Requests from callers.
+    pub requests: Counter,
+    /// Requests that got an upstream's answer.
+    pub answered: Counter,
+    /// Requests refused as not run.
+    pub refused: Counter,
+    /// Requests whose outcome is not known, or whose time was up.
+    pub failed: Counter,
+    /// Requests on no route.
+    pub unrouted: Counter,
+    /// Requests whose caller left.
+    pub abandoned: Counter,
+    /// Tries at upstreams.
+    pub tries: Counter,
+    /// Tries beyond the first.
+    pub retries: Counter,
+    /// Tries that an upstream turned away.
+    pub turned_away: Counter,
+    /// Tries that broke.
+    pub broken: Counter,
+    /// New connections to upstreams.
+    pub connections: Counter,
+    /// Look-ups.
+    pub lookups: Counter,
+    /// Heartbeats sent.
+    pub heartbeats: Counter,
+    /// Copies of the store fetched from other nodes.
+    pub peer_fetches: Counter,
+    /// Items of the store that could not be understood.
+    pub malformed_items: Counter,
+    /// Time from a request to the end of its answer.
+    pub latency: Latencies,
+}
+
+impl Metrics {
+    /// Writes all figures.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let counters = [
+            ("requests", &self.requests),
+            ("answered", &self.answered),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("unrouted", &self.unrouted),
+            ("abandoned", &self.abandoned),
+            ("tries", &self.tries),
+            ("retries", &self.retries),
+            ("turned_away", &self.turned_away),
+            ("broken", &self.broken),
+            ("connections", &self.connections),
+            ("lookups", &self.lookups),
+            ("heartbeats", &self.heartbeats),
+            ("peer_fetches", &self.peer_fetches),
+            ("malformed_items", &self.malformed_items),
+        ];
+        let mut text = String::new();
+        for (name, counter) in counters {
+            let _ = writeln!(text, "# TYPE yokespoke_{name}_total counter");
+            let _ = writeln!(text, "yokespoke_{name}_total {}", counter.get());
+        }
+        let _ = writeln!(text, "# TYPE yokespoke_latency_seconds summary");
+        let histogram = self.latency.0.borrow();
+        for quantile in QUANTILES {
+            let seconds = Duration::from_micros(histogram.value_at_quantile(quantile));
+            let seconds = seconds.as_secs_f64();
+            let _ =
+                writeln!(text, "yokespoke_latency_seconds{{quantile=\"{quantile}\"}} {seconds}");
+        }
+        let _ = writeln!(text, "yokespoke_latency_seconds_count {}", histogram.len());
+        text
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! The gateway: an entry node that sends requests straight to upstreams, under routes.
+//!
+//! All of it runs on one thread. What it knows comes from the platform's store or, when that turns
+//! the node away, from other nodes; the decisions are those of [`steer::dispatch`].
+
+pub mod control;
+pub mod directory;
+pub mod gateway;
+pub mod heartbeat;
+pub mod member;
+pub mod members;
+pub mod metrics;
+pub mod peer;
+pub mod proxy;
+pub mod registration;
+pub mod replica;
+pub mod server;
+pub mod settings;
+pub mod shutdown;
+pub mod state;
+pub mod sync;
--- /dev/null
+++ b/crates/node/src/gateway/peer.rs
@@ -0,0 +1,56 @@
+//! The client side of what nodes ask each other: changes to their copies of the store.
+
+use std::net;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt as _, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use tokio::net::TcpStream;
+
+use crate::gateway::replica;
+
+/// Path at which a node tells its copy; the query is the revision to start after.
+pub const CHANGES: &str = "/peer/changes";
+
+/// Longest time an exchange may take.
+const EXCHANGE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Largest answer that is read, in bytes.
+const LARGEST_ANSWER: usize = 16 * 1_024 * 1_024;
+
+/// Fetches what has changed after `after` from the node at `peer`.
+///
+/// # Errors
+///
+/// Fails when the node does not answer in time or its answer cannot be read.
+pub async fn fetch(peer: net::SocketAddr, after: u64) -> anyhow::Result<replica::Extract> {
+    tokio::time::timeout(EXCHANGE_TIME, exchange(peer, after)).await?
+}
+
+async fn exchange(peer: net::SocketAddr, after: u64) -> anyhow::Result<replica::Extract> {
+    let stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
+    let request = Request::get(format!("{CHANGES}?{after}"))
+        .header(http::header::HOST, peer.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let exchange = async {
+        let answer = sender.send_request(request).await?;
+        anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
+        let body = Limited::new(answer.into_body(), LARGEST_ANSWER);
+        let bytes = body.collect().await.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
+        Ok(serde_json::from_slice(&bytes)?)
+    };
+    tokio::pin!(connection);
+    tokio::pin!(exchange);
+    tokio::select! {
+        answer = &mut exchange => answer,
+        ended = &mut connection => match ended {
+            Ok(()) => exchange.await,
+            Err(error) => Err(error.into()),
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -0,0 +1,67 @@
+//! One try at an upstream, told to the dispatcher however it ends.
+
+use std::rc;
+use std::sync;
+use std::time::Instant;
+
+use model::endpoint;
+use steer::dispatch::outcome;
+
+use crate::gateway::state;
+
+/// A try in flight. Dropping it means that the caller left or the request's time was up.
+#[derive(Debug)]
+pub struct Attempt {
+    state: rc::Rc<state::State>,
+    /// The upstream.
+    pub endpoint: sync::Arc<endpoint::Endpoint>,
+    began: Instant,
+    deadline: Instant,
+    is_told: bool,
+}
+
+impl Attempt {
+    /// Starts a try; `is_first` unless the request was sent to another upstream before.
+    #[must_use]
+    pub fn start(
+        state: &rc::Rc<state::State>,
+        endpoint: sync::Arc<endpoint::Endpoint>,
+        is_first: bool,
+        deadline: Instant,
+    ) -> Self {
+        let now = Instant::now();
+        state.dispatcher.borrow_mut().sent(&endpoint.id, is_first, now);
+        state.metrics.tries.add(1);
+        Self { state: rc::Rc::clone(state), endpoint, began: now, deadline, is_told: false }
+    }
+
+    /// Returns when the try began.
+    #[must_use]
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
+    /// Ends the try.
+    pub fn end(mut self, outcome: outcome::Outcome) {
+        self.tell(outcome);
+    }
+
+    fn tell(&mut self, outcome: outcome::Outcome) {
+        if std::mem::replace(&mut self.is_told, true) {
+            return;
+        }
+        let now = Instant::now();
+        let waited = now.saturating_duration_since(self.began);
+        self.state.dispatcher.borrow_mut().ended(&self.endpoint.id, outcome, waited, now);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let outcome = match Instant::now() >= self.deadline {
+            true => outcome::Outcome::TimedOut,
+            false => outcome::Outcome::Abandoned,
+        };
+        self.tell(outcome);
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/proxy/face.rs
@@ -0,0 +1,154 @@
+//! The server of callers' connections.
+
+use std::cell;
+use std::convert;
+use std::rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt;
+use model::routing;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::gateway::proxy::handler;
+use crate::gateway::proxy::pool;
+use crate::gateway::state;
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most callers' connections at once.
+const MOST_CONNECTIONS: usize = 2_000;
+
+/// Smallest buffer that the HTTP library takes, in bytes.
+const SMALLEST_BUFFER: usize = 8_192;
+
+/// Time after which bytes that a caller does not acknowledge end its connection.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
+
+/// What callers have open.
+#[derive(Debug, Default)]
+pub struct Open {
+    connections: cell::Cell<usize>,
+    requests: cell::Cell<usize>,
+}
+
+impl Open {
+    /// Returns the open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Returns the requests in flight.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+
+    /// Counts a request until the guard is dropped.
+    #[must_use]
+    pub fn request(self: &rc::Rc<Self>) -> Guard {
+        self.requests.set(self.requests.get() + 1);
+        Guard { open: rc::Rc::clone(self), is_request: true }
+    }
+
+    fn connection(self: &rc::Rc<Self>) -> Guard {
+        self.connections.set(self.connections.get() + 1);
+        Guard { open: rc::Rc::clone(self), is_request: false }
+    }
+}
+
+/// Counts something open for as long as it lives.
+#[derive(Debug)]
+pub struct Guard {
+    open: rc::Rc<Open>,
+    is_request: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let counter = match self.is_request {
+            true => &self.open.requests,
+            false => &self.open.connections,
+        };
+        counter.set(counter.get().saturating_sub(1));
+    }
+}
+
+/// What the server of callers' connections works with.
+#[derive(Clone, Debug)]
+pub struct Face {
+    /// What the gateway's tasks share.
+    pub state: rc::Rc<state::State>,
+    /// Connections to upstreams.
+    pub pool: rc::Rc<pool::Pool>,
+    /// What callers have open.
+    pub open: rc::Rc<Open>,
+    close: watch::Receiver<bool>,
+}
+
+impl Face {
+    /// Makes a server whose connections end after their requests once `close` turns true.
+    #[must_use]
+    pub fn new(
+        state: rc::Rc<state::State>,
+        open: rc::Rc<Open>,
+        pool: rc::Rc<pool::Pool>,
+        close: watch::Receiver<bool>,
+    ) -> Self {
+        Self { state, pool, open, close }
+    }
+}
+
+/// Accepts callers' connections until the task ends.
+pub async fn serve(face: Face, listener: TcpListener) {
+    let mut close = face.close.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = close.wait_for(|close| *close) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if face.open.connections() >= MOST_CONNECTIONS {
+            log::warn!(connections = face.open.connections(); "connection-refused");
+            continue;
+        }
+        let guard = face.open.connection();
+        let face = face.clone();
+        tokio::task::spawn_local(async move {
+            connection(face, stream).await;
+            drop(guard);
+        });
+    }
+}
+
+async fn connection(face: Face, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+    let limits = face.state.routing().map_or_else(routing::CallerLimits::default, |r| r.limits);
+    let mut close = face.close.clone();
+    let service = service_fn(|request| {
+        let face = face.clone();
+        async move { Ok::<_, convert::Infallible>(handler::handle(&face, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(rt::TokioTimer::new())
+        // The library counts a connection's rest toward the head's time.
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(limits.head_bytes.max(SMALLEST_BUFFER));
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A caller that goes away or talks nonsense ends its own connection only.
+        _ = connection.as_mut() => return,
+        _ = close.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -0,0 +1,76 @@
+//! One request: from its head to an upstream's answer, or to the gateway's own.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header, request};
+use hyper::body::Incoming;
+
+use crate::body;
+use crate::gateway::proxy::answer;
+use crate::gateway::proxy::face;
+use crate::gateway::proxy::head;
+use crate::gateway::proxy::intake;
+use crate::gateway::proxy::trace;
+use crate::gateway::proxy::tries;
+
+/// Answers one request.
+pub async fn handle(face: &face::Face, request: Request<Incoming>) -> Response<body::Body> {
+    let _open = face.open.request();
+    face.state.metrics.requests.add(1);
+    let (parts, incoming) = request.into_parts();
+    let mut trace = trace::Trace::new(&face.state);
+    let mut response = match serve(face, parts, incoming, &mut trace).await {
+        Ok(response) => {
+            trace.answered(response.status());
+            response
+        }
+        Err(reason) => {
+            trace.refused(reason);
+            answer::make(reason)
+        }
+    };
+    if face.state.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn serve(
+    face: &face::Face,
+    parts: request::Parts,
+    incoming: Incoming,
+    trace: &mut trace::Trace,
+) -> Result<Response<body::Body>, answer::Reason> {
+    let head = head::Head::read(parts, trace.arrived())
+        .map_err(|fault| answer::Reason::BadHead(fault.as_str()))?;
+    trace.set_request(&head.request_id);
+    let routing = face.state.routing().ok_or(answer::Reason::NoConfiguration)?;
+    trace.set_version(routing.version);
+    let found = routing.find(&head.host, head.path());
+    let route = found.cloned().ok_or(answer::Reason::NoRoute)?;
+    trace.set_route(&route.name);
+    let time = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = head.arrived + time;
+    let most = routing.limits.body_bytes;
+    if head.length().is_some_and(|length| length > most) {
+        return Err(answer::Reason::TooLarge);
+    }
+    let read = tokio::time::timeout_at(deadline.into(), intake::Body::read(incoming, most)).await;
+    let body = match read {
+        Ok(Ok(body)) => body,
+        Ok(Err(intake::Fault::TooLarge)) => return Err(answer::Reason::TooLarge),
+        Ok(Err(intake::Fault::Cut)) => return Err(answer::Reason::BodyCut),
+        Err(_) => return Err(answer::Reason::BodyLate),
+    };
+    let service = face.state.dispatcher.borrow_mut().pick_service(&route);
+    let service = service.ok_or(NO_SERVICE)?;
+    trace.set_service(&service);
+    let mut tries = tries::Tries::new(face, &head, &route, service, body, deadline);
+    let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
+    trace.set_tries(tries.tried());
+    outcome.unwrap_or_else(|_| Err(tries.expired()))
+}
+
+/// A route whose parts all have no weight.
+const NO_SERVICE: answer::Reason = answer::Reason::NotRun("no-service", Duration::from_millis(200));
--- /dev/null
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -0,0 +1,196 @@
+//! Heads of requests: what the gateway reads of them, and what it passes on.
+
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header, request};
+use model::id;
+use platform::headers;
+use xxhash_rust::xxh3;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), and an expectation that this
+/// node has met.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Why a head cannot be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// There is no host, or more than one.
+    Host,
+    /// The body's length is given in two ways.
+    Length,
+    /// The request names itself in more than one way.
+    RequestId,
+}
+
+impl Fault {
+    /// Returns the fault as a word for logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Host => "bad-host",
+            Self::Length => "ambiguous-length",
+            Self::RequestId => "ambiguous-request-id",
+        }
+    }
+}
+
+/// What the gateway reads of a request's head.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The host that it is for.
+    pub host: String,
+    /// Its name; empty when it has none.
+    pub request_id: String,
+    /// Time the caller will wait, counted from the arrival.
+    pub deadline: Option<Duration>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Hash of the object it is about; none when it tells of none.
+    pub object: Option<u64>,
+    parts: request::Parts,
+}
+
+impl Head {
+    /// Reads a head.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not say clearly what it asks.
+    pub fn read(parts: request::Parts, arrived: Instant) -> Result<Self, Fault> {
+        let host = host(&parts)?;
+        check_length(&parts.headers)?;
+        let request_id = single(&parts.headers, &headers::REQUEST_ID)?;
+        let deadline = parts
+            .headers
+            .get(headers::DEADLINE)
+            .and_then(|value| value.to_str().ok()?.trim().parse().ok())
+            .map(Duration::from_millis);
+        let object = object(&parts.headers);
+        Ok(Self { host, request_id, deadline, arrived, object, parts })
+    }
+
+    /// Returns the path without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.parts.uri.path()
+    }
+
+    /// Returns the hash by which the request is spread when it is about no object.
+    #[must_use]
+    pub fn spread(&self) -> u64 {
+        xxh3::xxh3_64(self.request_id.as_bytes())
+    }
+
+    /// Returns the declared length of the body.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        let value = self.parts.headers.get(header::CONTENT_LENGTH)?;
+        value.to_str().ok()?.parse().ok()
+    }
+
+    /// Makes the request that is sent to `upstream` with `left` to go.
+    #[must_use]
+    pub fn to_upstream<B>(&self, upstream: &id::Upstream, left: Duration, body: B) -> Request<B> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = origin_form(&self.parts.uri);
+        let sent = request.headers_mut();
+        *sent = self.parts.headers.clone();
+        clean(sent);
+        sent.remove(header::CONTENT_LENGTH);
+        if let Ok(host) = HeaderValue::from_str(&self.host) {
+            sent.insert(header::HOST, host);
+        }
+        if let Ok(target) = HeaderValue::from_str(upstream.as_str()) {
+            sent.insert(headers::TARGET, target);
+        }
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        sent.insert(headers::DEADLINE, HeaderValue::from(millis.max(1)));
+        request
+    }
+}
+
+/// Returns the target without scheme and authority, byte for byte.
+fn origin_form(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => Uri::from_static("/"),
+    }
+}
+
+fn host(parts: &request::Parts) -> Result<String, Fault> {
+    let mut hosts = parts.headers.get_all(header::HOST).iter();
+    let first = hosts.next().ok_or(Fault::Host)?;
+    if hosts.next().is_some() {
+        return Err(Fault::Host);
+    }
+    // An absolute target overrides the header (RFC 9112, section 3.2.2).
+    match parts.uri.authority() {
+        Some(authority) => Ok(authority.as_str().to_owned()),
+        None => Ok(first.to_str().map_err(|_| Fault::Host)?.to_owned()),
+    }
+}
+
+fn check_length(headers: &HeaderMap) -> Result<(), Fault> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let is_coded = headers.contains_key(header::TRANSFER_ENCODING);
+    match lengths > 1 || (lengths == 1 && is_coded) {
+        true => Err(Fault::Length),
+        false => Ok(()),
+    }
+}
+
+/// Returns the one value of a header; empty when there is none.
+fn single(headers: &HeaderMap, name: &HeaderName) -> Result<String, Fault> {
+    let mut values = headers.get_all(name).iter();
+    let Some(first) = values.next() else { return Ok(String::new()) };
+    match values.next() {
+        Some(_) => Err(Fault::RequestId),
+        None => Ok(first.to_str().map_err(|_| Fault::RequestId)?.to_owned()),
+    }
+}
+
+fn object(headers: &HeaderMap) -> Option<u64> {
+    let cookies = headers.get_all(header::COOKIE).iter().filter_map(|value| value.to_str().ok());
+    let mut pairs = cookies.flat_map(|cookie| cookie.split(';'));
+    pairs.find_map(|pair| {
+        let (name, value) = pair.trim().split_once('=')?;
+        (name == headers::AFFINITY_COOKIE).then(|| xxh3::xxh3_64(value.as_bytes()))
+    })
+}
+
+/// Removes what concerns one connection only, and what only this system may say.
+pub fn clean(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .filter(|name| !PROTECTED.contains(name))
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP).chain(&headers::OURS) {
+        headers.remove(name);
+    }
+}
+
+/// Headers that no connection option may remove.
+const PROTECTED: [HeaderName; 4] =
+    [header::CONTENT_LENGTH, header::HOST, headers::REQUEST_ID, header::COOKIE];
+
+/// Removes from an answer what concerns the upstream's connection only.
+pub fn clean_answer(headers: &mut HeaderMap) {
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/proxy/mod.rs
@@ -0,0 +1,14 @@
+//! The proxy: callers' requests in, upstreams' whole answers out.
+
+pub mod answer;
+pub mod attempt;
+pub mod connection;
+pub mod exchange;
+pub mod face;
+pub mod handler;
+pub mod head;
+pub mod intake;
+pub mod pool;
+pub mod relay;
+pub mod trace;
+pub mod tries;
--- /dev/null
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -0,0 +1,64 @@
+//! Connections to upstreams that rest until they are used again.
+
+use std::cell;
+use std::collections;
+use std::time::Instant;
+
+use model::id;
+
+use crate::gateway::proxy::connection;
+
+/// Most connections that rest for one upstream.
+const MOST_RESTING: usize = 16;
+
+/// Connections to upstreams that rest.
+///
+/// The one that rested longest is used first, so that a surplus answer on a connection is more
+/// likely to be seen before the connection is used again.
+#[derive(Debug, Default)]
+pub struct Pool {
+    resting: cell::RefCell<
+        collections::HashMap<id::Upstream, collections::VecDeque<connection::Connection>>,
+    >,
+}
+
+impl Pool {
+    /// Takes a connection to `upstream` that can be used now.
+    pub fn take(&self, upstream: &id::Upstream) -> Option<connection::Connection> {
+        let now = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        let of_upstream = resting.get_mut(upstream)?;
+        while let Some(connection) = of_upstream.pop_front() {
+            let rested = now.saturating_duration_since(connection.used);
+            if rested < connection.rest && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Lets a connection rest.
+    pub fn put(&self, upstream: &id::Upstream, mut connection: connection::Connection) {
+        if connection.sender.is_closed() || connection.rest.is_zero() {
+            return;
+        }
+        connection.used = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        let of_upstream = resting.entry(upstream.clone()).or_default();
+        of_upstream.push_back(connection);
+        if of_upstream.len() > MOST_RESTING {
+            of_upstream.pop_front();
+        }
+    }
+
+    /// Closes connections that have rested for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.resting.borrow_mut().retain(|_, of_upstream| {
+            of_upstream.retain(|c| {
+                now.saturating_duration_since(c.used) < c.rest && !c.sender.is_closed()
+            });
+            !of_upstream.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -0,0 +1,272 @@
+//! The tries of one request, until an upstream answers or nothing more may be done.
+
+use std::fmt::Write as _;
+use std::rc;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use http::{Response, StatusCode};
+use model::endpoint;
+use model::id;
+use model::route;
+use steer::dispatch::ask;
+use steer::dispatch::outcome;
+use steer::dispatch::refusal;
+
+use crate::body;
+use crate::gateway::proxy::answer;
+use crate::gateway::proxy::attempt;
+use crate::gateway::proxy::connection;
+use crate::gateway::proxy::exchange;
+use crate::gateway::proxy::face;
+use crate::gateway::proxy::head;
+use crate::gateway::proxy::intake;
+use crate::gateway::proxy::relay;
+
+/// Most upstreams to which a connection is attempted in vain.
+const MOST_UNREACHABLE: usize = 3;
+
+/// Time after which a request that upstreams turned away should come back.
+const COME_BACK: Duration = Duration::from_millis(60);
+
+/// The tries of one request.
+#[derive(Debug)]
+pub struct Tries<'a> {
+    face: &'a face::Face,
+    head: &'a head::Head,
+    route: &'a route::Route,
+    service: id::Service,
+    body: intake::Body,
+    deadline: Instant,
+    upstreams: Vec<id::Upstream>,
+    sent: u32,
+    unreachable: usize,
+    may_have_run: bool,
+    is_in_flight: bool,
+    tried: String,
+}
+
+impl<'a> Tries<'a> {
+    /// Starts without a try.
+    #[must_use]
+    pub fn new(
+        face: &'a face::Face,
+        head: &'a head::Head,
+        route: &'a route::Route,
+        service: id::Service,
+        body: intake::Body,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            face,
+            head,
+            route,
+            service,
+            body,
+            deadline,
+            upstreams: Vec::new(),
+            sent: 0,
+            unreachable: 0,
+            may_have_run: false,
+            is_in_flight: false,
+            tried: String::new(),
+        }
+    }
+
+    /// Returns the tries as `upstream:end`, separated by commas.
+    #[must_use]
+    pub fn tried(&self) -> &str {
+        &self.tried
+    }
+
+    /// Returns the answer to a request whose time is up.
+    #[must_use]
+    pub fn expired(&self) -> answer::Reason {
+        match self.may_have_run || self.is_in_flight {
+            true => answer::Reason::TimedOut,
+            false => answer::Reason::NotSent,
+        }
+    }
+
+    /// Tries upstreams until one answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nothing more may be done.
+    pub async fn run(&mut self) -> Result<Response<body::Body>, answer::Reason> {
+        loop {
+            let endpoint = self.choose()?;
+            let attempt = attempt::Attempt::start(
+                &self.face.state,
+                sync::Arc::clone(&endpoint),
+                self.upstreams.is_empty(),
+                self.deadline,
+            );
+            self.upstreams.push(endpoint.id.clone());
+            match self.send(&endpoint).await {
+                Ok((connection, answer)) => {
+                    if let Some(response) = self.take(attempt, connection, answer)? {
+                        return Ok(response);
+                    }
+                }
+                Err(exchange::Failure::NotSent(cause)) => {
+                    attempt.end(outcome::Outcome::NotSent);
+                    self.note(&endpoint.id, &cause);
+                    self.unreachable += 1;
+                    if self.unreachable >= MOST_UNREACHABLE {
+                        return Err(self.given_up("unreachable", COME_BACK));
+                    }
+                }
+                Err(exchange::Failure::Broken(cause)) => {
+                    attempt.end(outcome::Outcome::Broken);
+                    self.note(&endpoint.id, &cause);
+                    self.face.state.metrics.broken.add(1);
+                    self.may_have_run = true;
+                    if !self.route.kind.is_repeatable() || !self.may_go_on() {
+                        return Err(answer::Reason::Unknown("broken"));
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Result<sync::Arc<endpoint::Endpoint>, answer::Reason> {
+        let now = Instant::now();
+        let ask = ask::Ask {
+            route: self.route,
+            service: &self.service,
+            key: self.head.object.unwrap_or_else(|| self.head.spread()),
+            tried: &self.upstreams,
+            left: self.deadline.saturating_duration_since(now),
+        };
+        let chosen = self.face.state.dispatcher.borrow_mut().choose(&ask, now);
+        chosen.map_err(|refusal| {
+            let after = match refusal {
+                refusal::Refusal::NoUpstream => COME_BACK,
+                refusal::Refusal::Overloaded { retry_after } => retry_after,
+            };
+            self.given_up(refusal.as_str(), after)
+        })
+    }
+
+    /// Sends the request on a resting connection, or on a new one.
+    async fn send(
+        &mut self,
+        endpoint: &endpoint::Endpoint,
+    ) -> Result<(connection::Connection, exchange::Answer), exchange::Failure> {
+        loop {
+            let (mut connection, is_rested) = self.connect(endpoint).await?;
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            let body = self.body.take();
+            let request = self.head.to_upstream(&endpoint.id, left, body);
+            self.is_in_flight = true;
+            let answer = exchange::run(&mut connection, request, &self.head.request_id).await;
+            self.is_in_flight = false;
+            match answer {
+                Ok(answer) => {
+                    self.sent += 1;
+                    return Ok((connection, answer));
+                }
+                // The upstream closed the connection while it rested.
+                Err(exchange::Failure::NotSent(_)) if is_rested && self.body.is_ready() => {}
+                Err(failure) => {
+                    if matches!(failure, exchange::Failure::Broken(_)) {
+                        self.sent += 1;
+                    }
+                    return Err(failure);
+                }
+            }
+        }
+    }
+
+    async fn connect(
+        &self,
+        endpoint: &endpoint::Endpoint,
+    ) -> Result<(connection::Connection, bool), exchange::Failure> {
+        if let Some(connection) = self.face.pool.take(&endpoint.id) {
+            return Ok((connection, true));
+        }
+        self.face.state.metrics.connections.add(1);
+        match connection::Connection::open(endpoint.address).await {
+            Ok(connection) => Ok((connection, false)),
+            Err(error) => Err(exchange::Failure::NotSent(error.to_string())),
+        }
+    }
+
+    /// Takes an upstream's answer; returns the caller's, or none when another try is to follow.
+    fn take(
+        &mut self,
+        attempt: attempt::Attempt,
+        connection: connection::Connection,
+        answer: exchange::Answer,
+    ) -> Result<Option<Response<body::Body>>, answer::Reason> {
+        let upstream = attempt.endpoint.id.clone();
+        let status = answer.head.status();
+        let is_final = answer.kind == exchange::Kind::Ran || status == StatusCode::BAD_REQUEST;
+        if is_final {
+            self.note(&upstream, status.as_str());
+            return Ok(Some(self.pass_on(attempt, connection, answer)));
+        }
+        let (ended, end) = match answer.kind {
+            exchange::Kind::Replaced => (outcome::Outcome::Replaced, "replaced"),
+            _ => (outcome::Outcome::TurnedAway { load: answer.load }, "turned-away"),
+        };
+        attempt.end(ended);
+        self.note(&upstream, end);
+        self.face.state.metrics.turned_away.add(1);
+        if let exchange::Payload::Whole(_) = answer.bytes {
+            self.face.pool.put(&upstream, connection);
+        }
+        match self.may_go_on() {
+            true => Ok(None),
+            false => Err(self.given_up("turned-away", COME_BACK)),
+        }
+    }
+
+    fn pass_on(
+        &self,
+        attempt: attempt::Attempt,
+        connection: connection::Connection,
+        answer: exchange::Answer,
+    ) -> Response<body::Body> {
+        let latency = attempt.began().elapsed();
+        let body = match answer.bytes {
+            exchange::Payload::Whole(bytes) => {
+                let upstream = attempt.endpoint.id.clone();
+                attempt.end(outcome::Outcome::Answered { latency, load: answer.load });
+                self.face.pool.put(&upstream, connection);
+                body::full(bytes)
+            }
+            exchange::Payload::Partial(first, rest) => {
+                relay::rest(first, rest, connection, attempt)
+            }
+        };
+        relay::answer(answer.head, body)
+    }
+
+    /// Returns whether the request may be sent to one more upstream, and counts that.
+    fn may_go_on(&self) -> bool {
+        if !self.body.is_ready() || self.sent >= self.route.max_attempts {
+            return false;
+        }
+        let state = rc::Rc::clone(&self.face.state);
+        let is_allowed = state.dispatcher.borrow_mut().may_retry(&self.service, Instant::now());
+        if is_allowed {
+            state.metrics.retries.add(1);
+        }
+        is_allowed
+    }
+
+    /// Returns the answer when nothing more can be done.
+    fn given_up(&self, cause: &'static str, after: Duration) -> answer::Reason {
+        match self.may_have_run {
+            true => answer::Reason::Unknown("broken"),
+            false => answer::Reason::NotRun(cause, after),
+        }
+    }
+
+    fn note(&mut self, upstream: &id::Upstream, end: &str) {
+        let separator = if self.tried.is_empty() { "" } else { "," };
+        let _ = write!(self.tried, "{separator}{upstream}:{end}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/server.rs
@@ -0,0 +1,67 @@
+//! Servers of short answers: readiness, look-ups, and what nodes and operators ask.
+
+use std::convert;
+use std::rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt;
+use platform::directory as names;
+use tokio::net::TcpListener;
+
+use crate::gateway::control;
+use crate::gateway::directory;
+use crate::gateway::state;
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time a connection may rest or take to send a head.
+const HEAD_TIME: Duration = Duration::from_secs(30);
+
+/// Serves short answers until the task ends.
+pub async fn serve(state: rc::Rc<state::State>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let state = rc::Rc::clone(&state);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let answer = answer(&state, &request);
+                async move { Ok::<_, convert::Infallible>(answer) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(rt::TokioTimer::new()).header_read_timeout(HEAD_TIME);
+            // A caller that goes away or talks nonsense ends its own connection only.
+            let _ = builder.serve_connection(rt::TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        names::READY => {
+            let mut response = Response::new(Full::default());
+            if !state.is_ready() {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
+        names::RESOLVE => {
+            let body = directory::answer(state, request.uri().query().unwrap_or_default());
+            let mut response = Response::new(Full::new(Bytes::from(body)));
+            let json = header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, json);
+            response
+        }
+        _ => control::answer(state, request),
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of a gateway, read from a YAML file.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+use std::time::Duration;
+
+use model::bounds;
+use model::document;
+use model::id;
+use platform::duration;
+use serde::{Deserialize, Serialize};
+
+use crate::settings as node_settings;
+
+/// Everything a gateway must be told.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Always `gateway`; tells these settings from those of a node.
+    pub role: Role,
+    /// The node's name, the same after a restart.
+    pub node: id::Node,
+    /// Its region.
+    pub region: id::Region,
+    /// Its hall.
+    pub hall: id::Hall,
+    /// All halls with their regions.
+    pub halls: collections::BTreeMap<id::Hall, id::Region>,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Nodes to ask first, by their addresses for peers; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddr>,
+    /// The platform's store.
+    pub store: net::SocketAddr,
+    /// Bounds of the deployment.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// What is logged.
+    #[serde(default)]
+    pub log: node_settings::Level,
+}
+
+/// The word that marks the settings of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// An entry node that sends requests straight to upstreams.
+    Gateway,
+}
+
+/// The addresses on which a gateway listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers' requests.
+    pub callers: net::SocketAddr,
+    /// For the readiness check.
+    pub ready: net::SocketAddr,
+    /// For look-ups.
+    pub directory: net::SocketAddr,
+    /// For other nodes, metrics and the state dump; TCP and UDP.
+    pub peers: net::SocketAddr,
+}
+
+/// Bounds of the deployment; what is left out or empty takes its default.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Time without disruption after which a node counts as in touch again.
+    #[serde(deserialize_with = "duration::optional")]
+    contact: Option<Duration>,
+    /// Time from a planned stop to the kill.
+    #[serde(deserialize_with = "duration::optional")]
+    grace: Option<Duration>,
+    /// Longest time for which callers may cache a look-up.
+    #[serde(deserialize_with = "duration::optional")]
+    lookup_cache: Option<Duration>,
+    /// Length of the window in which retries are counted.
+    #[serde(deserialize_with = "duration::optional")]
+    retry_window: Option<Duration>,
+    /// Retries allowed for each request, over the fleet.
+    retry_ratio: Option<f64>,
+    /// Retries allowed beside those, over the fleet and in one window.
+    retry_slack: Option<f64>,
+    /// Greatest share of a region's requests that may change region within two seconds.
+    greatest_shift: Option<f64>,
+}
+
+/// The one field that tells which kind of settings a file holds.
+#[derive(Deserialize)]
+struct Kind {
+    role: Option<Role>,
+}
+
+impl Settings {
+    /// Returns whether `text` holds settings of a gateway.
+    #[must_use]
+    pub fn is_gateway(text: &str) -> bool {
+        serde_yaml_ng::from_str::<Kind>(text).is_ok_and(|kind| kind.role.is_some())
+    }
+
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the file, the line and the field at fault.
+    pub fn read(file: &path::Path) -> anyhow::Result<Self> {
+        let name = file.display().to_string();
+        let text = fs::read_to_string(file)
+            .map_err(|error| anyhow::anyhow!("cannot read settings {name}: {error}"))?;
+        let settings: Self = document::read(&name, &text)?;
+        settings.check(&name)?;
+        Ok(settings)
+    }
+
+    /// Returns the deployment's bounds, with defaults for what is left out.
+    #[must_use]
+    pub fn bounds(&self) -> bounds::Bounds {
+        let default = bounds::Bounds::default();
+        let given = &self.bounds;
+        bounds::Bounds {
+            contact: given.contact.unwrap_or(default.contact),
+            grace: given.grace.unwrap_or(default.grace),
+            lookup_cache: given.lookup_cache.unwrap_or(default.lookup_cache),
+            retry_window: given.retry_window.unwrap_or(default.retry_window),
+            retry_ratio: given.retry_ratio.unwrap_or(default.retry_ratio),
+            retry_slack: given.retry_slack.unwrap_or(default.retry_slack),
+            greatest_shift: given.greatest_shift.unwrap_or(default.greatest_shift),
+        }
+    }
+
+    /// Checks what the types do not say.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first field that breaks a rule.
+    pub fn check(&self, file: &str) -> Result<(), document::Fault> {
+        let fault = |field: &str, message: String| document::Fault {
+            file: file.to_owned(),
+            line: None,
+            field: field.to_owned(),
+            message,
+        };
+        match self.halls.get(&self.hall) {
+            Some(region) if *region == self.region => {}
+            Some(region) => {
+                let message = format!("expected {region}, the region of hall {}", self.hall);
+                return Err(fault("region", message));
+            }
+            None => return Err(fault("halls", format!("hall {} is missing", self.hall))),
+        }
+        let bounds = self.bounds();
+        let times = [
+            ("bounds.grace", bounds.grace),
+            ("bounds.lookup_cache", bounds.lookup_cache),
+            ("bounds.retry_window", bounds.retry_window),
+        ];
+        for (field, time) in times {
+            if time.is_zero() {
+                return Err(fault(field, "expected more than 0s".to_owned()));
+            }
+        }
+        let parts = [
+            ("bounds.retry_ratio", bounds.retry_ratio, f64::INFINITY),
+            ("bounds.retry_slack", bounds.retry_slack, f64::INFINITY),
+            ("bounds.greatest_shift", bounds.greatest_shift, 1.0),
+        ];
+        for (field, value, most) in parts {
+            if !(0.0..=most).contains(&value) {
+                return Err(fault(field, format!("{value} is out of range")));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/state.rs
@@ -0,0 +1,195 @@
+//! What the tasks of a gateway share; all of them run on one thread.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::sync;
+use std::time::Instant;
+
+use model::id;
+use model::routing;
+use steer::dispatch::dispatcher;
+use tokio::sync::Notify;
+
+use crate::gateway::member;
+use crate::gateway::members;
+use crate::gateway::metrics;
+use crate::gateway::replica;
+use crate::gateway::settings;
+
+/// What the tasks of a gateway share.
+#[derive(Debug)]
+pub struct State {
+    /// Settings in force.
+    pub settings: cell::RefCell<rc::Rc<settings::Settings>>,
+    /// Chooses upstreams.
+    pub dispatcher: cell::RefCell<dispatcher::Dispatcher>,
+    /// Configuration in force; none until one was learnt.
+    pub routing: cell::RefCell<Option<sync::Arc<routing::Routing>>>,
+    /// Copy of what the store holds.
+    pub replica: cell::RefCell<replica::Replica>,
+    /// Other nodes.
+    pub members: cell::RefCell<members::Members>,
+    /// What this node tells of itself.
+    pub me: cell::RefCell<member::Member>,
+    /// Figures.
+    pub metrics: metrics::Metrics,
+    /// Whether the store answered last time.
+    pub is_store_reached: cell::Cell<bool>,
+    /// Wakes whoever sends heartbeats.
+    pub beat: Notify,
+}
+
+impl State {
+    /// Makes the state of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: settings::Settings, incarnation: u64) -> Self {
+        let position = dispatcher::Position {
+            node: settings.node.clone(),
+            region: settings.region.clone(),
+            halls: settings.halls.clone(),
+        };
+        let me = member::Member {
+            node: settings.node.clone(),
+            incarnation,
+            sequence: 0,
+            region: settings.region.clone(),
+            hall: settings.hall.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+            is_ready: false,
+            is_leaving: false,
+            at: 0,
+        };
+        let dispatcher = dispatcher::Dispatcher::new(position, settings.bounds());
+        Self {
+            settings: cell::RefCell::new(rc::Rc::new(settings)),
+            dispatcher: cell::RefCell::new(dispatcher),
+            routing: cell::RefCell::new(None),
+            replica: cell::RefCell::default(),
+            members: cell::RefCell::default(),
+            me: cell::RefCell::new(me),
+            metrics: metrics::Metrics::default(),
+            is_store_reached: cell::Cell::new(false),
+            beat: Notify::new(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn routing(&self) -> Option<sync::Arc<routing::Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Returns whether the node serves callers and wants new ones.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.routing.borrow().is_some() && self.replica.borrow().is_complete()
+    }
+
+    /// Returns whether the node is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.me.borrow().is_leaving
+    }
+
+    /// Lets `merge` change the copy of the store, and takes what it changed into force.
+    ///
+    /// `source` says for the log where the news came from.
+    pub fn learn(
+        &self,
+        source: &str,
+        merge: impl FnOnce(&mut replica::Replica) -> replica::Changes,
+    ) {
+        let now = Instant::now();
+        let mut replica = self.replica.borrow_mut();
+        let changes = merge(&mut replica);
+        for fault in &changes.faults {
+            self.metrics.malformed_items.add(1);
+            let (key, message) = (fault.key.as_str(), fault.message.as_str());
+            log::error!(key, revision = fault.revision, error = message, source; "item-malformed");
+        }
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if changes.routing
+            && let Some(routing) = replica.routing()
+        {
+            log::info!(
+                version = routing.version, routes = routing.routes().count(),
+                revision = replica.at(), source;
+                "config-adopted"
+            );
+            dispatcher.configure(sync::Arc::clone(routing));
+            *self.routing.borrow_mut() = Some(sync::Arc::clone(routing));
+        }
+        if changes.endpoints {
+            dispatcher.set_endpoints(replica.endpoints().cloned(), now);
+            let endpoints = replica.endpoints().count();
+            log::info!(endpoints, revision = replica.at(), source; "endpoints-changed");
+        }
+        if changes.evacuations {
+            let halls: collections::BTreeSet<id::Hall> = replica.evacuated().cloned().collect();
+            let names: Vec<&str> = halls.iter().map(id::Hall::as_str).collect();
+            log::info!(
+                halls = names.join(",").as_str(), revision = replica.at(), source;
+                "evacuations-changed"
+            );
+            dispatcher.set_evacuated(halls, now);
+        }
+        drop(dispatcher);
+        if changes.nodes {
+            let listed = replica.nodes().filter_map(|(_, value)| {
+                let member: member::Member = serde_json::from_slice(value).ok()?;
+                Some((member.node, member.peers))
+            });
+            let own = self.settings.borrow().node.clone();
+            let listed = listed.filter(|(node, _)| *node != own).collect();
+            self.members.borrow_mut().set_listed(listed);
+        }
+        self.me.borrow_mut().at = replica.at();
+        drop(replica);
+        self.update_ready();
+    }
+
+    /// Notes whether the store answers, with a line when that changes.
+    pub fn store_reached(&self, outcome: Result<(), &platform::store::error::Error>) {
+        let was_reached = self.is_store_reached.replace(outcome.is_ok());
+        match outcome {
+            Ok(()) if !was_reached => {
+                log::info!(revision = self.replica.borrow().at(); "store-reached")
+            }
+            Err(error) if was_reached => {
+                let error = error.to_string();
+                log::warn!(error = error.as_str(); "store-lost");
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells the dispatcher which nodes are alive.
+    pub fn update_nodes(&self) {
+        let now = Instant::now();
+        let members = self.members.borrow();
+        let own = self.settings.borrow().node.clone();
+        let mut alive: Vec<id::Node> =
+            members.alive(now).filter(|m| !m.is_leaving).map(|m| m.node.clone()).collect();
+        if !self.is_leaving() {
+            alive.push(own);
+        }
+        self.dispatcher.borrow_mut().set_nodes(alive, members.count() + 1);
+    }
+
+    /// Marks the node as stopping.
+    pub fn leave(&self) {
+        self.me.borrow_mut().is_leaving = true;
+        self.update_ready();
+    }
+
+    fn update_ready(&self) {
+        let is_ready = self.is_ready();
+        let was_ready = std::mem::replace(&mut self.me.borrow_mut().is_ready, is_ready);
+        if was_ready != is_ready {
+            log::info!(ready = is_ready; "ready-changed");
+            self.beat.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/sync.rs
@@ -0,0 +1,77 @@
+//! Follows the platform's store: reads it whole, then watches it.
+
+use std::rc;
+use std::time::Duration;
+
+use platform::store::client;
+use platform::store::error;
+use rand::RngExt as _;
+
+use crate::gateway::state;
+
+/// Longest time one watch waits.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Time in which changes gather before the next watch; calls are priced.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// First pause after a call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause after a call that failed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// All keys.
+const EVERYTHING: &str = "";
+
+/// Follows the store until the task ends.
+pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let outcome = match state.replica.borrow().is_complete() {
+            true => None,
+            false => Some(()),
+        };
+        let outcome = match outcome {
+            Some(()) => read(&state, &client).await,
+            None => watch(&state, &client).await,
+        };
+        state.store_reached(outcome.as_ref().map(|()| ()));
+        match outcome {
+            Ok(()) => pause = FIRST_PAUSE,
+            Err(error::Error::Compacted) => {
+                log::info!(after = state.replica.borrow().at(); "history-compacted");
+                if let Err(error) = read(&state, &client).await {
+                    state.store_reached(Err(&error));
+                    tokio::time::sleep(jittered(pause)).await;
+                }
+            }
+            Err(_) => {
+                tokio::time::sleep(jittered(pause)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
+    let page = client.range(EVERYTHING).await?;
+    state.learn("store", |replica| replica.replace(page));
+    Ok(())
+}
+
+async fn watch(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
+    let after = state.replica.borrow().at();
+    let page = client.watch(EVERYTHING, after, WAIT).await?;
+    let has_news = !page.items.is_empty();
+    state.learn("store", |replica| replica.merge(page));
+    if has_news {
+        tokio::time::sleep(GATHER).await;
+    }
+    Ok(())
+}
+
+/// Spreads pauses, so that nodes that failed together do not call together.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod duty;
 pub mod failed;
+pub mod gateway;
 pub mod head;
 pub mod logging;
 pub mod node;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -8,7 +8,7 @@
 
 use crate::settings;
 
-/// Sends events of `level` and above to standard error.
+/// Sends events of `level` and above to standard output.
 ///
 /// # Errors
 ///
@@ -20,7 +20,7 @@
         .level_for("node", filter(level))
         .level_for("steer", filter(level))
         .level_for("yokespoked", filter(level))
-        .chain(std::io::stderr())
+        .chain(std::io::stdout())
         .apply()?;
     Ok(())
 }
--- /dev/null
+++ b/crates/steer/src/dispatch/backend.rs
@@ -0,0 +1,59 @@
+//! Backends: endpoints with what this node knows of them.
+
+use std::sync;
+use std::time::Instant;
+
+use model::endpoint;
+use model::id;
+
+use crate::dispatch::cold;
+use crate::dispatch::health;
+use crate::dispatch::load;
+
+/// An endpoint with what this node knows of it.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// The endpoint as service discovery tells it.
+    pub endpoint: sync::Arc<endpoint::Endpoint>,
+    /// Its region.
+    pub region: id::Region,
+    /// Its load.
+    pub load: load::Load,
+    /// Its health.
+    pub health: health::Health,
+    /// What it may be sent while it is cold.
+    pub cold: cold::Limiter,
+    /// Whether another endpoint answered at its address.
+    pub is_replaced: bool,
+}
+
+impl Backend {
+    /// Makes a backend of a newly told endpoint.
+    #[must_use]
+    pub fn new(endpoint: sync::Arc<endpoint::Endpoint>, region: id::Region, now: Instant) -> Self {
+        let mut cold = cold::Limiter::new(now);
+        cold.cold_for(endpoint.cold_left, now);
+        Self {
+            endpoint,
+            region,
+            load: load::Load::new(now),
+            health: health::Health::new(now),
+            cold,
+            is_replaced: false,
+        }
+    }
+
+    /// Returns whether it takes new work at all, wherever its hall stands.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.endpoint.state == endpoint::State::Ready && !self.is_replaced
+    }
+
+    /// Returns the time a request would take here, in seconds.
+    #[must_use]
+    pub fn expected(&self, service_latency: f64, now: Instant) -> f64 {
+        let slots = f64::from(self.endpoint.slots);
+        let crowding = ((self.load.requests(now) + 1.0) / slots).max(1.0);
+        self.health.latency(service_latency, now) * crowding
+    }
+}
--- /dev/null
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -0,0 +1,475 @@
+//! The dispatcher of a node.
+
+use std::cmp;
+use std::collections;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use model::bounds;
+use model::endpoint;
+use model::id;
+use model::route;
+use model::routing;
+use xxhash_rust::xxh3;
+
+use crate::dispatch::ask;
+use crate::dispatch::backend;
+use crate::dispatch::cold;
+use crate::dispatch::outcome;
+use crate::dispatch::refusal;
+use crate::dispatch::retries;
+use crate::dispatch::shares;
+use crate::dispatch::wheel;
+use crate::ramp;
+use crate::split;
+
+/// Window in which the share that changes region is bounded.
+const SHIFT_WINDOW: Duration = Duration::from_secs(2);
+
+/// Part of the bound that planned moves use; the rest is for the grain of requests.
+const SHIFT_USED: f64 = 0.4;
+
+/// Latency that is assumed until a service has answered, in seconds.
+const FIRST_LATENCY: f64 = 0.25;
+
+/// Weight of one answer in a service's latency.
+const SERVICE_WEIGHT: f64 = 0.02;
+
+/// Cost of an object's second upstream against its first, which knows the object.
+const SECOND_COST: f64 = 1.25;
+
+/// Cost of an upstream that has probably not seen the object.
+const FURTHER_COST: f64 = 2.5;
+
+/// Cost of an upstream all of whose tries broke, against a sound one.
+const FAILURE_COST: f64 = 6.0;
+
+/// Shortest time after which a refused request is worth another try.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Part of its slots with which a cold upstream counts toward its region.
+const COLD_SLOTS: f64 = 0.3;
+
+/// Where a node stands.
+#[derive(Clone, Debug)]
+pub struct Position {
+    /// Its name.
+    pub node: id::Node,
+    /// Its region.
+    pub region: id::Region,
+    /// Regions of all halls.
+    pub halls: collections::BTreeMap<id::Hall, id::Region>,
+}
+
+/// The rotation over regions of requests that the same regions may serve.
+#[derive(Clone, Debug, Default)]
+struct Rotation {
+    ramp: ramp::Limiter,
+    wheel: wheel::Wheel<id::Region>,
+}
+
+/// A service, and the regions that may serve it; all when empty.
+type Scope = (id::Service, Vec<id::Region>);
+
+/// Decides which upstream takes a request.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    position: Position,
+    bounds: bounds::Bounds,
+    routing: sync::Arc<routing::Routing>,
+    evacuated: collections::BTreeSet<id::Hall>,
+    backends: collections::BTreeMap<id::Upstream, backend::Backend>,
+    services: collections::BTreeMap<id::Service, Vec<id::Upstream>>,
+    latencies: collections::BTreeMap<id::Service, f64>,
+    budgets: collections::BTreeMap<id::Service, retries::Budget>,
+    rotations: collections::BTreeMap<Scope, Rotation>,
+    parts: collections::BTreeMap<String, wheel::Wheel<id::Service>>,
+    nodes: Vec<id::Node>,
+    most_nodes: usize,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows no upstream yet.
+    #[must_use]
+    pub fn new(position: Position, bounds: bounds::Bounds) -> Self {
+        let nodes = vec![position.node.clone()];
+        Self {
+            position,
+            bounds,
+            routing: sync::Arc::default(),
+            evacuated: collections::BTreeSet::new(),
+            backends: collections::BTreeMap::new(),
+            services: collections::BTreeMap::new(),
+            latencies: collections::BTreeMap::new(),
+            budgets: collections::BTreeMap::new(),
+            rotations: collections::BTreeMap::new(),
+            parts: collections::BTreeMap::new(),
+            nodes,
+            most_nodes: 1,
+        }
+    }
+
+    /// Takes a new configuration into force.
+    pub fn configure(&mut self, routing: sync::Arc<routing::Routing>) {
+        let names: collections::BTreeSet<_> = routing.routes().map(|r| r.name.clone()).collect();
+        self.parts.retain(|name, _| names.contains(name));
+        self.routing = routing;
+    }
+
+    /// Takes the living nodes, this one included, and the most that the fleet may have.
+    pub fn set_nodes(&mut self, alive: Vec<id::Node>, known: usize) {
+        self.most_nodes = self.most_nodes.max(alive.len()).max(known);
+        self.nodes = alive;
+    }
+
+    /// Takes what service discovery tells.
+    pub fn set_endpoints(
+        &mut self,
+        endpoints: impl Iterator<Item = sync::Arc<endpoint::Endpoint>>,
+        now: Instant,
+    ) {
+        let mut before = std::mem::take(&mut self.backends);
+        self.services.clear();
+        for endpoint in endpoints {
+            let id = endpoint.id.clone();
+            let backend = match before.remove(&id) {
+                Some(known) => renewed(known, endpoint, now),
+                None => {
+                    let region = self.region_of(&endpoint.hall);
+                    backend::Backend::new(endpoint, region, now)
+                }
+            };
+            let service = backend.endpoint.service.clone();
+            self.services.entry(service).or_default().push(id.clone());
+            self.backends.insert(id, backend);
+        }
+    }
+
+    /// Takes the halls whose upstreams get nothing more.
+    ///
+    /// Upstreams of a hall that is taken back count as cold, since they may be.
+    pub fn set_evacuated(&mut self, halls: collections::BTreeSet<id::Hall>, now: Instant) {
+        let returned: Vec<id::Hall> = self.evacuated.difference(&halls).cloned().collect();
+        for backend in self.backends.values_mut() {
+            if returned.contains(&backend.endpoint.hall) {
+                let rules = self.routing.services.get(&backend.endpoint.service);
+                backend.cold.cold_for(rules.map_or(Duration::ZERO, |r| r.cold_start), now);
+            }
+        }
+        self.evacuated = halls;
+    }
+
+    /// Lets time pass: splits move toward their targets.
+    pub fn tick(&mut self, now: Instant) {
+        let limit = self.shift_limit();
+        let scopes: Vec<Scope> = self.rotations.keys().cloned().collect();
+        for scope in scopes {
+            let target = self.target(&scope, now);
+            if let Some(rotation) = self.rotations.get_mut(&scope) {
+                advance(rotation, &target, limit, now);
+            }
+        }
+    }
+
+    /// Returns the service that takes the next request of a route, by the weights of its parts.
+    pub fn pick_service(&mut self, route: &route::Route) -> Option<id::Service> {
+        if let [part] = route.parts.as_slice() {
+            return Some(part.service.clone());
+        }
+        let weights: Vec<_> = route.parts.iter().map(|p| (p.service.clone(), p.weight)).collect();
+        match self.parts.get_mut(&route.name) {
+            Some(wheel) => wheel.next(&weights),
+            None => self.parts.entry(route.name.clone()).or_default().next(&weights),
+        }
+    }
+
+    /// Returns the upstream for a request; [`Dispatcher::sent`] must follow when it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no upstream may take the request in its time.
+    pub fn choose(
+        &mut self,
+        ask: &ask::Ask<'_>,
+        now: Instant,
+    ) -> Result<sync::Arc<endpoint::Endpoint>, refusal::Refusal> {
+        let regions = self.region_order(ask, now);
+        let mut least: Option<f64> = None;
+        for region in &regions {
+            let Some((id, expected)) = self.best_in(region, ask, now) else { continue };
+            if expected <= ask.left.as_secs_f64() {
+                let backend = self.backends.get(&id).ok_or(refusal::Refusal::NoUpstream)?;
+                return Ok(sync::Arc::clone(&backend.endpoint));
+            }
+            least = Some(least.map_or(expected, |least| least.min(expected)));
+        }
+        match least {
+            Some(expected) => {
+                let surplus = (expected - ask.left.as_secs_f64()).clamp(0.0, 1.0);
+                let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
+                Err(refusal::Refusal::Overloaded { retry_after })
+            }
+            None => Err(refusal::Refusal::NoUpstream),
+        }
+    }
+
+    /// Returns whether a request may be sent to one more upstream of `service`, and counts it.
+    pub fn may_retry(&mut self, service: &id::Service, now: Instant) -> bool {
+        let allowance = self.allowance();
+        self.budgets.entry(service.clone()).or_default().retry(allowance, now)
+    }
+
+    /// Notes that a request is sent to `upstream`, for the first time or again.
+    pub fn sent(&mut self, upstream: &id::Upstream, is_first: bool, now: Instant) {
+        let allowance = self.allowance();
+        let Some(backend) = self.backends.get_mut(upstream) else { return };
+        backend.health.sent(backend.load.in_flight(), now);
+        backend.load.sent();
+        let service = &backend.endpoint.service;
+        if let Some(rate) = self.routing.services.get(service).and_then(|r| r.cold_rate)
+            && backend.cold.is_cold(now)
+        {
+            backend.cold.take(rate, now);
+        }
+        if is_first {
+            self.budgets.entry(service.clone()).or_default().first_try(allowance, now);
+        }
+    }
+
+    /// Notes how a try ended that [`Dispatcher::sent`] announced `waited` ago.
+    pub fn ended(
+        &mut self,
+        upstream: &id::Upstream,
+        outcome: outcome::Outcome,
+        waited: Duration,
+        now: Instant,
+    ) {
+        let Some(backend) = self.backends.get_mut(upstream) else { return };
+        let service =
+            self.latencies.entry(backend.endpoint.service.clone()).or_insert(FIRST_LATENCY);
+        backend.load.ended();
+        let in_flight = backend.load.in_flight();
+        match outcome {
+            outcome::Outcome::Answered { latency, load } => {
+                backend.health.answered(latency, *service, in_flight, now);
+                *service += (latency.as_secs_f64() - *service) * SERVICE_WEIGHT;
+                if let Some(load) = load {
+                    backend.load.tell(load, now);
+                }
+            }
+            outcome::Outcome::TurnedAway { load } => {
+                backend.health.heard(in_flight, now);
+                if let Some(load) = load {
+                    backend.load.tell(load, now);
+                }
+                backend.load.full(backend.endpoint.slots, now);
+            }
+            outcome::Outcome::Replaced => backend.is_replaced = true,
+            outcome::Outcome::NotSent => backend.health.unreachable(now),
+            outcome::Outcome::Broken => backend.health.broken(),
+            outcome::Outcome::TimedOut => backend.health.timed_out(waited, *service, now),
+            outcome::Outcome::Abandoned => {}
+        }
+    }
+
+    /// Returns the backends, for a look at the state.
+    pub fn backends(&self) -> impl Iterator<Item = &backend::Backend> {
+        self.backends.values()
+    }
+
+    /// Returns where the splits stand, for a look at the state.
+    pub fn splits(&self) -> impl Iterator<Item = (&id::Service, &split::Split)> {
+        self.rotations.iter().map(|((service, _), r)| (service, r.ramp.position()))
+    }
+
+    /// Returns whether any upstream is known.
+    #[must_use]
+    pub fn has_endpoints(&self) -> bool {
+        !self.backends.is_empty()
+    }
+
+    fn region_of(&self, hall: &id::Hall) -> id::Region {
+        match self.position.halls.get(hall) {
+            Some(region) => region.clone(),
+            None => id::Region::new(hall.as_str()),
+        }
+    }
+
+    fn allowance(&self) -> retries::Allowance {
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
+        let nodes = self.most_nodes as f64;
+        retries::Allowance {
+            window: self.bounds.retry_window,
+            ratio: self.bounds.retry_ratio,
+            slack: self.bounds.retry_slack / nodes,
+        }
+    }
+
+    fn shift_limit(&self) -> ramp::Limit {
+        let share = self.bounds.greatest_shift * SHIFT_USED;
+        let share = split::Split::new(&[
+            (id::Region::new("moved"), share),
+            (id::Region::new("kept"), (1.0 - share).max(0.0)),
+        ])
+        .share(&id::Region::new("moved"));
+        ramp::Limit { share: model::fraction::Fraction(share), window: SHIFT_WINDOW }
+    }
+
+    /// Returns the regions for a request, the one whose turn it is first.
+    fn region_order(&mut self, ask: &ask::Ask<'_>, now: Instant) -> Vec<id::Region> {
+        let scope: Scope = (ask.service.clone(), ask.route.home_regions.clone());
+        if !self.rotations.contains_key(&scope) {
+            let target = self.target(&scope, now);
+            let rotation = Rotation { ramp: ramp::Limiter::new(target), ..Rotation::default() };
+            self.rotations.insert(scope.clone(), rotation);
+        }
+        let limit = self.shift_limit();
+        let is_empty = self.rotations.get(&scope).is_none_or(|r| r.ramp.position().is_empty());
+        if is_empty {
+            let target = self.target(&scope, now);
+            if let Some(rotation) = self.rotations.get_mut(&scope) {
+                advance(rotation, &target, limit, now);
+            }
+        }
+        let Some(rotation) = self.rotations.get_mut(&scope) else { return Vec::new() };
+        let mut weights: Vec<(id::Region, f64)> = rotation
+            .ramp
+            .position()
+            .parts()
+            .map(|(region, part)| (region.clone(), f64::from(part)))
+            .collect();
+        let first = match ask.tried.is_empty() {
+            true => rotation.wheel.next(&weights),
+            false => None,
+        };
+        weights.sort_by(|a, b| b.1.partial_cmp(&a.1).unwrap_or(cmp::Ordering::Equal));
+        let mut order: Vec<id::Region> = first.into_iter().collect();
+        for region in weights.into_iter().map(|(r, _)| r).chain(self.allowed(&scope.1)) {
+            if !order.contains(&region) {
+                order.push(region);
+            }
+        }
+        order
+    }
+
+    /// Returns the regions that may serve a route with these homes.
+    fn allowed(&self, homes: &[id::Region]) -> Vec<id::Region> {
+        let all: collections::BTreeSet<_> = self.position.halls.values().cloned().collect();
+        match homes {
+            [] => all.into_iter().collect(),
+            homes => homes.to_vec(),
+        }
+    }
+
+    fn target(&self, (service, homes): &Scope, now: Instant) -> split::Split {
+        let capacities: Vec<shares::Capacity> = self
+            .allowed(homes)
+            .into_iter()
+            .map(|region| {
+                let slots = self.slots(service, &region, now);
+                shares::Capacity { region, slots }
+            })
+            .collect();
+        shares::target(&self.position.region, &capacities)
+    }
+
+    /// Returns the slots of a region's upstreams that take work.
+    fn slots(&self, service: &id::Service, region: &id::Region, now: Instant) -> f64 {
+        let of_service = self.services.get(service).into_iter().flatten();
+        of_service
+            .filter_map(|id| self.backends.get(id))
+            .filter(|b| b.region == *region && self.takes_work(b))
+            .map(|b| {
+                f64::from(b.endpoint.slots) * if b.cold.is_cold(now) { COLD_SLOTS } else { 1.0 }
+            })
+            .sum()
+    }
+
+    fn takes_work(&self, backend: &backend::Backend) -> bool {
+        backend.is_usable() && !self.evacuated.contains(&backend.endpoint.hall)
+    }
+
+    /// Returns whether a cold upstream may get one more request, from this node.
+    fn may_warm(&self, backend: &backend::Backend, now: Instant) -> bool {
+        let rules = self.routing.services.get(&backend.endpoint.service);
+        let Some(rate) = rules.and_then(|r| r.cold_rate) else { return true };
+        if !backend.cold.is_cold(now) {
+            return true;
+        }
+        let owner = cold::owner(&backend.endpoint.id, self.nodes.iter());
+        owner == Some(&self.position.node) && backend.cold.has_room(rate, now)
+    }
+
+    /// Returns the best upstream of a region, with the time a request would take there.
+    fn best_in(
+        &self,
+        region: &id::Region,
+        ask: &ask::Ask<'_>,
+        now: Instant,
+    ) -> Option<(id::Upstream, f64)> {
+        let latency = self.latencies.get(ask.service).copied().unwrap_or(FIRST_LATENCY);
+        let ids = self.services.get(ask.service)?;
+        let mut candidates: Vec<(u64, &backend::Backend)> = ids
+            .iter()
+            .filter(|id| !ask.tried.contains(id))
+            .filter_map(|id| self.backends.get(id))
+            .filter(|b| b.region == *region && self.takes_work(b) && self.may_warm(b, now))
+            .map(|b| (affinity(ask.key, &b.endpoint.id), b))
+            .collect();
+        candidates.sort_by_key(|(hash, _)| cmp::Reverse(*hash));
+        let is_sound =
+            |b: &backend::Backend| !b.health.is_ejected(now) && !b.health.is_silent(latency, now);
+        if candidates.iter().any(|(_, b)| is_sound(b)) {
+            candidates.retain(|(_, b)| is_sound(b));
+        }
+        let mut best: Option<(&backend::Backend, f64, f64)> = None;
+        for (rank, (_, backend)) in candidates.iter().enumerate() {
+            let expected = backend.expected(latency, now);
+            let cost = expected
+                * affinity_cost(ask.route.is_sticky, rank)
+                * (1.0 + backend.health.failures() * FAILURE_COST);
+            if best.is_none_or(|(_, least, _)| cost < least) {
+                best = Some((backend, cost, expected));
+            }
+        }
+        best.map(|(backend, _, expected)| (backend.endpoint.id.clone(), expected))
+    }
+}
+
+/// Returns how much dearer an upstream is than the one that knows the object best.
+fn affinity_cost(is_sticky: bool, rank: usize) -> f64 {
+    match (is_sticky, rank) {
+        (false, _) | (true, 0) => 1.0,
+        (true, 1) => SECOND_COST,
+        (true, _) => FURTHER_COST,
+    }
+}
+
+fn affinity(key: u64, upstream: &id::Upstream) -> u64 {
+    xxh3::xxh3_64_with_seed(upstream.as_str().as_bytes(), key)
+}
+
+fn renewed(
+    mut known: backend::Backend,
+    endpoint: sync::Arc<endpoint::Endpoint>,
+    now: Instant,
+) -> backend::Backend {
+    if known.endpoint != endpoint {
+        known.cold.cold_for(endpoint.cold_left, now);
+        known.endpoint = endpoint;
+    }
+    known
+}
+
+/// Moves a rotation toward its target; one that goes nowhere yet takes the target at once.
+fn advance(rotation: &mut Rotation, target: &split::Split, limit: ramp::Limit, now: Instant) {
+    if target.is_empty() {
+        return;
+    }
+    match rotation.ramp.position().is_empty() {
+        true => rotation.ramp = ramp::Limiter::new(target.clone()),
+        false => {
+            rotation.ramp.advance(target, Some(limit), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/dispatch/health.rs
@@ -0,0 +1,126 @@
+//! Health of one upstream, from how its tries end; nothing is probed.
+
+use std::time::{Duration, Instant};
+
+/// First time for which an upstream that cannot be reached gets nothing.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+
+/// Longest time for which an upstream that cannot be reached gets nothing.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// Weight of one try in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// Weight of one answer in the latency.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Time in which an upstream's own latency falls back to that of its service.
+const LATENCY_MEMORY: Duration = Duration::from_secs(4);
+
+/// Shortest silence, with requests in flight, that makes an upstream suspect.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Silence that makes an upstream suspect, as a multiple of its latency.
+const SILENCE_FACTOR: f64 = 4.0;
+
+/// Health of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Health {
+    latency: Option<f64>,
+    measured: Instant,
+    failures: f64,
+    ejection: Duration,
+    ejected_until: Option<Instant>,
+    silent_since: Option<Instant>,
+}
+
+impl Health {
+    /// Starts healthy.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            latency: None,
+            measured: now,
+            failures: 0.0,
+            ejection: Duration::ZERO,
+            ejected_until: None,
+            silent_since: None,
+        }
+    }
+
+    /// Notes that a request is sent while `in_flight` others were.
+    pub fn sent(&mut self, in_flight: u32, now: Instant) {
+        if in_flight == 0 {
+            self.silent_since = Some(now);
+        }
+    }
+
+    /// Notes an answer after `latency`; `in_flight` others are still out.
+    pub fn answered(&mut self, latency: Duration, service: f64, in_flight: u32, now: Instant) {
+        let before = self.latency(service, now);
+        self.latency = Some(before + (latency.as_secs_f64() - before) * LATENCY_WEIGHT);
+        self.measured = now;
+        self.failures -= self.failures * FAILURE_WEIGHT;
+        self.heard(in_flight, now);
+    }
+
+    /// Notes a sign of life that is no answer to work.
+    pub fn heard(&mut self, in_flight: u32, now: Instant) {
+        self.ejection = Duration::ZERO;
+        self.ejected_until = None;
+        self.silent_since = (in_flight > 0).then_some(now);
+    }
+
+    /// Notes a broken answer or connection.
+    pub fn broken(&mut self) {
+        self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+    }
+
+    /// Notes that a request's time was up after `waited`.
+    pub fn timed_out(&mut self, waited: Duration, service: f64, now: Instant) {
+        let before = self.latency(service, now);
+        let waited = waited.as_secs_f64();
+        if waited > before {
+            self.latency = Some(before + (waited - before) * LATENCY_WEIGHT);
+            self.measured = now;
+        }
+    }
+
+    /// Notes that it could not be reached: it gets nothing for a while.
+    pub fn unreachable(&mut self, now: Instant) {
+        self.ejection = match self.ejection {
+            Duration::ZERO => FIRST_EJECTION,
+            before => (before * 2).min(LONGEST_EJECTION),
+        };
+        self.ejected_until = Some(now + self.ejection);
+    }
+
+    /// Returns whether it gets nothing now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether it has been silent for too long with requests in flight.
+    #[must_use]
+    pub fn is_silent(&self, service: f64, now: Instant) -> bool {
+        let Some(since) = self.silent_since else { return false };
+        let usual = self.latency(service, now) * SILENCE_FACTOR;
+        let bound = usual.max(SHORTEST_SILENCE.as_secs_f64());
+        now.saturating_duration_since(since).as_secs_f64() > bound
+    }
+
+    /// Returns its latency in seconds, which falls back to that of its `service` with time.
+    #[must_use]
+    pub fn latency(&self, service: f64, now: Instant) -> f64 {
+        let Some(own) = self.latency else { return service };
+        let age = now.saturating_duration_since(self.measured).as_secs_f64();
+        service + (own - service) * (-age / LATENCY_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Returns the share of its tries that broke, weighted to the latest.
+    #[must_use]
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+}
--- /dev/null
+++ b/crates/steer/src/dispatch/mod.rs
@@ -0,0 +1,17 @@
+//! Dispatch: which upstream takes a request that an entry node sends by itself.
+//!
+//! Each node decides alone, from the endpoints that service discovery tells, the load that answers
+//! tell, and what it has in flight itself. Requests about one object meet the same upstream as long
+//! as that is not overloaded.
+
+pub mod ask;
+pub mod backend;
+pub mod cold;
+pub mod dispatcher;
+pub mod health;
+pub mod load;
+pub mod outcome;
+pub mod refusal;
+pub mod retries;
+pub mod shares;
+pub mod wheel;
--- /dev/null
+++ b/crates/steer/src/dispatch/outcome.rs
@@ -0,0 +1,32 @@
+//! How a try at an upstream ended.
+
+use std::time::Duration;
+
+use model::endpoint;
+
+/// How a try at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It answered, after this time.
+    Answered {
+        /// Time from sending to the answer.
+        latency: Duration,
+        /// Load it told.
+        load: Option<endpoint::Load>,
+    },
+    /// It turned the request away without running it.
+    TurnedAway {
+        /// Load it told.
+        load: Option<endpoint::Load>,
+    },
+    /// Another upstream has its address.
+    Replaced,
+    /// No connection came up, so nothing was sent.
+    NotSent,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// The request's time was up.
+    TimedOut,
+    /// The caller left.
+    Abandoned,
+}
--- /dev/null
+++ b/crates/steer/src/dispatch/retries.rs
@@ -0,0 +1,73 @@
+//! Retry budgets: this node's part of the retries that the fleet may send to a service.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+/// Part of the allowance that is used, for the delay between sending and arriving.
+const USED: f64 = 0.75;
+
+/// Buckets in a window.
+const BUCKETS: u32 = 20;
+
+/// Requests and retries to one service, over a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    buckets: collections::VecDeque<Bucket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    began: Instant,
+    first_tries: u32,
+    retries: u32,
+}
+
+/// What a budget allows.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// Length of the window.
+    pub window: Duration,
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beside those, for this node.
+    pub slack: f64,
+}
+
+impl Budget {
+    /// Notes a first try.
+    pub fn first_try(&mut self, allowance: Allowance, now: Instant) {
+        self.bucket(allowance, now).first_tries += 1;
+    }
+
+    /// Takes one retry out; returns false when none is left.
+    pub fn retry(&mut self, allowance: Allowance, now: Instant) -> bool {
+        let first_tries: u32 = self.within(allowance, now).map(|b| b.first_tries).sum();
+        let retries: u32 = self.within(allowance, now).map(|b| b.retries).sum();
+        let most = f64::from(first_tries) * allowance.ratio + allowance.slack;
+        let is_allowed = f64::from(retries) + 1.0 <= most * USED;
+        if is_allowed {
+            self.bucket(allowance, now).retries += 1;
+        }
+        is_allowed
+    }
+
+    fn within(&self, allowance: Allowance, now: Instant) -> impl Iterator<Item = &Bucket> {
+        let is_recent =
+            move |b: &&Bucket| now.saturating_duration_since(b.began) <= allowance.window;
+        self.buckets.iter().filter(is_recent)
+    }
+
+    fn bucket(&mut self, allowance: Allowance, now: Instant) -> &mut Bucket {
+        let length = allowance.window / BUCKETS;
+        let is_old = |b: &Bucket| now.saturating_duration_since(b.began) > allowance.window;
+        while self.buckets.front().is_some_and(is_old) {
+            self.buckets.pop_front();
+        }
+        let is_current = |b: &Bucket| now.saturating_duration_since(b.began) < length;
+        if !self.buckets.back().is_some_and(is_current) {
+            self.buckets.push_back(Bucket { began: now, first_tries: 0, retries: 0 });
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod beat;
 pub mod budget;
 pub mod core;
+pub mod dispatch;
 pub mod event;
 pub mod health;
 pub mod home;
