Requests about one object go to the same region as long as its share holds

Ruled out: retries (1 % of arrivals), ejections.

Change: weighted rendezvous of objects over regions, within five requests of the share.

--- a/crates/steer/src/dispatch/dispatcher.rs
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -35,6 +35,9 @@
 /// Weight of one answer in a service's latency.
 const SERVICE_WEIGHT: f64 = 0.02;
 
+/// Requests that a region may be ahead of its share, so that those about one object go alike.
+const MOST_LEAD: f64 = 5.0;
+
 /// Cost of an object's second upstream against its first, which knows the object.
 const SECOND_COST: f64 = 1.25;
 
@@ -338,9 +341,13 @@
             .parts()
             .map(|(region, part)| (region.clone(), f64::from(part)))
             .collect();
-        let first = match ask.tried.is_empty() {
-            true => rotation.wheel.next(&weights),
-            false => None,
+        let first = match (ask.tried.is_empty(), ask.route.is_sticky) {
+            (true, true) => {
+                let wanted = by_affinity(ask.key, &weights);
+                rotation.wheel.prefer(&weights, &wanted, MOST_LEAD)
+            }
+            (true, false) => rotation.wheel.next(&weights),
+            (false, _) => None,
         };
         weights.sort_by(|a, b| b.1.partial_cmp(&a.1).unwrap_or(cmp::Ordering::Equal));
         let mut order: Vec<id::Region> = first.into_iter().collect();
@@ -445,6 +452,26 @@
     }
 }
 
+/// Returns regions in the order in which an object prefers them, each first for its share of objects.
+///
+/// Weighted rendezvous hashing: a share that changes moves the least number of objects.
+fn by_affinity(key: u64, weights: &[(id::Region, f64)]) -> Vec<id::Region> {
+    let mut scored: Vec<(f64, &id::Region)> = weights
+        .iter()
+        .filter(|(_, weight)| *weight > 0.0)
+        .map(|(region, weight)| (score(key, region, *weight), region))
+        .collect();
+    scored.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(cmp::Ordering::Equal));
+    scored.into_iter().map(|(_, region)| region.clone()).collect()
+}
+
+fn score(key: u64, region: &id::Region, weight: f64) -> f64 {
+    let hash = xxh3::xxh3_64_with_seed(region.as_str().as_bytes(), key);
+    #[expect(clippy::cast_precision_loss, reason = "a uniform number is all that is wanted")]
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -weight / uniform.ln()
+}
+
 fn affinity(key: u64, upstream: &id::Upstream) -> u64 {
     xxh3::xxh3_64_with_seed(upstream.as_str().as_bytes(), key)
 }
