--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -10,6 +10,7 @@
 use tokio::task;
 
 use crate::gateway::heartbeat;
+use crate::gateway::loads;
 use crate::gateway::proxy::face;
 use crate::gateway::proxy::pool;
 use crate::gateway::registration;
@@ -79,6 +80,7 @@
             task::spawn_local(sync::run(rc::Rc::clone(&state), client.clone())),
             task::spawn_local(registration::run(rc::Rc::clone(&state), client)),
             task::spawn_local(heartbeat::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
+            task::spawn_local(loads::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(heartbeat::receive(rc::Rc::clone(&state), datagrams)),
             task::spawn_local(heartbeat::catch_up(rc::Rc::clone(&state))),
             task::spawn_local(tick(rc::Rc::clone(&state), pool)),
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::UdpSocket;
 
+use crate::gateway::loads;
 use crate::gateway::member;
 use crate::gateway::peer;
 use crate::gateway::state;
@@ -21,7 +22,7 @@
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Largest datagram that is read, in bytes.
-const LARGEST: usize = 2_048;
+const LARGEST: usize = 16_384;
 
 /// Sends heartbeats until the task ends.
 pub async fn send(state: rc::Rc<state::State>, socket: rc::Rc<UdpSocket>) {
@@ -66,9 +67,12 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let Ok(member) = serde_json::from_slice::<member::Member>(&buffer[..length]) else {
+        let datagram = &buffer[..length];
+        if datagram.first() == Some(&loads::MARK) {
+            loads::receive(&state, &datagram[1..]);
             continue;
-        };
+        }
+        let Ok(member) = serde_json::from_slice::<member::Member>(datagram) else { continue };
         if member.node == state.me.borrow().node {
             continue;
         }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod gateway;
 pub mod heartbeat;
+pub mod loads;
 pub mod member;
 pub mod members;
 pub mod metrics;
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -16,6 +16,7 @@
     /// The upstream.
     pub endpoint: sync::Arc<endpoint::Endpoint>,
     began: Instant,
+    crowding: f64,
     deadline: Instant,
     is_told: bool,
 }
@@ -30,15 +31,23 @@
         deadline: Instant,
     ) -> Self {
         let now = Instant::now();
-        state.dispatcher.borrow_mut().sent(&endpoint.id, is_first, now);
+        let crowding = state.dispatcher.borrow_mut().sent(&endpoint.id, is_first, now);
         state.metrics.tries.add(1);
-        Self { state: rc::Rc::clone(state), endpoint, began: now, deadline, is_told: false }
+        Self {
+            state: rc::Rc::clone(state),
+            endpoint,
+            began: now,
+            crowding,
+            deadline,
+            is_told: false,
+        }
     }
 
-    /// Returns when the try began.
-    #[must_use]
-    pub fn began(&self) -> Instant {
-        self.began
+    /// Ends the try with a whole answer.
+    pub fn answered(self, load: Option<endpoint::Load>) {
+        let latency = self.began.elapsed();
+        let crowding = self.crowding;
+        self.end(outcome::Outcome::Answered { latency, crowding, load });
     }
 
     /// Ends the try.
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -229,11 +229,10 @@
         connection: connection::Connection,
         answer: exchange::Answer,
     ) -> Response<body::Body> {
-        let latency = attempt.began().elapsed();
         let body = match answer.bytes {
             exchange::Payload::Whole(bytes) => {
                 let upstream = attempt.endpoint.id.clone();
-                attempt.end(outcome::Outcome::Answered { latency, load: answer.load });
+                attempt.answered(answer.load);
                 self.face.pool.put(&upstream, connection);
                 body::full(bytes)
             }
--- a/crates/steer/src/dispatch/backend.rs
+++ b/crates/steer/src/dispatch/backend.rs
@@ -49,11 +49,22 @@
         self.endpoint.state == endpoint::State::Ready && !self.is_replaced
     }
 
-    /// Returns the time a request would take here, in seconds.
+    /// Returns how many times the work of one request passes until one more would be done.
     #[must_use]
-    pub fn expected(&self, service_latency: f64, now: Instant) -> f64 {
+    pub fn crowding(&self, now: Instant) -> f64 {
         let slots = f64::from(self.endpoint.slots);
-        let crowding = ((self.load.requests(now) + 1.0) / slots).max(1.0);
-        self.health.latency(service_latency, now) * crowding
+        ((self.load.requests(now) + 1.0) / slots).max(1.0)
+    }
+
+    /// Returns how long one more request would wait and be worked on, in seconds.
+    #[must_use]
+    pub fn expected(&self, service_work: f64, now: Instant) -> f64 {
+        self.health.work(service_work, now) * self.crowding(now)
+    }
+
+    /// Returns how long one more request would wait, in seconds.
+    #[must_use]
+    pub fn wait(&self, service_work: f64, now: Instant) -> f64 {
+        self.health.work(service_work, now) * (self.crowding(now) - 1.0)
     }
 }
--- a/crates/steer/src/dispatch/dispatcher.rs
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -16,10 +16,12 @@
 use crate::dispatch::backend;
 use crate::dispatch::cold;
 use crate::dispatch::outcome;
+use crate::dispatch::peers;
 use crate::dispatch::refusal;
 use crate::dispatch::retries;
 use crate::dispatch::shares;
 use crate::dispatch::wheel;
+use crate::dispatch::work;
 use crate::ramp;
 use crate::split;
 
@@ -29,12 +31,6 @@
 /// Part of the bound that planned moves use; the rest is for the grain of requests.
 const SHIFT_USED: f64 = 0.4;
 
-/// Latency that is assumed until a service has answered, in seconds.
-const FIRST_LATENCY: f64 = 0.25;
-
-/// Weight of one answer in a service's latency.
-const SERVICE_WEIGHT: f64 = 0.02;
-
 /// Requests that a region may be ahead of its share, so that those about one object go alike.
 const MOST_LEAD: f64 = 5.0;
 
@@ -83,10 +79,11 @@
     evacuated: collections::BTreeSet<id::Hall>,
     backends: collections::BTreeMap<id::Upstream, backend::Backend>,
     services: collections::BTreeMap<id::Service, Vec<id::Upstream>>,
-    latencies: collections::BTreeMap<id::Service, f64>,
+    work: collections::BTreeMap<id::Service, work::Work>,
     budgets: collections::BTreeMap<id::Service, retries::Budget>,
     rotations: collections::BTreeMap<Scope, Rotation>,
     parts: collections::BTreeMap<String, wheel::Wheel<id::Service>>,
+    peers: peers::Peers,
     nodes: Vec<id::Node>,
     most_nodes: usize,
 }
@@ -103,10 +100,11 @@
             evacuated: collections::BTreeSet::new(),
             backends: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
-            latencies: collections::BTreeMap::new(),
+            work: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             rotations: collections::BTreeMap::new(),
             parts: collections::BTreeMap::new(),
+            peers: peers::Peers::default(),
             nodes,
             most_nodes: 1,
         }
@@ -125,6 +123,32 @@
         self.nodes = alive;
     }
 
+    /// Takes what another node has in flight.
+    pub fn set_peer_load(
+        &mut self,
+        node: id::Node,
+        requests: Vec<(peers::Key, u32)>,
+        now: Instant,
+    ) {
+        self.peers.tell(node, requests, now);
+        self.spread_peer_load(now);
+    }
+
+    /// Returns what this node has in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> Vec<(peers::Key, u32)> {
+        let busy = self.backends.values().filter(|b| b.load.in_flight() > 0);
+        busy.map(|b| (peers::Key::of(&b.endpoint.id), b.load.in_flight())).collect()
+    }
+
+    fn spread_peer_load(&mut self, now: Instant) {
+        let totals = self.peers.totals(now);
+        for backend in self.backends.values_mut() {
+            let key = peers::Key::of(&backend.endpoint.id);
+            backend.load.set_peers(totals.get(&key).copied().unwrap_or_default());
+        }
+    }
+
     /// Takes what service discovery tells.
     pub fn set_endpoints(
         &mut self,
@@ -164,6 +188,7 @@
 
     /// Lets time pass: splits move toward their targets.
     pub fn tick(&mut self, now: Instant) {
+        self.spread_peer_load(now);
         let limit = self.shift_limit();
         let scopes: Vec<Scope> = self.rotations.keys().cloned().collect();
         for scope in scopes {
@@ -197,10 +222,11 @@
         now: Instant,
     ) -> Result<sync::Arc<endpoint::Endpoint>, refusal::Refusal> {
         let regions = self.region_order(ask, now);
+        let left = ask.left.as_secs_f64();
         let mut least: Option<f64> = None;
         for region in &regions {
             let Some((id, expected)) = self.best_in(region, ask, now) else { continue };
-            if expected <= ask.left.as_secs_f64() {
+            if expected <= left {
                 let backend = self.backends.get(&id).ok_or(refusal::Refusal::NoUpstream)?;
                 return Ok(sync::Arc::clone(&backend.endpoint));
             }
@@ -208,7 +234,7 @@
         }
         match least {
             Some(expected) => {
-                let surplus = (expected - ask.left.as_secs_f64()).clamp(0.0, 1.0);
+                let surplus = (expected - left).clamp(0.0, 1.0);
                 let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
                 Err(refusal::Refusal::Overloaded { retry_after })
             }
@@ -223,9 +249,12 @@
     }
 
     /// Notes that a request is sent to `upstream`, for the first time or again.
-    pub fn sent(&mut self, upstream: &id::Upstream, is_first: bool, now: Instant) {
+    ///
+    /// Returns how many times the work of one request passes until it is done, as far as known.
+    pub fn sent(&mut self, upstream: &id::Upstream, is_first: bool, now: Instant) -> f64 {
         let allowance = self.allowance();
-        let Some(backend) = self.backends.get_mut(upstream) else { return };
+        let Some(backend) = self.backends.get_mut(upstream) else { return 1.0 };
+        let crowding = backend.crowding(now);
         backend.health.sent(backend.load.in_flight(), now);
         backend.load.sent();
         let service = &backend.endpoint.service;
@@ -237,6 +266,7 @@
         if is_first {
             self.budgets.entry(service.clone()).or_default().first_try(allowance, now);
         }
+        crowding
     }
 
     /// Notes how a try ended that [`Dispatcher::sent`] announced `waited` ago.
@@ -248,14 +278,14 @@
         now: Instant,
     ) {
         let Some(backend) = self.backends.get_mut(upstream) else { return };
-        let service =
-            self.latencies.entry(backend.endpoint.service.clone()).or_insert(FIRST_LATENCY);
+        let service = self.work.entry(backend.endpoint.service.clone()).or_default();
         backend.load.ended();
         let in_flight = backend.load.in_flight();
         match outcome {
-            outcome::Outcome::Answered { latency, load } => {
-                backend.health.answered(latency, *service, in_flight, now);
-                *service += (latency.as_secs_f64() - *service) * SERVICE_WEIGHT;
+            outcome::Outcome::Answered { latency, crowding, load } => {
+                let seconds = latency.as_secs_f64() / crowding.max(1.0);
+                backend.health.answered(seconds, service.mean(), in_flight, now);
+                service.note(seconds);
                 if let Some(load) = load {
                     backend.load.tell(load, now);
                 }
@@ -270,7 +300,7 @@
             outcome::Outcome::Replaced => backend.is_replaced = true,
             outcome::Outcome::NotSent => backend.health.unreachable(now),
             outcome::Outcome::Broken => backend.health.broken(),
-            outcome::Outcome::TimedOut => backend.health.timed_out(waited, *service, now),
+            outcome::Outcome::TimedOut => backend.health.timed_out(waited, service.mean(), now),
             outcome::Outcome::Abandoned => {}
         }
     }
@@ -407,14 +437,15 @@
         owner == Some(&self.position.node) && backend.cold.has_room(rate, now)
     }
 
-    /// Returns the best upstream of a region, with the time a request would take there.
+    /// Returns the best upstream of a region, with a careful guess of the time that a request would
+    /// take there, in seconds.
     fn best_in(
         &self,
         region: &id::Region,
         ask: &ask::Ask<'_>,
         now: Instant,
     ) -> Option<(id::Upstream, f64)> {
-        let latency = self.latencies.get(ask.service).copied().unwrap_or(FIRST_LATENCY);
+        let work = self.work.get(ask.service).copied().unwrap_or_default();
         let ids = self.services.get(ask.service)?;
         let mut candidates: Vec<(u64, &backend::Backend)> = ids
             .iter()
@@ -424,15 +455,16 @@
             .map(|b| (affinity(ask.key, &b.endpoint.id), b))
             .collect();
         candidates.sort_by_key(|(hash, _)| cmp::Reverse(*hash));
-        let is_sound =
-            |b: &backend::Backend| !b.health.is_ejected(now) && !b.health.is_silent(latency, now);
+        let is_sound = |b: &backend::Backend| {
+            !b.health.is_ejected(now) && !b.health.is_silent(work.mean(), now)
+        };
         if candidates.iter().any(|(_, b)| is_sound(b)) {
             candidates.retain(|(_, b)| is_sound(b));
         }
         let mut best: Option<(&backend::Backend, f64, f64)> = None;
         for (rank, (_, backend)) in candidates.iter().enumerate() {
-            let expected = backend.expected(latency, now);
-            let cost = expected
+            let expected = backend.wait(work.mean(), now) + work.careful();
+            let cost = backend.expected(work.mean(), now)
                 * affinity_cost(ask.route.is_sticky, rank)
                 * (1.0 + backend.health.failures() * FAILURE_COST);
             if best.is_none_or(|(_, least, _)| cost < least) {
--- a/crates/steer/src/dispatch/health.rs
+++ b/crates/steer/src/dispatch/health.rs
@@ -11,22 +11,22 @@
 /// Weight of one try in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 
-/// Weight of one answer in the latency.
-const LATENCY_WEIGHT: f64 = 0.2;
+/// Weight of one answer in the time of work.
+const WORK_WEIGHT: f64 = 0.2;
 
-/// Time in which an upstream's own latency falls back to that of its service.
-const LATENCY_MEMORY: Duration = Duration::from_secs(4);
+/// Time in which an upstream's own time of work falls back to that of its service.
+const WORK_MEMORY: Duration = Duration::from_secs(4);
 
 /// Shortest silence, with requests in flight, that makes an upstream suspect.
 const SHORTEST_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Silence that makes an upstream suspect, as a multiple of its latency.
+/// Silence that makes an upstream suspect, as a multiple of its time of work.
 const SILENCE_FACTOR: f64 = 4.0;
 
 /// Health of one upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Health {
-    latency: Option<f64>,
+    work: Option<f64>,
     measured: Instant,
     failures: f64,
     ejection: Duration,
@@ -39,7 +39,7 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            latency: None,
+            work: None,
             measured: now,
             failures: 0.0,
             ejection: Duration::ZERO,
@@ -55,10 +55,10 @@
         }
     }
 
-    /// Notes an answer after `latency`; `in_flight` others are still out.
-    pub fn answered(&mut self, latency: Duration, service: f64, in_flight: u32, now: Instant) {
-        let before = self.latency(service, now);
-        self.latency = Some(before + (latency.as_secs_f64() - before) * LATENCY_WEIGHT);
+    /// Notes an answer after `work` seconds without waiting; `in_flight` others are still out.
+    pub fn answered(&mut self, work: f64, service: f64, in_flight: u32, now: Instant) {
+        let before = self.work(service, now);
+        self.work = Some(before + (work - before) * WORK_WEIGHT);
         self.measured = now;
         self.failures -= self.failures * FAILURE_WEIGHT;
         self.heard(in_flight, now);
@@ -78,10 +78,10 @@
 
     /// Notes that a request's time was up after `waited`.
     pub fn timed_out(&mut self, waited: Duration, service: f64, now: Instant) {
-        let before = self.latency(service, now);
+        let before = self.work(service, now);
         let waited = waited.as_secs_f64();
         if waited > before {
-            self.latency = Some(before + (waited - before) * LATENCY_WEIGHT);
+            self.work = Some(before + (waited - before) * WORK_WEIGHT);
             self.measured = now;
         }
     }
@@ -105,17 +105,17 @@
     #[must_use]
     pub fn is_silent(&self, service: f64, now: Instant) -> bool {
         let Some(since) = self.silent_since else { return false };
-        let usual = self.latency(service, now) * SILENCE_FACTOR;
+        let usual = self.work(service, now) * SILENCE_FACTOR;
         let bound = usual.max(SHORTEST_SILENCE.as_secs_f64());
         now.saturating_duration_since(since).as_secs_f64() > bound
     }
 
-    /// Returns its latency in seconds, which falls back to that of its `service` with time.
+    /// Returns how long it works on a request, in seconds, which falls back to that of its `service` with time.
     #[must_use]
-    pub fn latency(&self, service: f64, now: Instant) -> f64 {
-        let Some(own) = self.latency else { return service };
+    pub fn work(&self, service: f64, now: Instant) -> f64 {
+        let Some(own) = self.work else { return service };
         let age = now.saturating_duration_since(self.measured).as_secs_f64();
-        service + (own - service) * (-age / LATENCY_MEMORY.as_secs_f64()).exp()
+        service + (own - service) * (-age / WORK_MEMORY.as_secs_f64()).exp()
     }
 
     /// Returns the share of its tries that broke, weighted to the latest.
--- a/crates/steer/src/dispatch/load.rs
+++ b/crates/steer/src/dispatch/load.rs
@@ -1,16 +1,18 @@
-//! Load of one upstream: this node's own requests exactly, those of others by what answers tell.
+//! Load of one upstream: this node's own requests exactly, those of others by what they tell, or by
+//! what answers tell.
 
 use std::time::{Duration, Instant};
 
 use model::endpoint;
 
-/// Time in which what was told of others' requests loses most of its worth.
-const MEMORY: Duration = Duration::from_millis(700);
+/// Time in which what an answer told of others' requests loses most of its worth.
+const MEMORY: Duration = Duration::from_millis(400);
 
 /// Load of one upstream as this node sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
     in_flight: u32,
+    peers: u32,
     others: f64,
     told: Instant,
 }
@@ -19,7 +21,7 @@
     /// Starts without load.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { in_flight: 0, others: 0.0, told: now }
+        Self { in_flight: 0, peers: 0, others: 0.0, told: now }
     }
 
     /// Returns this node's requests in flight.
@@ -38,6 +40,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Notes how many requests other nodes have in flight.
+    pub fn set_peers(&mut self, requests: u32) {
+        self.peers = requests;
+    }
+
     /// Notes what an answer told; the request it answers has ended already.
     pub fn tell(&mut self, load: endpoint::Load, now: Instant) {
         let all = f64::from(load.running + load.waiting);
@@ -56,6 +63,6 @@
     pub fn requests(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.told).as_secs_f64();
         let others = self.others * (-age / MEMORY.as_secs_f64()).exp();
-        f64::from(self.in_flight) + others
+        f64::from(self.in_flight) + others.max(f64::from(self.peers))
     }
 }
--- a/crates/steer/src/dispatch/outcome.rs
+++ b/crates/steer/src/dispatch/outcome.rs
@@ -11,6 +11,8 @@
     Answered {
         /// Time from sending to the answer.
         latency: Duration,
+        /// How many times the work of one request passed until it was done, as far as known.
+        crowding: f64,
         /// Load it told.
         load: Option<endpoint::Load>,
     },
