A bounded share of requests leaves a crowded region

Change: the ramp uses half of the cap, and up to 30 % of the cap may leave by request when the own region would keep it waiting for half of its target latency. A region without any usable upstream is still left at once.

--- a/crates/steer/src/dispatch/dispatcher.rs
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::refusal;
 use crate::dispatch::retries;
 use crate::dispatch::shares;
+use crate::dispatch::spill;
 use crate::dispatch::wheel;
 use crate::dispatch::work;
 use crate::ramp;
@@ -29,7 +30,16 @@
 const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 
 /// Part of the bound that planned moves use; the rest is for the grain of requests.
-const SHIFT_USED: f64 = 0.4;
+const SHIFT_USED: f64 = 0.5;
+
+/// Part of the bound that requests may use which leave a crowded region by themselves.
+const SPILL_USED: f64 = 0.3;
+
+/// Wait that makes a region crowded, as a part of the time within which an answer is wanted.
+const CROWDED: f64 = 0.5;
+
+/// Wait, in seconds, by which another region must be better to be worth the way.
+const WORTH_THE_WAY: f64 = 0.1;
 
 /// Requests that a region may be ahead of its share, so that those about one object go alike.
 const MOST_LEAD: f64 = 5.0;
@@ -70,6 +80,16 @@
 /// A service, and the regions that may serve it; all when empty.
 type Scope = (id::Service, Vec<id::Region>);
 
+/// The best upstream of a region for a request.
+#[derive(Clone, Debug)]
+struct Candidate {
+    id: id::Upstream,
+    /// Time the request would wait, in seconds.
+    wait: f64,
+    /// A careful guess of the time until it would be done, in seconds.
+    expected: f64,
+}
+
 /// Decides which upstream takes a request.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -84,6 +104,7 @@
     rotations: collections::BTreeMap<Scope, Rotation>,
     parts: collections::BTreeMap<String, wheel::Wheel<id::Service>>,
     peers: peers::Peers,
+    spill: spill::Spill,
     nodes: Vec<id::Node>,
     most_nodes: usize,
 }
@@ -105,6 +126,7 @@
             rotations: collections::BTreeMap::new(),
             parts: collections::BTreeMap::new(),
             peers: peers::Peers::default(),
+            spill: spill::Spill::default(),
             nodes,
             most_nodes: 1,
         }
@@ -221,25 +243,43 @@
         ask: &ask::Ask<'_>,
         now: Instant,
     ) -> Result<sync::Arc<endpoint::Endpoint>, refusal::Refusal> {
+        if ask.tried.is_empty() {
+            self.spill.earn(self.bounds.greatest_shift * SPILL_USED);
+        }
         let regions = self.region_order(ask, now);
+        let options = regions.iter().filter_map(|region| self.best_in(region, ask, now));
+        let options: Vec<Candidate> = options.collect();
+        let Some((own, others)) = options.split_first() else {
+            return Err(refusal::Refusal::NoUpstream);
+        };
+        let chosen = self.spilled(own, others, ask).unwrap_or(own);
         let left = ask.left.as_secs_f64();
-        let mut least: Option<f64> = None;
-        for region in &regions {
-            let Some((id, expected)) = self.best_in(region, ask, now) else { continue };
-            if expected <= left {
-                let backend = self.backends.get(&id).ok_or(refusal::Refusal::NoUpstream)?;
-                return Ok(sync::Arc::clone(&backend.endpoint));
-            }
-            least = Some(least.map_or(expected, |least| least.min(expected)));
+        if chosen.expected > left {
+            let surplus = (chosen.expected - left).clamp(0.0, 1.0);
+            let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
+            return Err(refusal::Refusal::Overloaded { retry_after });
         }
-        match least {
-            Some(expected) => {
-                let surplus = (expected - left).clamp(0.0, 1.0);
-                let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
-                Err(refusal::Refusal::Overloaded { retry_after })
-            }
-            None => Err(refusal::Refusal::NoUpstream),
+        let backend = self.backends.get(&chosen.id).ok_or(refusal::Refusal::NoUpstream)?;
+        Ok(sync::Arc::clone(&backend.endpoint))
+    }
+
+    /// Returns the upstream of another region that is so much less crowded than the request's own
+    /// that the request should go there, if the bound on shifts allows.
+    fn spilled<'a>(
+        &mut self,
+        own: &Candidate,
+        others: &'a [Candidate],
+        ask: &ask::Ask<'_>,
+    ) -> Option<&'a Candidate> {
+        if own.wait <= ask.route.target_latency.as_secs_f64() * CROWDED {
+            return None;
         }
+        let by_wait = |a: &&Candidate, b: &&Candidate| {
+            a.wait.partial_cmp(&b.wait).unwrap_or(cmp::Ordering::Equal)
+        };
+        let best = others.iter().min_by(by_wait)?;
+        let is_worth = best.wait + WORTH_THE_WAY < own.wait;
+        (is_worth && self.spill.take()).then_some(best)
     }
 
     /// Returns whether a request may be sent to one more upstream of `service`, and counts it.
@@ -437,14 +477,8 @@
         owner == Some(&self.position.node) && backend.cold.has_room(rate, now)
     }
 
-    /// Returns the best upstream of a region, with a careful guess of the time that a request would
-    /// take there, in seconds.
-    fn best_in(
-        &self,
-        region: &id::Region,
-        ask: &ask::Ask<'_>,
-        now: Instant,
-    ) -> Option<(id::Upstream, f64)> {
+    /// Returns the best upstream of a region.
+    fn best_in(&self, region: &id::Region, ask: &ask::Ask<'_>, now: Instant) -> Option<Candidate> {
         let work = self.work.get(ask.service).copied().unwrap_or_default();
         let ids = self.services.get(ask.service)?;
         let mut candidates: Vec<(u64, &backend::Backend)> = ids
@@ -461,17 +495,20 @@
         if candidates.iter().any(|(_, b)| is_sound(b)) {
             candidates.retain(|(_, b)| is_sound(b));
         }
-        let mut best: Option<(&backend::Backend, f64, f64)> = None;
+        let mut best: Option<(&backend::Backend, f64)> = None;
         for (rank, (_, backend)) in candidates.iter().enumerate() {
-            let expected = backend.wait(work.mean(), now) + work.careful();
             let cost = backend.expected(work.mean(), now)
                 * affinity_cost(ask.route.is_sticky, rank)
                 * (1.0 + backend.health.failures() * FAILURE_COST);
-            if best.is_none_or(|(_, least, _)| cost < least) {
-                best = Some((backend, cost, expected));
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((backend, cost));
             }
         }
-        best.map(|(backend, _, expected)| (backend.endpoint.id.clone(), expected))
+        best.map(|(backend, _)| {
+            let wait = backend.wait(work.mean(), now);
+            let id = backend.endpoint.id.clone();
+            Candidate { id, wait, expected: wait + work.careful() }
+        })
     }
 }
 
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -15,5 +15,6 @@
 pub mod refusal;
 pub mod retries;
 pub mod shares;
+pub mod spill;
 pub mod wheel;
 pub mod work;
