--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -234,8 +234,12 @@
     pub json: bool,
 
     /// Start the example, print where it is as YAML, and keep it up until Ctrl-C.
-    #[arg(long)]
+    #[arg(long, conflicts_with = "platform")]
     pub hold: bool,
+
+    /// Run gateways against stand-ins of the users' platform instead; the example does not matter.
+    #[arg(long)]
+    pub platform: bool,
 }
 
 /// A deployment that the demo can start.
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod hold;
 mod phases;
+mod platform;
 mod report;
 mod traffic;
 
@@ -27,6 +28,9 @@
 pub async fn run(args: &args::Demo) -> anyhow::Result<Code> {
     anyhow::ensure!(args.seconds >= LEAST_SECONDS, "--seconds: expected at least {LEAST_SECONDS}");
     node::logging::start(settings::Level::Warn)?;
+    if args.platform {
+        return platform::run(args).await;
+    }
     let example = example::Example::load(args.example)?;
     printer::note(&format!("starting {} on loopback", example.name));
     let fleet = fleet::Fleet::start(&example).await?;
--- /dev/null
+++ b/crates/cli/src/demo/platform/mod.rs
@@ -0,0 +1,33 @@
+//! `yokespoke demo --platform`: gateways against stand-ins of the users' platform.
+
+mod fleet;
+mod load;
+mod phases;
+mod report;
+
+use std::time::Duration;
+
+use crate::args;
+use crate::controller::Code;
+use crate::printer;
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// Fails when the deployment cannot be started, which says nothing about promises.
+pub async fn run(args: &args::Demo) -> anyhow::Result<Code> {
+    printer::note("starting gateways, upstreams and the platform's store on loopback");
+    let mut fleet = fleet::Fleet::start().await?;
+    let length = Duration::from_secs(args.seconds);
+    let results = phases::run(&mut fleet, length, args.seed).await?;
+    let report = report::Report::new(&results, &fleet.records());
+    match args.json {
+        true => printer::line(&serde_json::to_string(&report.as_json())?),
+        false => printer::line(&report.as_text()),
+    }
+    Ok(match report.is_kept() {
+        true => Code::Done,
+        false => Code::Broken,
+    })
+}
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -58,7 +58,7 @@
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     let mut hangup = unix::signal(unix::SignalKind::hangup())?;
     let name = settings.node.clone();
-    let gateway = gateway::gateway::Gateway::start(settings).await?;
+    let gateway = gateway::process::Gateway::start(settings).await?;
     let listen = gateway.state.settings.borrow().listen.clone();
     let callers = listen.callers.to_string();
     let ready = listen.ready.to_string();
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -5,13 +5,13 @@
 
 pub mod control;
 pub mod directory;
-pub mod gateway;
 pub mod heartbeat;
 pub mod loads;
 pub mod member;
 pub mod members;
 pub mod metrics;
 pub mod peer;
+pub mod process;
 pub mod proxy;
 pub mod registration;
 pub mod replica;
@@ -20,3 +20,4 @@
 pub mod shutdown;
 pub mod state;
 pub mod sync;
+pub mod thread;
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -36,7 +36,7 @@
             Some(()) => read(&state, &client).await,
             None => watch(&state, &client).await,
         };
-        state.store_reached(outcome.as_ref().map(|()| ()));
+        state.store_reached(outcome.as_ref().copied());
         match outcome {
             Ok(()) => pause = FIRST_PAUSE,
             Err(error::Error::Compacted) => {
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -30,8 +30,6 @@
 /// A running gateway process; dropping it kills it.
 #[derive(Debug)]
 pub struct Gateway {
-    /// Its name.
-    pub name: String,
     /// Its address for callers.
     pub callers: net::SocketAddr,
     /// Its address for the readiness check.
@@ -127,12 +125,7 @@
     ) -> Gateway {
         let settings = self.folder.path().join(format!("{name}.yaml"));
         std::fs::write(&settings, text(name, hall, store, seeds)).expect("settings are written");
-        tokio::task::spawn_blocking({
-            let name = name.to_owned();
-            move || spawn(&name, settings)
-        })
-        .await
-        .expect("the gateway starts")
+        tokio::task::spawn_blocking({ move || spawn(settings) }).await.expect("the gateway starts")
     }
 }
 
@@ -263,7 +256,7 @@
     )
 }
 
-fn spawn(name: &str, settings: path::PathBuf) -> Gateway {
+fn spawn(settings: path::PathBuf) -> Gateway {
     let mut child = process::Command::new(env!("CARGO_BIN_EXE_yokespoked"))
         .arg("--settings")
         .arg(&settings)
@@ -289,7 +282,6 @@
         value.and_then(|value| value.parse().ok()).expect("the line has every address")
     };
     Gateway {
-        name: name.to_owned(),
         callers: field("callers"),
         ready: field("ready"),
         directory: field("directory"),
