--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -125,7 +125,7 @@
     ) -> Gateway {
         let settings = self.folder.path().join(format!("{name}.yaml"));
         std::fs::write(&settings, text(name, hall, store, seeds)).expect("settings are written");
-        tokio::task::spawn_blocking({ move || spawn(settings) }).await.expect("the gateway starts")
+        tokio::task::spawn_blocking(move || spawn(settings)).await.expect("the gateway starts")
     }
 }
 
