Routes and evacuations as declarations, and gateways that follow them

Routes (host, longest prefix, repetition, timeout, attempts, weighted parts, home regions) and evacuations are resources like the others: checked with the field at fault, applied, listed, watched. A gateway follows either the platform's store or yokespoke's own declarations; the headers of the two are dialects of one proxy. Tested end to end: operators' API, gateway process, upstreams.

--- a/crates/cli/src/demo/platform/fleet.rs
+++ b/crates/cli/src/demo/platform/fleet.rs
@@ -84,6 +84,7 @@
             max_connections: None,
             cold_start: Duration::from_secs(1),
             cold_rate: None,
+            shed: Vec::new(),
         };
         let services = SERVICES.iter().map(|s| (id::Service::new(s), rules.clone())).collect();
         let limits = routing::CallerLimits::default();
@@ -239,14 +240,14 @@
 
 fn a_route(name: &str, prefix: &str, kind: route::Kind, service: &str) -> route::Route {
     route::Route {
-        name: name.to_owned(),
+        name: id::Route::new(name),
         host: "demo.example".to_owned(),
         prefix: prefix.to_owned(),
-        kind,
+        repetition: kind,
         timeout: Duration::from_secs(2),
         target_latency: Duration::from_millis(200),
         priority: 0,
-        parts: vec![route::Part { service: id::Service::new(service), weight: 1.0 }],
+        parts: vec![route::Part { service: id::Service::new(service), weight: 1_000 }],
         max_attempts: 2,
         is_sticky: true,
         home_regions: Vec::new(),
--- a/crates/model/src/endpoint.rs
+++ b/crates/model/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! Endpoints: running incarnations of upstreams, as service discovery tells them.
 
 use std::net;
+use std::str;
 use std::time::Duration;
 
 use crate::id;
@@ -43,3 +44,22 @@
     /// Requests it runs at once.
     pub slots: u32,
 }
+
+/// A text that is not a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotALoad;
+
+impl str::FromStr for Load {
+    type Err = NotALoad;
+
+    /// Reads running, waiting and slots, separated by commas, such as `3,0,8`.
+    fn from_str(text: &str) -> Result<Self, NotALoad> {
+        let mut numbers = text.split(',').map(|n| n.trim().parse::<u32>().map_err(|_| NotALoad));
+        let mut next = || numbers.next().unwrap_or(Err(NotALoad));
+        let load = Self { running: next()?, waiting: next()?, slots: next()? };
+        match numbers.next() {
+            Some(_) => Err(NotALoad),
+            None => Ok(load),
+        }
+    }
+}
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -81,6 +81,14 @@
     /// A drain, by the name its operator gave it.
     Drain
 );
+name!(
+    /// A route, by the name its operator gave it.
+    Route
+);
+name!(
+    /// An evacuation, by the name its operator gave it.
+    Evacuation
+);
 
 /// Returns whether `text` may name a resource: letters, digits, `-`, `_`, `.`, 1 to [`LONGEST`].
 #[must_use]
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -15,6 +15,8 @@
     pub cold_start: Duration,
     /// Requests a second that a cold upstream bears; no limit when absent.
     pub cold_rate: Option<f64>,
+    /// Statuses by which an upstream proves that it did not run a request.
+    pub shed: Vec<u16>,
 }
 
 /// Limits on what callers may send.
@@ -66,7 +68,8 @@
         let mut hosts: collections::HashMap<String, Vec<std::sync::Arc<route::Route>>> =
             collections::HashMap::new();
         for route in routes {
-            hosts.entry(route.host.clone()).or_default().push(std::sync::Arc::new(route));
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(std::sync::Arc::new(route));
         }
         for of_host in hosts.values_mut() {
             of_host.sort_by(|a, b| {
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -9,11 +9,13 @@
 use crate::change;
 use crate::check;
 use crate::drain;
+use crate::evacuation;
 use crate::id;
 use crate::place;
 use crate::refusal;
 use crate::resource;
 use crate::revision;
+use crate::route;
 use crate::service;
 
 /// Operations remembered for operators who ask what became of them.
@@ -34,6 +36,12 @@
     pub caps: collections::BTreeMap<id::Cap, Stored<cap::Cap>>,
     /// Drains by name.
     pub drains: collections::BTreeMap<id::Drain, Stored<drain::Drain>>,
+    /// Routes by name.
+    #[serde(default)]
+    pub routes: collections::BTreeMap<id::Route, Stored<route::Route>>,
+    /// Evacuations by name.
+    #[serde(default)]
+    pub evacuations: collections::BTreeMap<id::Evacuation, Stored<evacuation::Evacuation>>,
 }
 
 /// An accepted operation.
@@ -102,11 +110,15 @@
         let places = self.places.values();
         let caps = self.caps.values();
         let drains = self.drains.values();
+        let routes = self.routes.values();
+        let evacuations = self.evacuations.values();
         services
             .map(|s| (s.revision, Resource::Service((*s.spec).clone())))
             .chain(places.map(|s| (s.revision, Resource::Place((*s.spec).clone()))))
             .chain(caps.map(|s| (s.revision, Resource::Cap((*s.spec).clone()))))
             .chain(drains.map(|s| (s.revision, Resource::Drain((*s.spec).clone()))))
+            .chain(routes.map(|s| (s.revision, Resource::Route((*s.spec).clone()))))
+            .chain(evacuations.map(|s| (s.revision, Resource::Evacuation((*s.spec).clone()))))
             .collect()
     }
 
@@ -131,6 +143,13 @@
             resource::Kind::Drain => {
                 self.drains.get(name).map(|s| (s.revision, Resource::Drain((*s.spec).clone())))
             }
+            resource::Kind::Route => {
+                self.routes.get(name).map(|s| (s.revision, Resource::Route((*s.spec).clone())))
+            }
+            resource::Kind::Evacuation => {
+                let stored = self.evacuations.get(name)?;
+                Some((stored.revision, Resource::Evacuation((*stored.spec).clone())))
+            }
         }
     }
 
@@ -163,6 +182,12 @@
             resource::Resource::Drain(spec) => {
                 insert(&mut self.drains, spec.name.clone(), spec, revision);
             }
+            resource::Resource::Route(spec) => {
+                insert(&mut self.routes, spec.name.clone(), spec, revision);
+            }
+            resource::Resource::Evacuation(spec) => {
+                insert(&mut self.evacuations, spec.name.clone(), spec, revision);
+            }
         }
     }
 
@@ -172,6 +197,8 @@
             resource::Kind::Place => self.places.remove(name).is_some(),
             resource::Kind::Cap => self.caps.remove(name).is_some(),
             resource::Kind::Drain => self.drains.remove(name).is_some(),
+            resource::Kind::Route => self.routes.remove(name).is_some(),
+            resource::Kind::Evacuation => self.evacuations.remove(name).is_some(),
         }
     }
 
--- /dev/null
+++ b/crates/node/src/gateway/declarations.rs
@@ -0,0 +1,131 @@
+//! Follows yokespoke's own declarations in the store, in place of the platform's items.
+
+use std::collections;
+use std::rc;
+use std::sync;
+use std::time::{Duration, SystemTime};
+
+use model::drain;
+use model::endpoint;
+use model::id;
+use model::routing;
+use model::snapshot;
+use model::upstream;
+
+use crate::gateway::state;
+use crate::store::accept;
+use crate::store::client;
+use crate::store::edge;
+use crate::store::edge::Store as _;
+
+/// Longest time one watch waits.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// Time between two looks at drains, which begin and end by the time of day.
+const DRAIN_LOOK: Duration = Duration::from_secs(1);
+
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Follows the declarations until the task ends.
+pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
+    let mut latest: Option<accept::Standing> = None;
+    loop {
+        let after = latest.as_ref().map_or(0, |standing| standing.version);
+        tokio::select! {
+            value = next(&client, after) => match value {
+                Ok(value) => {
+                    state.store_reached(None);
+                    if let Some(standing) = value.and_then(|value| read(&state, value)) {
+                        put_in_force(&state, &standing.snapshot);
+                        latest = Some(standing);
+                    }
+                }
+                Err(error) => {
+                    state.store_reached(Some(&error));
+                    tokio::time::sleep(PAUSE).await;
+                }
+            },
+            () = tokio::time::sleep(DRAIN_LOOK) => {
+                if let Some(standing) = &latest {
+                    put_in_force(&state, &standing.snapshot);
+                }
+            }
+        }
+    }
+}
+
+async fn next(client: &client::Client, after: u64) -> Result<Option<edge::Value>, edge::Error> {
+    match after {
+        0 => match client.get(accept::KEY).await? {
+            Some(value) => Ok(Some(value)),
+            None => client.next(accept::KEY, 0, WAIT).await,
+        },
+        after => client.next(accept::KEY, after, WAIT).await,
+    }
+}
+
+/// Reads a configuration; what cannot be read leaves the last good one in force.
+fn read(state: &state::State, value: edge::Value) -> Option<accept::Standing> {
+    let revision = value.revision;
+    let standing = accept::parse(&value);
+    if standing.is_none() {
+        state.metrics.malformed_items.add(1);
+        log::error!(key = accept::KEY, revision; "item-malformed");
+    }
+    standing
+}
+
+fn put_in_force(state: &state::State, snapshot: &snapshot::Snapshot) {
+    let wall = SystemTime::now();
+    let active: Vec<&drain::Drain> =
+        snapshot.drains.values().map(|d| &*d.spec).filter(|d| d.is_on(wall)).collect();
+    let halls = snapshot.evacuations.values().map(|e| e.spec.hall.clone()).collect();
+    state.adopt(state::News {
+        source: "declarations",
+        revision: snapshot.revision.0,
+        routing: Some(sync::Arc::new(routing(snapshot))),
+        endpoints: Some(endpoints(snapshot, &active)),
+        evacuated: Some(halls),
+    });
+}
+
+/// Returns the declared routes and the rules of services.
+fn routing(snapshot: &snapshot::Snapshot) -> routing::Routing {
+    let routes = snapshot.routes.values().map(|stored| (*stored.spec).clone()).collect();
+    let services = snapshot.services.iter().map(|(name, stored)| {
+        let rules = routing::ServiceRules {
+            max_connections: None,
+            cold_start: Duration::ZERO,
+            cold_rate: None,
+            shed: stored.spec.shed.clone(),
+        };
+        (name.clone(), rules)
+    });
+    let services: collections::BTreeMap<_, _> = services.collect();
+    let limits = routing::CallerLimits::default();
+    routing::Routing::new(snapshot.revision.0, routes, services, limits)
+}
+
+/// Returns the declared upstreams; those of an active drain take no more work.
+fn endpoints(
+    snapshot: &snapshot::Snapshot,
+    active: &[&drain::Drain],
+) -> Vec<sync::Arc<endpoint::Endpoint>> {
+    let services = snapshot.services.values().map(|stored| &*stored.spec);
+    let upstreams = services.flat_map(|s| s.upstreams.iter().map(|u| (&s.name, u)));
+    let endpoint = |(service, upstream): (&id::Service, &upstream::Upstream)| endpoint::Endpoint {
+        // An upstream's own name is unique in its service only.
+        id: id::Upstream::new(&format!("{service}/{}", upstream.name)),
+        service: service.clone(),
+        address: upstream.address,
+        hall: upstream.hall.clone(),
+        slots: upstream.slots,
+        state: match active.iter().any(|drain| drain.target.holds(upstream)) {
+            true => endpoint::State::Draining,
+            false => endpoint::State::Ready,
+        },
+        cold_left: Duration::ZERO,
+    };
+    upstreams.map(endpoint).map(sync::Arc::new).collect()
+}
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,6 +4,8 @@
 //! the node away, from other nodes; the decisions are those of [`steer::dispatch`].
 
 pub mod control;
+pub mod declarations;
+pub mod dialect;
 pub mod directory;
 pub mod heartbeat;
 pub mod loads;
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::gateway::declarations;
 use crate::gateway::heartbeat;
 use crate::gateway::loads;
 use crate::gateway::proxy::face;
@@ -19,6 +20,7 @@
 use crate::gateway::shutdown;
 use crate::gateway::state;
 use crate::gateway::sync;
+use crate::store;
 
 /// Longest time for an answer of the store.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
@@ -61,7 +63,7 @@
             peers: peers.local_addr()?,
         };
         let datagrams = rc::Rc::new(datagrams);
-        let client = client::Client::new(settings.store, CALL_TIME);
+        let source = settings.source();
         let state = rc::Rc::new(state::State::new(settings, incarnation()));
         let open = rc::Rc::new(face::Open::default());
         let (close, closed) = watch::channel(false);
@@ -72,19 +74,17 @@
             rc::Rc::clone(&pool),
             closed,
         );
-        let tasks = vec![
+        let mut tasks = follow(&state, source);
+        tasks.extend([
             task::spawn_local(face::serve(face, callers)),
             task::spawn_local(server::serve(rc::Rc::clone(&state), ready)),
             task::spawn_local(server::serve(rc::Rc::clone(&state), directory)),
             task::spawn_local(server::serve(rc::Rc::clone(&state), peers)),
-            task::spawn_local(sync::run(rc::Rc::clone(&state), client.clone())),
-            task::spawn_local(registration::run(rc::Rc::clone(&state), client)),
             task::spawn_local(heartbeat::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(loads::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(heartbeat::receive(rc::Rc::clone(&state), datagrams)),
-            task::spawn_local(heartbeat::catch_up(rc::Rc::clone(&state))),
             task::spawn_local(tick(rc::Rc::clone(&state), pool)),
-        ];
+        ]);
         Ok(Self { state, open, close, tasks })
     }
 
@@ -109,6 +109,25 @@
     }
 }
 
+/// Starts what learns configuration and upstreams from their source.
+fn follow(state: &rc::Rc<state::State>, source: settings::Source) -> Vec<task::JoinHandle<()>> {
+    let state = || rc::Rc::clone(state);
+    match source {
+        settings::Source::Platform(address) => {
+            let client = client::Client::new(address, CALL_TIME);
+            vec![
+                task::spawn_local(sync::run(state(), client.clone())),
+                task::spawn_local(registration::run(state(), client)),
+                task::spawn_local(heartbeat::catch_up(state())),
+            ]
+        }
+        settings::Source::Declarations(address) => {
+            let client = store::client::Client::new(address, std::sync::Arc::default());
+            vec![task::spawn_local(declarations::run(state(), client))]
+        }
+    }
+}
+
 async fn listen(field: &str, address: net::SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/node/src/gateway/proxy/answer.rs
+++ b/crates/node/src/gateway/proxy/answer.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::body;
+use crate::gateway::dialect;
 
 /// Why the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +71,12 @@
         }
     }
 
+    /// Returns whether it is proved that the request has not run.
+    #[must_use]
+    pub fn is_proved_not_run(self) -> bool {
+        !matches!(self, Self::Unknown(_) | Self::TimedOut)
+    }
+
     /// Returns when the caller should come back, if it may.
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
@@ -86,12 +93,13 @@
 
 /// Makes the answer.
 #[must_use]
-pub fn make(reason: Reason) -> Response<body::Body> {
+pub fn make(reason: Reason, dialect: dialect::Dialect) -> Response<body::Body> {
     let text = format!("{}\n", reason.as_str());
     let mut response = Response::new(body::full(Bytes::from(text)));
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    dialect.explain(headers, reason);
     if let Some(after) = reason.retry_after() {
         let seconds = format!("{:.2}", after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use model::endpoint;
-use platform::headers;
+use model::routing;
 
 use crate::body;
+use crate::gateway::dialect;
 use crate::gateway::proxy::connection;
 
 /// Largest answer that is read whole before it is passed on, in bytes.
@@ -18,11 +19,6 @@
 /// Rest of a connection whose upstream does not say how long it keeps one.
 const USUAL_REST: Duration = Duration::from_secs(4);
 
-/// Statuses that promise callers that the request has not run; an upstream's are passed on as such
-/// only with its word for it.
-const PROMISES: [StatusCode; 3] =
-    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
-
 /// Time before an upstream closes a resting connection at which it is no longer used.
 const REST_MARGIN: Duration = Duration::from_millis(1_200);
 
@@ -44,17 +40,6 @@
     Partial(Bytes, Incoming),
 }
 
-/// What an upstream made of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// It ran it, or may have.
-    Ran,
-    /// It did not run it.
-    NotRun,
-    /// It did not run it, since it is not the upstream that was meant.
-    Replaced,
-}
-
 /// An upstream's answer to the request that was sent.
 #[derive(Debug)]
 pub struct Answer {
@@ -63,7 +48,7 @@
     /// The body.
     pub bytes: Payload,
     /// What the upstream made of the request.
-    pub kind: Kind,
+    pub made: dialect::Made,
     /// Load it told.
     pub load: Option<endpoint::Load>,
 }
@@ -77,6 +62,8 @@
     connection: &mut connection::Connection,
     request: Request<body::Body>,
     request_id: &str,
+    dialect: dialect::Dialect,
+    rules: Option<&routing::ServiceRules>,
 ) -> Result<Answer, Failure> {
     let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
         let is_sent = error.take_message().is_none();
@@ -87,43 +74,27 @@
         }
     })?;
     let (parts, incoming) = response.into_parts();
-    check(&parts.headers, parts.status, request_id)?;
+    let fault = dialect.fault(&parts.headers, parts.status, request_id);
+    let made = dialect.made(&parts.headers, parts.status, rules);
+    match (fault, made) {
+        (Some(fault), _) => return Err(Failure::Broken(fault.to_owned())),
+        (None, dialect::Made::Unproved) => {
+            return Err(Failure::Broken("refusal that proves nothing".to_owned()));
+        }
+        (None, _) if parts.headers.contains_key(header::CONTENT_ENCODING) => {
+            return Err(Failure::Broken("encoded answer".to_owned()));
+        }
+        (None, _) => {}
+    }
     connection.rest = rest(&parts.headers);
     let bytes = read(incoming).await?;
-    let kind = kind(&parts.headers, parts.status);
-    let load = text(&parts.headers, &headers::LOAD).and_then(headers::load);
-    Ok(Answer { head: Response::from_parts(parts, ()), bytes, kind, load })
-}
-
-/// Checks that an answer belongs to the request and is the upstream's own.
-fn check(headers: &HeaderMap, status: StatusCode, request_id: &str) -> Result<(), Failure> {
-    let broken = |cause: &str| Err(Failure::Broken(cause.to_owned()));
-    if text(headers, &headers::REQUEST_ID).unwrap_or_default() != request_id {
-        return broken("answer to another request");
-    }
-    if headers.contains_key(header::CONTENT_ENCODING) {
-        return broken("encoded answer");
-    }
-    if status.is_success() && !headers.contains_key(headers::SEAL) {
-        return broken("success without a seal");
-    }
-    if PROMISES.contains(&status) && !headers.contains_key(headers::NOT_EXECUTED) {
-        return broken("refusal that proves nothing");
-    }
-    Ok(())
-}
-
-fn kind(headers: &HeaderMap, status: StatusCode) -> Kind {
-    match (status, headers.contains_key(headers::NOT_EXECUTED)) {
-        (StatusCode::MISDIRECTED_REQUEST, _) => Kind::Replaced,
-        (status, true) if !status.is_success() => Kind::NotRun,
-        _ => Kind::Ran,
-    }
+    let load = dialect.load(&parts.headers);
+    Ok(Answer { head: Response::from_parts(parts, ()), bytes, made, load })
 }
 
 /// Returns how long a connection may rest after this answer.
 fn rest(headers: &HeaderMap) -> Duration {
-    let Some(told) = text(headers, &header::HeaderName::from_static("keep-alive")) else {
+    let Some(told) = dialect::text(headers, &header::HeaderName::from_static("keep-alive")) else {
         return USUAL_REST;
     };
     let seconds = told.split(',').find_map(|part| {
@@ -145,7 +116,3 @@
     }
     Ok(Payload::Whole(read.freeze()))
 }
-
-fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -27,7 +27,7 @@
         }
         Err(reason) => {
             trace.refused(reason);
-            answer::make(reason)
+            answer::make(reason, face.state.dialect)
         }
     };
     // A length beside the chunks, which the HTTP library does not show, may hide a second request
@@ -45,14 +45,14 @@
     incoming: Incoming,
     trace: &mut trace::Trace,
 ) -> Result<Response<body::Body>, answer::Reason> {
-    let head = head::Head::read(parts, trace.arrived())
+    let head = head::Head::read(parts, trace.arrived(), face.state.dialect)
         .map_err(|fault| answer::Reason::BadHead(fault.as_str()))?;
     trace.set_request(&head.request_id);
     let routing = face.state.routing().ok_or(answer::Reason::NoConfiguration)?;
     trace.set_version(routing.version);
     let found = routing.find(&head.host, head.path());
     let route = found.cloned().ok_or(answer::Reason::NoRoute)?;
-    trace.set_route(&route.name);
+    trace.set_route(route.name.as_str());
     let time = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = head.arrived + time;
     let most = routing.limits.body_bytes;
@@ -69,7 +69,8 @@
     let service = face.state.dispatcher.borrow_mut().pick_service(&route);
     let service = service.ok_or(NO_SERVICE)?;
     trace.set_service(&service);
-    let mut tries = tries::Tries::new(face, &head, &route, service, body, deadline);
+    let rules = routing.services.get(&service).cloned();
+    let mut tries = tries::Tries::new(face, &head, &route, service, rules, body, deadline);
     let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
     trace.set_tries(tries.tried());
     outcome.unwrap_or_else(|_| Err(tries.expired()))
--- a/crates/node/src/gateway/proxy/head.rs
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -4,9 +4,10 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header, request};
 use model::id;
-use platform::headers;
 use xxhash_rust::xxh3;
 
+use crate::gateway::dialect;
+
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), and an expectation that this
 /// node has met.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -57,6 +58,7 @@
     pub arrived: Instant,
     /// Hash of the object it is about; none when it tells of none.
     pub object: Option<u64>,
+    dialect: dialect::Dialect,
     parts: request::Parts,
 }
 
@@ -66,17 +68,17 @@
     /// # Errors
     ///
     /// Fails when it does not say clearly what it asks.
-    pub fn read(parts: request::Parts, arrived: Instant) -> Result<Self, Fault> {
+    pub fn read(
+        parts: request::Parts,
+        arrived: Instant,
+        dialect: dialect::Dialect,
+    ) -> Result<Self, Fault> {
         let host = host(&parts)?;
         check_length(&parts.headers)?;
-        let request_id = single(&parts.headers, &headers::REQUEST_ID)?;
-        let deadline = parts
-            .headers
-            .get(headers::DEADLINE)
-            .and_then(|value| value.to_str().ok()?.trim().parse().ok())
-            .map(Duration::from_millis);
-        let object = object(&parts.headers);
-        Ok(Self { host, request_id, deadline, arrived, object, parts })
+        let request_id = single(&parts.headers, &dialect.request_id())?;
+        let deadline = dialect.deadline(&parts.headers);
+        let object = object(&parts.headers, dialect.affinity_cookie());
+        Ok(Self { host, request_id, deadline, arrived, object, dialect, parts })
     }
 
     /// Returns the path without the query.
@@ -106,15 +108,11 @@
         *request.uri_mut() = origin_form(&self.parts.uri);
         let sent = request.headers_mut();
         *sent = self.parts.headers.clone();
-        clean(sent);
+        clean(sent, self.dialect);
         if let Ok(host) = HeaderValue::from_str(&self.host) {
             sent.insert(header::HOST, host);
         }
-        if let Ok(target) = HeaderValue::from_str(upstream.as_str()) {
-            sent.insert(headers::TARGET, target);
-        }
-        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        sent.insert(headers::DEADLINE, HeaderValue::from(millis.max(1)));
+        self.dialect.address(sent, upstream, left);
         request
     }
 }
@@ -158,33 +156,32 @@
     }
 }
 
-fn object(headers: &HeaderMap) -> Option<u64> {
+fn object(headers: &HeaderMap, cookie_name: &str) -> Option<u64> {
     let cookies = headers.get_all(header::COOKIE).iter().filter_map(|value| value.to_str().ok());
     let mut pairs = cookies.flat_map(|cookie| cookie.split(';'));
     pairs.find_map(|pair| {
         let (name, value) = pair.trim().split_once('=')?;
-        (name == headers::AFFINITY_COOKIE).then(|| xxh3::xxh3_64(value.as_bytes()))
+        (name == cookie_name).then(|| xxh3::xxh3_64(value.as_bytes()))
     })
 }
 
 /// Removes what concerns one connection only, and what only this system may say.
-pub fn clean(headers: &mut HeaderMap) {
+pub fn clean(headers: &mut HeaderMap, dialect: dialect::Dialect) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
-        .filter(|name| !PROTECTED.contains(name))
+        .filter(|name| !PROTECTED.contains(name) && *name != dialect.request_id())
         .collect();
-    for name in named.iter().chain(&HOP_BY_HOP).chain(&headers::OURS) {
+    for name in named.iter().chain(&HOP_BY_HOP).chain(dialect.reserved()) {
         headers.remove(name);
     }
 }
 
 /// Headers that no connection option may remove.
-const PROTECTED: [HeaderName; 4] =
-    [header::CONTENT_LENGTH, header::HOST, headers::REQUEST_ID, header::COOKIE];
+const PROTECTED: [HeaderName; 3] = [header::CONTENT_LENGTH, header::HOST, header::COOKIE];
 
 /// Removes from an answer what concerns the upstream's connection only.
 pub fn clean_answer(headers: &mut HeaderMap) {
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -9,11 +9,13 @@
 use model::endpoint;
 use model::id;
 use model::route;
+use model::routing;
 use steer::dispatch::ask;
 use steer::dispatch::outcome;
 use steer::dispatch::refusal;
 
 use crate::body;
+use crate::gateway::dialect;
 use crate::gateway::proxy::answer;
 use crate::gateway::proxy::attempt;
 use crate::gateway::proxy::connection;
@@ -36,6 +38,7 @@
     head: &'a head::Head,
     route: &'a route::Route,
     service: id::Service,
+    rules: Option<routing::ServiceRules>,
     body: intake::Body,
     deadline: Instant,
     upstreams: Vec<id::Upstream>,
@@ -54,6 +57,7 @@
         head: &'a head::Head,
         route: &'a route::Route,
         service: id::Service,
+        rules: Option<routing::ServiceRules>,
         body: intake::Body,
         deadline: Instant,
     ) -> Self {
@@ -62,6 +66,7 @@
             head,
             route,
             service,
+            rules,
             body,
             deadline,
             upstreams: Vec::new(),
@@ -122,7 +127,7 @@
                     self.note(&endpoint.id, &cause);
                     self.face.state.metrics.broken.add(1);
                     self.may_have_run = true;
-                    if !self.route.kind.is_repeatable() || !self.may_go_on() {
+                    if !self.route.repetition.is_repeatable() || !self.may_go_on() {
                         return Err(answer::Reason::Unknown("broken"));
                     }
                 }
@@ -160,7 +165,14 @@
             let body = self.body.take();
             let request = self.head.to_upstream(&endpoint.id, left, body);
             self.is_in_flight = true;
-            let answer = exchange::run(&mut connection, request, &self.head.request_id).await;
+            let answer = exchange::run(
+                &mut connection,
+                request,
+                &self.head.request_id,
+                self.face.state.dialect,
+                self.rules.as_ref(),
+            )
+            .await;
             self.is_in_flight = false;
             match answer {
                 Ok(answer) => {
@@ -202,13 +214,13 @@
     ) -> Result<Option<Response<body::Body>>, answer::Reason> {
         let upstream = attempt.endpoint.id.clone();
         let status = answer.head.status();
-        let is_final = answer.kind == exchange::Kind::Ran || status == StatusCode::BAD_REQUEST;
+        let is_final = answer.made == dialect::Made::Ran || status == StatusCode::BAD_REQUEST;
         if is_final {
             self.note(&upstream, status.as_str());
             return Ok(Some(self.pass_on(attempt, connection, answer)));
         }
-        let (ended, end) = match answer.kind {
-            exchange::Kind::Replaced => (outcome::Outcome::Replaced, "replaced"),
+        let (ended, end) = match answer.made {
+            dialect::Made::Replaced => (outcome::Outcome::Replaced, "replaced"),
             _ => (outcome::Outcome::TurnedAway { load: answer.load }, "turned-away"),
         };
         attempt.end(ended);
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use platform::duration;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::dialect;
 use crate::settings as node_settings;
 
 /// Everything a gateway must be told.
@@ -33,8 +34,12 @@
     /// Nodes to ask first, by their addresses for peers; they may be stale.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
-    /// The platform's store.
-    pub store: net::SocketAddr,
+    /// The platform's store; configuration and upstreams come from there.
+    #[serde(default)]
+    pub store: Option<net::SocketAddr>,
+    /// The store of yokespoke's own declarations; they come from there instead.
+    #[serde(default)]
+    pub declarations: Option<net::SocketAddr>,
     /// Bounds of the deployment.
     #[serde(default)]
     pub bounds: Bounds,
@@ -43,6 +48,26 @@
     pub log: node_settings::Level,
 }
 
+/// Where configuration and upstreams come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's store.
+    Platform(net::SocketAddr),
+    /// Yokespoke's own declarations.
+    Declarations(net::SocketAddr),
+}
+
+impl Source {
+    /// Returns the headers that callers and upstreams use.
+    #[must_use]
+    pub fn dialect(self) -> dialect::Dialect {
+        match self {
+            Self::Platform(_) => dialect::Dialect::Platform,
+            Self::Declarations(_) => dialect::Dialect::Own,
+        }
+    }
+}
+
 /// The word that marks the settings of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -116,6 +141,16 @@
         Ok(settings)
     }
 
+    /// Returns where configuration and upstreams come from; [`Settings::check`] wants exactly one.
+    #[must_use]
+    pub fn source(&self) -> Source {
+        match (self.store, self.declarations) {
+            (_, Some(declarations)) => Source::Declarations(declarations),
+            (Some(store), None) => Source::Platform(store),
+            (None, None) => Source::Platform(net::SocketAddr::from(([0, 0, 0, 0], 0))),
+        }
+    }
+
     /// Returns the deployment's bounds, with defaults for what is left out.
     #[must_use]
     pub fn bounds(&self) -> bounds::Bounds {
@@ -144,6 +179,10 @@
             field: field.to_owned(),
             message,
         };
+        if self.store.is_some() == self.declarations.is_some() {
+            let message = "expected either `store` or `declarations`".to_owned();
+            return Err(fault("store", message));
+        }
         match self.halls.get(&self.hall) {
             Some(region) if *region == self.region => {}
             Some(region) => {
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -6,17 +6,34 @@
 use std::sync;
 use std::time::Instant;
 
+use model::endpoint;
 use model::id;
 use model::routing;
 use steer::dispatch::dispatcher;
 use tokio::sync::Notify;
 
+use crate::gateway::dialect;
 use crate::gateway::member;
 use crate::gateway::members;
 use crate::gateway::metrics;
 use crate::gateway::replica;
 use crate::gateway::settings;
 
+/// What a source of configuration and upstreams tells.
+#[derive(Clone, Debug)]
+pub struct News {
+    /// Where it comes from, for the log.
+    pub source: &'static str,
+    /// The source's revision.
+    pub revision: u64,
+    /// The configuration, if it changed.
+    pub routing: Option<sync::Arc<routing::Routing>>,
+    /// All upstreams, if any changed.
+    pub endpoints: Option<Vec<sync::Arc<endpoint::Endpoint>>>,
+    /// All evacuated halls, if any changed.
+    pub evacuated: Option<collections::BTreeSet<id::Hall>>,
+}
+
 /// What the tasks of a gateway share.
 #[derive(Debug)]
 pub struct State {
@@ -34,6 +51,10 @@
     pub me: cell::RefCell<member::Member>,
     /// Figures.
     pub metrics: metrics::Metrics,
+    /// Whether all of the upstreams and the configuration were ever known.
+    is_complete: cell::Cell<bool>,
+    /// The headers that callers and upstreams use.
+    pub dialect: dialect::Dialect,
     /// Whether the store answered last time.
     pub is_store_reached: cell::Cell<bool>,
     /// Wakes whoever sends heartbeats.
@@ -62,6 +83,7 @@
             at: 0,
         };
         let dispatcher = dispatcher::Dispatcher::new(position, settings.bounds());
+        let dialect = settings.source().dialect();
         Self {
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             dispatcher: cell::RefCell::new(dispatcher),
@@ -70,6 +92,8 @@
             members: cell::RefCell::default(),
             me: cell::RefCell::new(me),
             metrics: metrics::Metrics::default(),
+            is_complete: cell::Cell::new(false),
+            dialect,
             is_store_reached: cell::Cell::new(false),
             beat: Notify::new(),
         }
@@ -98,10 +122,9 @@
     /// `source` says for the log where the news came from.
     pub fn learn(
         &self,
-        source: &str,
+        source: &'static str,
         merge: impl FnOnce(&mut replica::Replica) -> replica::Changes,
     ) {
-        let now = Instant::now();
         let mut replica = self.replica.borrow_mut();
         let changes = merge(&mut replica);
         for fault in &changes.faults {
@@ -109,55 +132,72 @@
             let (key, message) = (fault.key.as_str(), fault.message.as_str());
             log::error!(key, revision = fault.revision, error = message, source; "item-malformed");
         }
+        if changes.nodes {
+            self.list_nodes(&replica);
+        }
+        let news = News {
+            source,
+            revision: replica.at(),
+            routing: replica.routing().filter(|_| changes.routing).cloned(),
+            endpoints: changes.endpoints.then(|| replica.endpoints().cloned().collect()),
+            evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
+        };
+        self.me.borrow_mut().at = replica.at();
+        let is_complete = replica.is_complete();
+        drop(replica);
+        if is_complete {
+            self.adopt(news);
+        }
+    }
+
+    /// Takes news into force; what equals what is in force changes nothing.
+    pub fn adopt(&self, news: News) {
+        let now = Instant::now();
+        let News { source, revision, routing, endpoints, evacuated } = news;
+        let is_newer = |r: &routing::Routing| {
+            self.routing.borrow().as_ref().is_none_or(|known| known.version < r.version)
+        };
         let mut dispatcher = self.dispatcher.borrow_mut();
-        if changes.routing
-            && let Some(routing) = replica.routing()
-        {
-            log::info!(
-                version = routing.version, routes = routing.routes().count(),
-                revision = replica.at(), source;
-                "config-adopted"
-            );
-            dispatcher.configure(sync::Arc::clone(routing));
-            *self.routing.borrow_mut() = Some(sync::Arc::clone(routing));
+        if let Some(routing) = routing.filter(|r| is_newer(r)) {
+            let routes = routing.routes().count();
+            log::info!(version = routing.version, routes, revision, source; "config-adopted");
+            dispatcher.configure(sync::Arc::clone(&routing));
+            *self.routing.borrow_mut() = Some(routing);
         }
-        if changes.endpoints {
-            dispatcher.set_endpoints(replica.endpoints().cloned(), now);
-            let endpoints = replica.endpoints().count();
-            log::info!(endpoints, revision = replica.at(), source; "endpoints-changed");
+        if let Some(endpoints) = endpoints.filter(|e| dispatcher.differs(e)) {
+            log::info!(endpoints = endpoints.len(), revision, source; "endpoints-changed");
+            dispatcher.set_endpoints(endpoints.into_iter(), now);
         }
-        if changes.evacuations {
-            let halls: collections::BTreeSet<id::Hall> = replica.evacuated().cloned().collect();
+        if let Some(halls) = evacuated.filter(|halls| halls != dispatcher.evacuated()) {
             let names: Vec<&str> = halls.iter().map(id::Hall::as_str).collect();
-            log::info!(
-                halls = names.join(",").as_str(), revision = replica.at(), source;
-                "evacuations-changed"
-            );
+            let names = names.join(",");
+            log::info!(halls = names.as_str(), revision, source; "evacuations-changed");
             dispatcher.set_evacuated(halls, now);
         }
         drop(dispatcher);
-        if changes.nodes {
-            let listed = replica.nodes().filter_map(|(_, value)| {
-                let member: member::Member = serde_json::from_slice(value).ok()?;
-                Some((member.node, member.peers))
-            });
-            let own = self.settings.borrow().node.clone();
-            let listed = listed.filter(|(node, _)| *node != own).collect();
-            self.members.borrow_mut().set_listed(listed);
-        }
-        self.me.borrow_mut().at = replica.at();
-        drop(replica);
+        self.is_complete.set(true);
         self.update_ready();
     }
 
+    /// Takes the addresses of the nodes that the store lists.
+    fn list_nodes(&self, replica: &replica::Replica) {
+        let listed = replica.nodes().filter_map(|(_, value)| {
+            let member: member::Member = serde_json::from_slice(value).ok()?;
+            Some((member.node, member.peers))
+        });
+        let own = self.settings.borrow().node.clone();
+        let listed = listed.filter(|(node, _)| *node != own).collect();
+        self.members.borrow_mut().set_listed(listed);
+    }
+
     /// Notes whether the store answers, with a line when that changes.
-    pub fn store_reached(&self, outcome: Result<(), &platform::store::error::Error>) {
-        let was_reached = self.is_store_reached.replace(outcome.is_ok());
-        match outcome {
-            Ok(()) if !was_reached => {
-                log::info!(revision = self.replica.borrow().at(); "store-reached")
+    pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
+        let was_reached = self.is_store_reached.replace(failure.is_none());
+        match failure {
+            None if !was_reached => {
+                log::info!(revision = self.replica.borrow().at(); "store-reached");
             }
-            Err(error) if was_reached => {
+            Some(error) if was_reached => {
                 let error = error.to_string();
                 log::warn!(error = error.as_str(); "store-lost");
             }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -36,13 +36,13 @@
             Some(()) => read(&state, &client).await,
             None => watch(&state, &client).await,
         };
-        state.store_reached(outcome.as_ref().copied());
+        state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
         match outcome {
             Ok(()) => pause = FIRST_PAUSE,
             Err(error::Error::Compacted) => {
                 log::info!(after = state.replica.borrow().at(); "history-compacted");
                 if let Err(error) = read(&state, &client).await {
-                    state.store_reached(Err(&error));
+                    state.store_reached(Some(&error));
                     tokio::time::sleep(jittered(pause)).await;
                 }
             }
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -4,4 +4,5 @@
 mod calls;
 mod check;
 mod failures;
+mod gateway;
 mod rig;
--- a/crates/steer/src/dispatch/dispatcher.rs
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -102,7 +102,7 @@
     work: collections::BTreeMap<id::Service, work::Work>,
     budgets: collections::BTreeMap<id::Service, retries::Budget>,
     rotations: collections::BTreeMap<Scope, Rotation>,
-    parts: collections::BTreeMap<String, wheel::Wheel<id::Service>>,
+    parts: collections::BTreeMap<id::Route, wheel::Wheel<id::Service>>,
     peers: peers::Peers,
     spill: spill::Spill,
     nodes: Vec<id::Node>,
@@ -194,6 +194,21 @@
         }
     }
 
+    /// Returns whether `endpoints` are other than those known.
+    #[must_use]
+    pub fn differs(&self, endpoints: &[sync::Arc<endpoint::Endpoint>]) -> bool {
+        let is_known = |e: &sync::Arc<endpoint::Endpoint>| {
+            self.backends.get(&e.id).is_some_and(|known| known.endpoint == *e)
+        };
+        endpoints.len() != self.backends.len() || !endpoints.iter().all(is_known)
+    }
+
+    /// Returns the halls whose upstreams get nothing more.
+    #[must_use]
+    pub fn evacuated(&self) -> &collections::BTreeSet<id::Hall> {
+        &self.evacuated
+    }
+
     /// Takes the halls whose upstreams get nothing more.
     ///
     /// Upstreams of a hall that is taken back count as cold, since they may be.
@@ -226,7 +241,8 @@
         if let [part] = route.parts.as_slice() {
             return Some(part.service.clone());
         }
-        let weights: Vec<_> = route.parts.iter().map(|p| (p.service.clone(), p.weight)).collect();
+        let weights: Vec<_> =
+            route.parts.iter().map(|p| (p.service.clone(), f64::from(p.weight))).collect();
         match self.parts.get_mut(&route.name) {
             Some(wheel) => wheel.next(&weights),
             None => self.parts.entry(route.name.clone()).or_default().next(&weights),
