Three nodes of a region watch the store, the others learn from them

Weighed: a longer gathering of changes (slower configuration), stale reads (may go back).

Change: the first three nodes of a region that the store answers watch it and send a heartbeat at once when their copy moves; the others fetch what changed from them. A node that hears of no such node watches itself.

--- a/crates/model/tests/declarations.rs
+++ b/crates/model/tests/declarations.rs
@@ -67,7 +67,10 @@
     let fault = document::read_resources("caps.yaml", text).expect_err("500 % is too much");
     assert_eq!(fault.to_string(), "caps.yaml:10: share: 500 is not a percentage from 0 to 100");
     let fault = document::read_resources("x.yaml", "kind: cake\nname: a\n").expect_err("no kind");
-    assert_eq!(fault.to_string(), "x.yaml:1: kind: `cake` is none of service, place, cap, drain, route, evacuation");
+    assert_eq!(
+        fault.to_string(),
+        "x.yaml:1: kind: `cake` is none of service, place, cap, drain, route, evacuation"
+    );
 }
 
 #[test]
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -75,7 +75,7 @@
     let replica = state.replica.borrow();
     let dump = serde_json::json!({
         "me": *state.me.borrow(),
-        "store_reached": state.is_store_reached.get(),
+        "store_reached": state.is_store_reached(),
         "revision": replica.at(),
         "config_version": state.routing().map(|r| r.version),
         "peers_alive": alive,
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -18,6 +18,9 @@
 /// Time for which a node waits for the store's news before it asks a node that has them.
 const PATIENCE: Duration = Duration::from_millis(700);
 
+/// Time in which news gather before another node is asked for them.
+const GATHER: Duration = Duration::from_millis(100);
+
 /// Pause after a node that was asked did not answer.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -77,6 +80,9 @@
             continue;
         }
         let name = member.node.clone();
+        if member.at > state.replica.borrow().at() {
+            state.behind.notify_one();
+        }
         let is_new = state.members.borrow_mut().hear(member, Instant::now());
         if is_new {
             log::info!(peer = name.as_str(); "peer-alive");
@@ -90,7 +96,10 @@
     let mut behind_since: Option<Instant> = None;
     let mut turn: usize = 0;
     loop {
-        tokio::time::sleep(PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(PAUSE) => {}
+            () = state.behind.notified() => tokio::time::sleep(GATHER).await,
+        }
         let sources = sources(&state);
         if sources.is_empty() {
             behind_since = None;
@@ -98,8 +107,9 @@
         }
         let now = Instant::now();
         let since = *behind_since.get_or_insert(now);
-        let is_complete = state.replica.borrow().is_complete();
-        if is_complete && now.saturating_duration_since(since) < PATIENCE {
+        // A node that watches the store will mostly hear of news by itself.
+        let is_patient = state.replica.borrow().is_complete() && state.should_watch();
+        if is_patient && now.saturating_duration_since(since) < PATIENCE {
             continue;
         }
         let source = sources[turn % sources.len()];
@@ -108,23 +118,24 @@
     }
 }
 
-/// Returns the nodes that know more than this one, or any node while this one knows nothing.
+/// Returns the nodes that know more than this one, those of its region if there are any; the seeds
+/// while this one knows nothing.
 fn sources(state: &state::State) -> Vec<net::SocketAddr> {
     let replica = state.replica.borrow();
     let members = state.members.borrow();
-    let newer = members.alive(Instant::now()).filter(|m| m.at > replica.at()).map(|m| m.peers);
-    let newer: Vec<_> = newer.collect();
-    match newer.is_empty() && !replica.is_complete() && !state.is_store_reached.get() {
-        true => state
-            .settings
-            .borrow()
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| *s != state.me.borrow().peers)
-            .collect(),
-        false => newer,
+    let me = state.me.borrow();
+    let newer: Vec<&member::Member> =
+        members.alive(Instant::now()).filter(|m| m.at > replica.at()).collect();
+    let near: Vec<net::SocketAddr> =
+        newer.iter().filter(|m| m.region == me.region).map(|m| m.peers).collect();
+    if !near.is_empty() {
+        return near;
+    }
+    if newer.is_empty() && !replica.is_complete() && !me.is_store_reached {
+        let settings = state.settings.borrow();
+        return settings.seeds.iter().copied().filter(|seed| *seed != me.peers).collect();
     }
+    newer.iter().map(|m| m.peers).collect()
 }
 
 async fn fetch(state: &state::State, source: net::SocketAddr) {
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -47,7 +47,7 @@
     loop {
         tokio::time::sleep(RENEWAL).await;
         let is_listed = state.replica.borrow().nodes().any(|(listed, _)| listed == key);
-        if !is_listed && state.is_store_reached.get() {
+        if !is_listed && state.is_store_reached() {
             log::info!(key = key.as_str(); "registration-lost");
             return;
         }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -19,6 +19,9 @@
 use crate::gateway::replica;
 use crate::gateway::settings;
 
+/// Nodes of a region that watch the store.
+const WATCHERS: usize = 3;
+
 /// What a source of configuration and upstreams tells.
 #[derive(Clone, Debug)]
 pub struct News {
@@ -55,10 +58,10 @@
     is_complete: cell::Cell<bool>,
     /// The headers that callers and upstreams use.
     pub dialect: dialect::Dialect,
-    /// Whether the store answered last time.
-    pub is_store_reached: cell::Cell<bool>,
     /// Wakes whoever sends heartbeats.
     pub beat: Notify,
+    /// Wakes whoever asks other nodes for what they know.
+    pub behind: Notify,
 }
 
 impl State {
@@ -80,6 +83,7 @@
             peers: settings.listen.peers,
             is_ready: false,
             is_leaving: false,
+            is_store_reached: false,
             at: 0,
         };
         let dispatcher = dispatcher::Dispatcher::new(position, settings.bounds());
@@ -94,7 +98,7 @@
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
             dialect,
-            is_store_reached: cell::Cell::new(false),
+            behind: Notify::new(),
             beat: Notify::new(),
         }
     }
@@ -142,7 +146,11 @@
             endpoints: changes.endpoints.then(|| replica.endpoints().cloned().collect()),
             evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
         };
+        let is_ahead = replica.at() > self.me.borrow().at;
         self.me.borrow_mut().at = replica.at();
+        if is_ahead {
+            self.beat.notify_one();
+        }
         let is_complete = replica.is_complete();
         drop(replica);
         if is_complete {
@@ -190,9 +198,31 @@
         self.members.borrow_mut().set_listed(listed);
     }
 
+    /// Returns whether the store answered last time.
+    #[must_use]
+    pub fn is_store_reached(&self) -> bool {
+        self.me.borrow().is_store_reached
+    }
+
+    /// Returns whether this node should watch the store itself.
+    ///
+    /// A few nodes of each region do, the first by name that the store answers; the others learn
+    /// from them, so that the store's calls grow with the regions and not with the fleet.
+    #[must_use]
+    pub fn should_watch(&self) -> bool {
+        let members = self.members.borrow();
+        let me = self.me.borrow();
+        let before = members
+            .alive(Instant::now())
+            .filter(|m| m.region == me.region && m.is_store_reached && !m.is_leaving)
+            .filter(|m| m.node < me.node);
+        before.count() < WATCHERS
+    }
+
     /// Notes whether the store answers, with a line when that changes.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
-        let was_reached = self.is_store_reached.replace(failure.is_none());
+        let is_reached = failure.is_none();
+        let was_reached = std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached);
         match failure {
             None if !was_reached => {
                 log::info!(revision = self.replica.borrow().at(); "store-reached");
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -24,28 +24,25 @@
 /// All keys.
 const EVERYTHING: &str = "";
 
+/// Time between two looks at whether this node should watch.
+const WATCH_LOOK: Duration = Duration::from_millis(250);
+
 /// Follows the store until the task ends.
 pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
     let mut pause = FIRST_PAUSE;
     loop {
-        let outcome = match state.replica.borrow().is_complete() {
-            true => None,
-            false => Some(()),
-        };
-        let outcome = match outcome {
-            Some(()) => read(&state, &client).await,
-            None => watch(&state, &client).await,
+        let is_complete = state.replica.borrow().is_complete();
+        if is_complete && !state.should_watch() {
+            tokio::time::sleep(WATCH_LOOK).await;
+            continue;
+        }
+        let outcome = match is_complete {
+            true => watch_or_read(&state, &client).await,
+            false => read(&state, &client).await,
         };
         state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
         match outcome {
             Ok(()) => pause = FIRST_PAUSE,
-            Err(error::Error::Compacted) => {
-                log::info!(after = state.replica.borrow().at(); "history-compacted");
-                if let Err(error) = read(&state, &client).await {
-                    state.store_reached(Some(&error));
-                    tokio::time::sleep(jittered(pause)).await;
-                }
-            }
             Err(_) => {
                 tokio::time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -54,6 +51,17 @@
     }
 }
 
+/// Watches; reads everything when the history since the last news is gone.
+async fn watch_or_read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
+    match watch(state, client).await {
+        Err(error::Error::Compacted) => {
+            log::info!(after = state.replica.borrow().at(); "history-compacted");
+            read(state, client).await
+        }
+        outcome => outcome,
+    }
+}
+
 async fn read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
     let page = client.range(EVERYTHING).await?;
     state.learn("store", |replica| replica.replace(page));
--- a/crates/node/tests/process/gateway.rs
+++ b/crates/node/tests/process/gateway.rs
@@ -22,10 +22,7 @@
     assert_eq!((status, &refused["state"]), (422, &json!("refused")), "{refused}");
     let (status, _) = rig.operate("DELETE", "/v1/routes/reads", "").await;
     assert_eq!(status, 200);
-    rig.wait("the route is gone", async |rig| {
-        !served(rig, &gateway, "last").await
-    })
-    .await;
+    rig.wait("the route is gone", async |rig| !served(rig, &gateway, "last").await).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
