--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -72,8 +72,9 @@
     let rules = routing.services.get(&service).cloned();
     let mut tries = tries::Tries::new(face, &head, &route, service, rules, body, deadline);
     let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
+    let outcome = outcome.unwrap_or_else(|_| Err(tries.expired()));
     trace.set_tries(tries.tried());
-    outcome.unwrap_or_else(|_| Err(tries.expired()))
+    outcome
 }
 
 /// A route whose parts all have no weight.
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -25,8 +25,8 @@
 use crate::gateway::proxy::intake;
 use crate::gateway::proxy::relay;
 
-/// Most upstreams to which a connection is attempted in vain.
-const MOST_UNREACHABLE: usize = 3;
+/// Most upstreams to which a connection is attempted in vain; several may have crashed together.
+const MOST_UNREACHABLE: usize = 6;
 
 /// Time after which a request that upstreams turned away should come back.
 const COME_BACK: Duration = Duration::from_millis(60);
@@ -45,6 +45,7 @@
     sent: u32,
     unreachable: usize,
     may_have_run: bool,
+    is_trying: bool,
     is_in_flight: bool,
     tried: String,
 }
@@ -73,6 +74,7 @@
             sent: 0,
             unreachable: 0,
             may_have_run: false,
+            is_trying: false,
             is_in_flight: false,
             tried: String::new(),
         }
@@ -84,9 +86,11 @@
         &self.tried
     }
 
-    /// Returns the answer to a request whose time is up.
-    #[must_use]
-    pub fn expired(&self) -> answer::Reason {
+    /// Returns the answer to a request whose time is up, and notes the try that was not answered.
+    pub fn expired(&mut self) -> answer::Reason {
+        if let Some(last) = self.upstreams.last().cloned().filter(|_| self.is_trying) {
+            self.note(&last, if self.is_in_flight { "no-answer" } else { "no-connection" });
+        }
         match self.may_have_run || self.is_in_flight {
             true => answer::Reason::TimedOut,
             false => answer::Reason::NotSent,
@@ -108,7 +112,10 @@
                 self.deadline,
             );
             self.upstreams.push(endpoint.id.clone());
-            match self.send(&endpoint).await {
+            self.is_trying = true;
+            let sent = self.send(&endpoint).await;
+            self.is_trying = false;
+            match sent {
                 Ok((connection, answer)) => {
                     if let Some(response) = self.take(attempt, connection, answer)? {
                         return Ok(response);
--- a/crates/node/tests/gateway/requests.rs
+++ b/crates/node/tests/gateway/requests.rs
@@ -198,7 +198,8 @@
     let gateway = rig.gateway("n-1", "north-1", &door).await;
     assert_eq!(gateway.caller().await.get("/read/a", "id-1").await.status, 504);
     rig::until("it is explained", async || {
-        gateway.has_logged(&["event=request-failed", "request=id-1", "reason=timed-out"])
+        let words = ["event=request-failed", "request=id-1", "reason=timed-out", "i-0:no-answer"];
+        gateway.has_logged(&words)
     })
     .await;
 }
@@ -216,9 +217,9 @@
 }
 
 #[tokio::test]
-async fn an_upstream_that_cannot_be_reached_costs_no_request() {
-    let (_rig, upstreams, gateway) = desk(2).await;
-    upstreams[0].stop();
+async fn upstreams_that_cannot_be_reached_cost_no_request() {
+    let (_rig, upstreams, gateway) = desk(6).await;
+    upstreams[1..].iter().for_each(Instance::stop);
     for index in 0..10 {
         let id = format!("id-{index}");
         let answer = gateway.caller().await.post("/write/a", &id, "x").await;
