--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -9,6 +9,7 @@
 use model::check;
 use model::resource;
 use model::snapshot;
+use node::gateway;
 use node::settings;
 
 use crate::args;
@@ -26,7 +27,7 @@
     for at in &args.paths {
         match is_settings(at)? {
             true => {
-                settings::Settings::read(at)?;
+                check_settings(at)?;
                 printer::line(&format!("{}: settings are valid", at.display()));
             }
             false => declared.extend(declarations::read(at)?),
@@ -38,6 +39,14 @@
     }
 }
 
+/// Checks the settings of a node or of a gateway.
+fn check_settings(at: &path::Path) -> anyhow::Result<()> {
+    match gateway::settings::Settings::is_gateway(&fs::read_to_string(at)?) {
+        true => gateway::settings::Settings::read(at).map(drop),
+        false => settings::Settings::read(at).map(drop),
+    }
+}
+
 fn check(declared: Vec<resource::Resource>) -> anyhow::Result<Code> {
     let count = declared.len();
     let steps = declared.into_iter().map(|resource| change::Step::Put { resource }).collect();
@@ -64,5 +73,5 @@
         return Ok(false);
     }
     let text = fs::read_to_string(at).with_context(|| format!("cannot read {}", at.display()))?;
-    Ok(text.lines().any(|line| line.starts_with("node:") || line.starts_with("listen:")))
+    Ok(text.lines().any(|line| ["node:", "listen:", "role:"].iter().any(|k| line.starts_with(k))))
 }
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -34,9 +34,9 @@
     Own,
 }
 
-/// What an upstream made of a request.
+/// What an upstream execution of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Made {
+pub enum Execution {
     /// It ran it, or may have.
     Ran,
     /// It did not run it.
@@ -130,24 +130,24 @@
         }
     }
 
-    /// Returns what an upstream made of a request, by its answer.
+    /// Returns what an upstream execution of a request, by its answer.
     #[must_use]
-    pub fn made(
+    pub fn execution(
         self,
         headers: &HeaderMap,
         status: StatusCode,
         rules: Option<&routing::ServiceRules>,
-    ) -> Made {
+    ) -> Execution {
         let is_not_run = match self {
             Self::Platform => headers.contains_key(headers::NOT_EXECUTED),
             Self::Own => rules.is_some_and(|rules| rules.shed.contains(&status.as_u16())),
         };
         match status {
-            StatusCode::MISDIRECTED_REQUEST => Made::Replaced,
-            status if status.is_success() => Made::Ran,
-            _ if is_not_run => Made::NotRun,
-            status if PROMISES.contains(&status) => Made::Unproved,
-            _ => Made::Ran,
+            StatusCode::MISDIRECTED_REQUEST => Execution::Replaced,
+            status if status.is_success() => Execution::Ran,
+            _ if is_not_run => Execution::NotRun,
+            status if PROMISES.contains(&status) => Execution::Unproved,
+            _ => Execution::Ran,
         }
     }
 
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! the node away, from other nodes; the decisions are those of [`steer::dispatch`].
 
 pub mod control;
+pub mod control_server;
 pub mod declarations;
 pub mod dialect;
 pub mod directory;
@@ -17,7 +18,6 @@
 pub mod proxy;
 pub mod registration;
 pub mod replica;
-pub mod server;
 pub mod settings;
 pub mod shutdown;
 pub mod state;
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -9,13 +9,13 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::gateway::control_server;
 use crate::gateway::declarations;
 use crate::gateway::heartbeat;
 use crate::gateway::loads;
-use crate::gateway::proxy::face;
 use crate::gateway::proxy::pool;
+use crate::gateway::proxy::server;
 use crate::gateway::registration;
-use crate::gateway::server;
 use crate::gateway::settings;
 use crate::gateway::shutdown;
 use crate::gateway::state;
@@ -39,7 +39,7 @@
 pub struct Gateway {
     /// What its tasks share.
     pub state: rc::Rc<state::State>,
-    open: rc::Rc<face::Open>,
+    open: rc::Rc<server::Open>,
     close: watch::Sender<bool>,
     tasks: Vec<task::JoinHandle<()>>,
 }
@@ -65,10 +65,10 @@
         let datagrams = rc::Rc::new(datagrams);
         let source = settings.source();
         let state = rc::Rc::new(state::State::new(settings, incarnation()));
-        let open = rc::Rc::new(face::Open::default());
+        let open = rc::Rc::new(server::Open::default());
         let (close, closed) = watch::channel(false);
         let pool = rc::Rc::new(pool::Pool::default());
-        let face = face::Face::new(
+        let proxy = server::Server::new(
             rc::Rc::clone(&state),
             rc::Rc::clone(&open),
             rc::Rc::clone(&pool),
@@ -76,10 +76,10 @@
         );
         let mut tasks = follow(&state, source);
         tasks.extend([
-            task::spawn_local(face::serve(face, callers)),
-            task::spawn_local(server::serve(rc::Rc::clone(&state), ready)),
-            task::spawn_local(server::serve(rc::Rc::clone(&state), directory)),
-            task::spawn_local(server::serve(rc::Rc::clone(&state), peers)),
+            task::spawn_local(server::serve(proxy, callers)),
+            task::spawn_local(control_server::serve(rc::Rc::clone(&state), ready)),
+            task::spawn_local(control_server::serve(rc::Rc::clone(&state), directory)),
+            task::spawn_local(control_server::serve(rc::Rc::clone(&state), peers)),
             task::spawn_local(heartbeat::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(loads::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(heartbeat::receive(rc::Rc::clone(&state), datagrams)),
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -47,8 +47,8 @@
     pub head: Response<()>,
     /// The body.
     pub bytes: Payload,
-    /// What the upstream made of the request.
-    pub made: dialect::Made,
+    /// What the upstream execution of the request.
+    pub execution: dialect::Execution,
     /// Load it told.
     pub load: Option<endpoint::Load>,
 }
@@ -75,10 +75,10 @@
     })?;
     let (parts, incoming) = response.into_parts();
     let fault = dialect.fault(&parts.headers, parts.status, request_id);
-    let made = dialect.made(&parts.headers, parts.status, rules);
-    match (fault, made) {
+    let execution = dialect.execution(&parts.headers, parts.status, rules);
+    match (fault, execution) {
         (Some(fault), _) => return Err(Failure::Broken(fault.to_owned())),
-        (None, dialect::Made::Unproved) => {
+        (None, dialect::Execution::Unproved) => {
             return Err(Failure::Broken("refusal that proves nothing".to_owned()));
         }
         (None, _) if parts.headers.contains_key(header::CONTENT_ENCODING) => {
@@ -89,7 +89,7 @@
     connection.rest = rest(&parts.headers);
     let bytes = read(incoming).await?;
     let load = dialect.load(&parts.headers);
-    Ok(Answer { head: Response::from_parts(parts, ()), bytes, made, load })
+    Ok(Answer { head: Response::from_parts(parts, ()), bytes, execution, load })
 }
 
 /// Returns how long a connection may rest after this answer.
--- a/crates/node/src/gateway/proxy/face.rs
+++ b/crates/node/src/gateway/proxy/server.rs
@@ -80,7 +80,7 @@
 
 /// What the server of callers' connections works with.
 #[derive(Clone, Debug)]
-pub struct Face {
+pub struct Server {
     /// What the gateway's tasks share.
     pub state: rc::Rc<state::State>,
     /// Connections to upstreams.
@@ -90,7 +90,7 @@
     close: watch::Receiver<bool>,
 }
 
-impl Face {
+impl Server {
     /// Makes a server whose connections end after their requests once `close` turns true.
     #[must_use]
     pub fn new(
@@ -104,8 +104,8 @@
 }
 
 /// Accepts callers' connections until the task ends.
-pub async fn serve(face: Face, listener: TcpListener) {
-    let mut close = face.close.clone();
+pub async fn serve(server: Server, listener: TcpListener) {
+    let mut close = server.close.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -115,27 +115,27 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if face.open.connections() >= MOST_CONNECTIONS {
-            log::warn!(connections = face.open.connections(); "connection-refused");
+        if server.open.connections() >= MOST_CONNECTIONS {
+            log::warn!(connections = server.open.connections(); "connection-refused");
             continue;
         }
-        let guard = face.open.connection();
-        let face = face.clone();
+        let guard = server.open.connection();
+        let server = server.clone();
         tokio::task::spawn_local(async move {
-            connection(face, stream).await;
+            connection(server, stream).await;
             drop(guard);
         });
     }
 }
 
-async fn connection(face: Face, stream: TcpStream) {
+async fn connection(server: Server, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
-    let limits = face.state.routing().map_or_else(routing::CallerLimits::default, |r| r.limits);
-    let mut close = face.close.clone();
+    let limits = server.state.routing().map_or_else(routing::CallerLimits::default, |r| r.limits);
+    let mut close = server.close.clone();
     let service = service_fn(|request| {
-        let face = face.clone();
-        async move { Ok::<_, convert::Infallible>(handler::handle(&face, request).await) }
+        let server = server.clone();
+        async move { Ok::<_, convert::Infallible>(handler::handle(&server, request).await) }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -20,10 +20,10 @@
 use crate::gateway::proxy::attempt;
 use crate::gateway::proxy::connection;
 use crate::gateway::proxy::exchange;
-use crate::gateway::proxy::face;
 use crate::gateway::proxy::head;
-use crate::gateway::proxy::intake;
 use crate::gateway::proxy::relay;
+use crate::gateway::proxy::request_body;
+use crate::gateway::proxy::server;
 
 /// Most upstreams to which a connection is attempted in vain; several may have crashed together.
 const MOST_UNREACHABLE: usize = 6;
@@ -34,12 +34,12 @@
 /// The tries of one request.
 #[derive(Debug)]
 pub struct Tries<'a> {
-    face: &'a face::Face,
+    server: &'a server::Server,
     head: &'a head::Head,
     route: &'a route::Route,
     service: id::Service,
     rules: Option<routing::ServiceRules>,
-    body: intake::Body,
+    body: request_body::Body,
     deadline: Instant,
     upstreams: Vec<id::Upstream>,
     sent: u32,
@@ -54,16 +54,16 @@
     /// Starts without a try.
     #[must_use]
     pub fn new(
-        face: &'a face::Face,
+        server: &'a server::Server,
         head: &'a head::Head,
         route: &'a route::Route,
         service: id::Service,
         rules: Option<routing::ServiceRules>,
-        body: intake::Body,
+        body: request_body::Body,
         deadline: Instant,
     ) -> Self {
         Self {
-            face,
+            server,
             head,
             route,
             service,
@@ -106,7 +106,7 @@
         loop {
             let endpoint = self.choose()?;
             let attempt = attempt::Attempt::start(
-                &self.face.state,
+                &self.server.state,
                 sync::Arc::clone(&endpoint),
                 self.upstreams.is_empty(),
                 self.deadline,
@@ -132,7 +132,7 @@
                 Err(exchange::Failure::Broken(cause)) => {
                     attempt.end(outcome::Outcome::Broken);
                     self.note(&endpoint.id, &cause);
-                    self.face.state.metrics.broken.add(1);
+                    self.server.state.metrics.broken.add(1);
                     self.may_have_run = true;
                     if !self.route.repetition.is_repeatable() || !self.may_go_on() {
                         return Err(answer::Reason::Unknown("broken"));
@@ -151,7 +151,7 @@
             tried: &self.upstreams,
             left: self.deadline.saturating_duration_since(now),
         };
-        let chosen = self.face.state.dispatcher.borrow_mut().choose(&ask, now);
+        let chosen = self.server.state.dispatcher.borrow_mut().choose(&ask, now);
         chosen.map_err(|refusal| {
             let after = match refusal {
                 refusal::Refusal::NoUpstream => COME_BACK,
@@ -176,7 +176,7 @@
                 &mut connection,
                 request,
                 &self.head.request_id,
-                self.face.state.dialect,
+                self.server.state.dialect,
                 self.rules.as_ref(),
             )
             .await;
@@ -202,10 +202,10 @@
         &self,
         endpoint: &endpoint::Endpoint,
     ) -> Result<(connection::Connection, bool), exchange::Failure> {
-        if let Some(connection) = self.face.pool.take(&endpoint.id) {
+        if let Some(connection) = self.server.pool.take(&endpoint.id) {
             return Ok((connection, true));
         }
-        self.face.state.metrics.connections.add(1);
+        self.server.state.metrics.connections.add(1);
         match connection::Connection::open(endpoint.address).await {
             Ok(connection) => Ok((connection, false)),
             Err(error) => Err(exchange::Failure::NotSent(error.to_string())),
@@ -221,20 +221,21 @@
     ) -> Result<Option<Response<body::Body>>, answer::Reason> {
         let upstream = attempt.endpoint.id.clone();
         let status = answer.head.status();
-        let is_final = answer.made == dialect::Made::Ran || status == StatusCode::BAD_REQUEST;
+        let is_final =
+            answer.execution == dialect::Execution::Ran || status == StatusCode::BAD_REQUEST;
         if is_final {
             self.note(&upstream, status.as_str());
             return Ok(Some(self.pass_on(attempt, connection, answer)));
         }
-        let (ended, end) = match answer.made {
-            dialect::Made::Replaced => (outcome::Outcome::Replaced, "replaced"),
+        let (ended, end) = match answer.execution {
+            dialect::Execution::Replaced => (outcome::Outcome::Replaced, "replaced"),
             _ => (outcome::Outcome::TurnedAway { load: answer.load }, "turned-away"),
         };
         attempt.end(ended);
         self.note(&upstream, end);
-        self.face.state.metrics.turned_away.add(1);
+        self.server.state.metrics.turned_away.add(1);
         if let exchange::Payload::Whole(_) = answer.bytes {
-            self.face.pool.put(&upstream, connection);
+            self.server.pool.put(&upstream, connection);
         }
         match self.may_go_on() {
             true => Ok(None),
@@ -252,7 +253,7 @@
             exchange::Payload::Whole(bytes) => {
                 let upstream = attempt.endpoint.id.clone();
                 attempt.answered(answer.load);
-                self.face.pool.put(&upstream, connection);
+                self.server.pool.put(&upstream, connection);
                 body::full(bytes)
             }
             exchange::Payload::Partial(first, rest) => {
@@ -267,7 +268,7 @@
         if !self.body.is_ready() || self.sent >= self.route.max_attempts {
             return false;
         }
-        let state = rc::Rc::clone(&self.face.state);
+        let state = rc::Rc::clone(&self.server.state);
         let is_allowed = state.dispatcher.borrow_mut().may_retry(&self.service, Instant::now());
         if is_allowed {
             state.metrics.retries.add(1);
--- a/crates/node/src/gateway/shutdown.rs
+++ b/crates/node/src/gateway/shutdown.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use crate::gateway::proxy::face;
+use crate::gateway::proxy::server;
 use crate::gateway::state;
 
 /// Time for which callers that looked the node up may still come; some keep an answer for three
@@ -24,7 +24,7 @@
 /// Stops as planned; returns whether every request had ended.
 pub async fn run(
     state: &rc::Rc<state::State>,
-    open: &rc::Rc<face::Open>,
+    open: &rc::Rc<server::Open>,
     close: &watch::Sender<bool>,
 ) -> bool {
     let began = Instant::now();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod failed;
 pub mod gateway;
 pub mod head;
-pub mod lines;
+pub mod log_writer;
 pub mod logging;
 pub mod node;
 pub mod operators;
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/log_writer.rs
@@ -7,13 +7,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Lines that wait for the output; a line more is dropped and counted.
+/// LogWriter that wait for the output; a line more is dropped and counted.
 const WAITING: usize = 1_024;
 
-/// Lines a second, in the long run; what is more is dropped and counted.
+/// LogWriter a second, in the long run; what is more is dropped and counted.
 const RATE: f64 = 200.0;
 
-/// Lines that may come at once.
+/// LogWriter that may come at once.
 const BURST: f64 = 600.0;
 
 /// Longest time that a flush waits for the output.
@@ -24,7 +24,7 @@
 
 /// Collects lines and hands them to a thread of its own.
 #[derive(Debug)]
-pub struct Lines {
+pub struct LogWriter {
     line: Vec<u8>,
     sender: mpsc::SyncSender<Vec<u8>>,
     allowed: f64,
@@ -33,7 +33,7 @@
     waiting: sync::Arc<AtomicU64>,
 }
 
-impl Lines {
+impl LogWriter {
     /// Starts the thread, which writes to `output` until the writer is dropped.
     ///
     /// `dropped` counts the lines that were not written.
@@ -85,7 +85,7 @@
     }
 }
 
-impl io::Write for Lines {
+impl io::Write for LogWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.line.write_all(bytes)?;
         Ok(bytes.len())
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -8,7 +8,7 @@
 
 use log::kv;
 
-use crate::lines;
+use crate::log_writer;
 use crate::settings;
 
 /// Sends events of `level` and above to standard output.
@@ -17,7 +17,7 @@
 ///
 /// Fails when a logger is set already.
 pub fn start(level: settings::Level) -> anyhow::Result<()> {
-    let lines = lines::Lines::start(std::io::stdout(), dropped())?;
+    let lines = log_writer::LogWriter::start(std::io::stdout(), dropped())?;
     fern::Dispatch::new()
         .format(|out, message, record| out.finish(format_args!("{}", Line { message, record })))
         .level(log::LevelFilter::Warn)
--- a/crates/steer/src/dispatch/dispatcher.rs
+++ b/crates/steer/src/dispatch/dispatcher.rs
@@ -19,9 +19,9 @@
 use crate::dispatch::peers;
 use crate::dispatch::refusal;
 use crate::dispatch::retries;
+use crate::dispatch::round_robin;
 use crate::dispatch::shares;
 use crate::dispatch::spill;
-use crate::dispatch::wheel;
 use crate::dispatch::work;
 use crate::ramp;
 use crate::split;
@@ -74,7 +74,7 @@
 #[derive(Clone, Debug, Default)]
 struct Rotation {
     ramp: ramp::Limiter,
-    wheel: wheel::Wheel<id::Region>,
+    round_robin: round_robin::RoundRobin<id::Region>,
 }
 
 /// A service, and the regions that may serve it; all when empty.
@@ -102,7 +102,7 @@
     work: collections::BTreeMap<id::Service, work::Work>,
     budgets: collections::BTreeMap<id::Service, retries::Budget>,
     rotations: collections::BTreeMap<Scope, Rotation>,
-    parts: collections::BTreeMap<id::Route, wheel::Wheel<id::Service>>,
+    parts: collections::BTreeMap<id::Route, round_robin::RoundRobin<id::Service>>,
     peers: peers::Peers,
     spill: spill::Spill,
     nodes: Vec<id::Node>,
@@ -244,7 +244,7 @@
         let weights: Vec<_> =
             route.parts.iter().map(|p| (p.service.clone(), f64::from(p.weight))).collect();
         match self.parts.get_mut(&route.name) {
-            Some(wheel) => wheel.next(&weights),
+            Some(round_robin) => round_robin.next(&weights),
             None => self.parts.entry(route.name.clone()).or_default().next(&weights),
         }
     }
@@ -432,9 +432,9 @@
         let first = match (ask.tried.is_empty(), ask.route.is_sticky) {
             (true, true) => {
                 let wanted = by_affinity(ask.key, &weights);
-                rotation.wheel.prefer(&weights, &wanted, MOST_LEAD)
+                rotation.round_robin.prefer(&weights, &wanted, MOST_LEAD)
             }
-            (true, false) => rotation.wheel.next(&weights),
+            (true, false) => rotation.round_robin.next(&weights),
             (false, _) => None,
         };
         weights.sort_by(|a, b| b.1.partial_cmp(&a.1).unwrap_or(cmp::Ordering::Equal));
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 pub mod peers;
 pub mod refusal;
 pub mod retries;
+pub mod round_robin;
 pub mod shares;
 pub mod spill;
-pub mod wheel;
 pub mod work;
--- a/crates/steer/src/dispatch/wheel.rs
+++ b/crates/steer/src/dispatch/round_robin.rs
@@ -5,17 +5,17 @@
 
 /// The state of the rotation.
 #[derive(Clone, Debug)]
-pub struct Wheel<K> {
+pub struct RoundRobin<K> {
     credit: collections::BTreeMap<K, f64>,
 }
 
-impl<K> Default for Wheel<K> {
+impl<K> Default for RoundRobin<K> {
     fn default() -> Self {
         Self { credit: collections::BTreeMap::new() }
     }
 }
 
-impl<K: Clone + Ord + hash::Hash> Wheel<K> {
+impl<K: Clone + Ord + hash::Hash> RoundRobin<K> {
     /// Takes `wanted`, unless it has had more than `lead` beyond its share: then the next wanted one
     /// that has not, else the one that is furthest behind.
     ///
--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -7,7 +7,9 @@
 
 use model::{bounds, endpoint, id, route, routing};
 use quickcheck::quickcheck;
-use steer::dispatch::{ask, cold, dispatcher, outcome, peers, refusal, retries, shares, wheel};
+use steer::dispatch::{
+    ask, cold, dispatcher, outcome, peers, refusal, retries, round_robin, shares,
+};
 
 /// Requests of a test that looks at shares.
 const MANY: usize = 400;
@@ -307,12 +309,12 @@
             weights.iter().take(5).enumerate().map(|(k, w)| (k, f64::from(*w))).collect();
         let total: f64 = weights.iter().map(|(_, w)| w).sum();
         let lead = 5.0;
-        let mut wheel = wheel::Wheel::default();
+        let mut rotation = round_robin::RoundRobin::default();
         let mut taken = vec![0.0; weights.len()];
         for (turn, want) in wants.iter().enumerate() {
             let wanted: Vec<usize> = weights.iter().filter(|(_, w)| *w > 0.0).map(|(k, _)| *k)
                 .filter(|k| k % 2 == usize::from(*want) % 2).collect();
-            let Some(key) = wheel.prefer(&weights, &wanted, lead) else { return total <= 0.0 };
+            let Some(key) = rotation.prefer(&weights, &wanted, lead) else { return total <= 0.0 };
             taken[key] += 1.0;
             let turns = turn as f64 + 1.0;
             let is_bounded = weights.iter().all(|(k, w)| {
