Bounds on resting connections and kept bodies; bytes between nodes are counted

Cause: with 400 upstreams (the grown sites) resting connections could take all descriptors, and bodies of 1 MiB of every request in flight all memory. At most 1000 connections rest; in a crowd of more than 64 requests bodies over 64 KiB stream.

--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -87,8 +87,16 @@
         }
     }
     log::info!(node = name.as_str(); "gateway-stopping");
+    let state = std::rc::Rc::clone(&gateway.state);
     let is_done = gateway.stop().await;
-    log::info!(node = name.as_str(), done = is_done; "gateway-stopped");
+    log::info!(
+        node = name.as_str(),
+        done = is_done,
+        requests = state.metrics.requests.get(),
+        answered = state.metrics.answered.get(),
+        control_bytes = state.metrics.control_bytes.get();
+        "gateway-stopped"
+    );
     Ok(match is_done {
         true => process::ExitCode::SUCCESS,
         false => process::ExitCode::from(CUT_OFF),
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -48,6 +48,7 @@
         // A datagram that cannot be sent is one that was lost.
         let _ = socket.send_to(&datagram, address).await;
         state.metrics.heartbeats.add(1);
+        state.metrics.control_bytes.add(datagram.len() as u64);
     }
     let now = Instant::now();
     state.members.borrow_mut().forget(now);
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -53,6 +53,7 @@
         for address in addresses {
             // A datagram that cannot be sent is one that was lost.
             let _ = socket.try_send_to(&datagram, address);
+            state.metrics.control_bytes.add(datagram.len() as u64);
         }
     }
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -78,6 +78,8 @@
     pub lookups: Counter,
     /// Heartbeats sent.
     pub heartbeats: Counter,
+    /// Bytes of heartbeats and loads sent to other nodes.
+    pub control_bytes: Counter,
     /// Copies of the store fetched from other nodes.
     pub peer_fetches: Counter,
     /// Items of the store that could not be understood.
@@ -104,6 +106,7 @@
             ("connections", &self.connections),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
+            ("control_bytes", &self.control_bytes),
             ("peer_fetches", &self.peer_fetches),
             ("malformed_items", &self.malformed_items),
         ];
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -59,8 +59,8 @@
     if head.length().is_some_and(|length| length > most) {
         return Err(answer::Reason::TooLarge);
     }
-    let read =
-        tokio::time::timeout_at(deadline.into(), request_body::Body::read(incoming, most)).await;
+    let read = request_body::Body::read(incoming, most, server.open.requests());
+    let read = tokio::time::timeout_at(deadline.into(), read).await;
     let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(request_body::Fault::TooLarge)) => return Err(answer::Reason::TooLarge),
--- a/crates/node/src/gateway/proxy/pool.rs
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -11,6 +11,9 @@
 /// Most connections that rest for one upstream.
 const MOST_RESTING: usize = 16;
 
+/// Most connections that rest for all upstreams, so that descriptors are left for callers.
+const MOST_RESTING_IN_ALL: usize = 1_000;
+
 /// Connections to upstreams that rest.
 ///
 /// The one that rested longest is used first, so that a surplus answer on a connection is more
@@ -44,6 +47,10 @@
         }
         connection.used = Instant::now();
         let mut resting = self.resting.borrow_mut();
+        let in_all: usize = resting.values().map(collections::VecDeque::len).sum();
+        if in_all >= MOST_RESTING_IN_ALL {
+            return;
+        }
         let of_upstream = resting.entry(upstream.clone()).or_default();
         of_upstream.push_back(connection);
         if of_upstream.len() > MOST_RESTING {
--- a/crates/node/src/gateway/proxy/request_body.rs
+++ b/crates/node/src/gateway/proxy/request_body.rs
@@ -10,6 +10,12 @@
 /// Largest body that is read whole before it is sent on, in bytes.
 const LARGEST_KEPT: usize = 1_024 * 1_024;
 
+/// Largest body that is read whole while many others are kept, in bytes.
+const LARGEST_KEPT_IN_CROWD: usize = 64 * 1_024;
+
+/// Requests in flight from which only small bodies are kept, so that memory stays bounded.
+const CROWD: usize = 64;
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -31,18 +37,23 @@
 }
 
 impl Body {
-    /// Reads a body, whole if it is not too large to keep.
+    /// Reads a body, whole if it is not too large to keep beside those of the other requests
+    /// `in_flight`.
     ///
     /// # Errors
     ///
     /// Fails when it breaks off or is larger than `most` bytes.
-    pub async fn read(mut incoming: Incoming, most: u64) -> Result<Self, Fault> {
+    pub async fn read(mut incoming: Incoming, most: u64, in_flight: usize) -> Result<Self, Fault> {
         if incoming.is_end_stream() {
             return Ok(Self::Kept(Bytes::new()));
         }
         if incoming.size_hint().lower() > most {
             return Err(Fault::TooLarge);
         }
+        let largest_kept = match in_flight {
+            ..=CROWD => LARGEST_KEPT,
+            _ => LARGEST_KEPT_IN_CROWD,
+        };
         let mut read = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
             let Ok(data) = frame.map_err(|_| Fault::Cut)?.into_data() else { continue };
@@ -50,7 +61,7 @@
             if read.len() as u64 > most {
                 return Err(Fault::TooLarge);
             }
-            if read.len() > LARGEST_KEPT {
+            if read.len() > largest_kept {
                 return Ok(Self::Partial(read.freeze(), incoming));
             }
         }
