--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::UdpSocket;
 
+use crate::gateway::datagram;
 use crate::gateway::loads;
 use crate::gateway::member;
 use crate::gateway::peer;
@@ -42,7 +43,7 @@
     let datagram = {
         let mut me = state.me.borrow_mut();
         me.sequence += 1;
-        serde_json::to_vec(&*me).unwrap_or_default()
+        datagram::write(&me)
     };
     for address in addresses(state) {
         // A datagram that cannot be sent is one that was lost.
@@ -76,7 +77,7 @@
             loads::receive(&state, &datagram[1..]);
             continue;
         }
-        let Ok(member) = serde_json::from_slice::<member::Member>(datagram) else { continue };
+        let Some(member) = datagram::read(datagram) else { continue };
         if member.node == state.me.borrow().node {
             continue;
         }
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -17,7 +17,7 @@
 /// with the fleet.
 const PERIOD_A_NODE: Duration = Duration::from_millis(8);
 
-/// First byte of a datagram of loads; heartbeats begin with a brace.
+/// First byte of a datagram of loads.
 pub const MARK: u8 = 1;
 
 /// What a node has in flight.
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod control_server;
+pub mod datagram;
 pub mod declarations;
 pub mod dialect;
 pub mod directory;
--- /dev/null
+++ b/crates/steer/src/dispatch/dispatcher/selection.rs
@@ -0,0 +1,160 @@
+//! Which upstream of a region takes a request.
+
+use std::cmp;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use model::endpoint;
+use model::id;
+use xxhash_rust::xxh3;
+
+use super::Dispatcher;
+use crate::dispatch::ask;
+use crate::dispatch::backend;
+use crate::dispatch::cold;
+use crate::dispatch::refusal;
+
+/// Part of the bound that requests may use which leave a crowded region by themselves.
+const SPILL_USED: f64 = 0.3;
+
+/// Wait that makes a region crowded, as a part of the time within which an answer is wanted.
+const CROWDED: f64 = 0.5;
+
+/// Wait, in seconds, by which another region must be better to be worth the way.
+const WORTH_THE_WAY: f64 = 0.1;
+
+/// Cost of an object's second upstream against its first, which knows the object.
+const SECOND_COST: f64 = 1.25;
+
+/// Cost of an upstream that has probably not seen the object.
+const FURTHER_COST: f64 = 2.5;
+
+/// Cost of an upstream all of whose tries broke, against a sound one.
+const FAILURE_COST: f64 = 6.0;
+
+/// Shortest time after which a refused request is worth another try.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The best upstream of a region for a request.
+#[derive(Clone, Debug)]
+struct Candidate {
+    id: id::Upstream,
+    /// Time the request would wait, in seconds.
+    wait: f64,
+    /// A careful guess of the time until it would be done, in seconds.
+    expected: f64,
+}
+
+impl Dispatcher {
+    /// Returns the upstream for a request; [`Dispatcher::sent`] must follow when it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no upstream may take the request in its time.
+    pub fn choose(
+        &mut self,
+        ask: &ask::Ask<'_>,
+        now: Instant,
+    ) -> Result<sync::Arc<endpoint::Endpoint>, refusal::Refusal> {
+        if ask.tried.is_empty() {
+            self.spill.earn(self.bounds.greatest_shift * SPILL_USED);
+        }
+        let regions = self.region_order(ask, now);
+        let options = regions.iter().filter_map(|region| self.best_in(region, ask, now));
+        let options: Vec<Candidate> = options.collect();
+        let Some((own, others)) = options.split_first() else {
+            return Err(refusal::Refusal::NoUpstream);
+        };
+        let chosen = self.spilled(own, others, ask).unwrap_or(own);
+        let left = ask.left.as_secs_f64();
+        // Where nothing waits, a try costs nobody anything, and its answer tells how long work takes.
+        if chosen.wait > 0.0 && chosen.expected > left {
+            let surplus = (chosen.expected - left).clamp(0.0, 1.0);
+            let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
+            return Err(refusal::Refusal::Overloaded { retry_after });
+        }
+        let backend = self.backends.get(&chosen.id).ok_or(refusal::Refusal::NoUpstream)?;
+        Ok(sync::Arc::clone(&backend.endpoint))
+    }
+
+    /// Returns the upstream of another region that is so much less crowded than the request's own
+    /// that the request should go there, if the bound on shifts allows.
+    fn spilled<'a>(
+        &mut self,
+        own: &Candidate,
+        others: &'a [Candidate],
+        ask: &ask::Ask<'_>,
+    ) -> Option<&'a Candidate> {
+        if own.wait <= ask.route.target_latency.as_secs_f64() * CROWDED {
+            return None;
+        }
+        let by_wait = |a: &&Candidate, b: &&Candidate| {
+            a.wait.partial_cmp(&b.wait).unwrap_or(cmp::Ordering::Equal)
+        };
+        let best = others.iter().min_by(by_wait)?;
+        let is_worth = best.wait + WORTH_THE_WAY < own.wait;
+        (is_worth && self.spill.take()).then_some(best)
+    }
+
+    pub(super) fn takes_work(&self, backend: &backend::Backend) -> bool {
+        backend.is_usable() && !self.evacuated.contains(&backend.endpoint.hall)
+    }
+
+    /// Returns whether a cold upstream may get one more request, from this node.
+    fn may_warm(&self, backend: &backend::Backend, now: Instant) -> bool {
+        let rules = self.routing.services.get(&backend.endpoint.service);
+        let Some(rate) = rules.and_then(|r| r.cold_rate) else { return true };
+        if !backend.cold.is_cold(now) {
+            return true;
+        }
+        let owner = cold::owner(&backend.endpoint.id, self.nodes.iter());
+        owner == Some(&self.position.node) && backend.cold.has_room(rate, now)
+    }
+
+    /// Returns the best upstream of a region.
+    fn best_in(&self, region: &id::Region, ask: &ask::Ask<'_>, now: Instant) -> Option<Candidate> {
+        let work = self.work.get(ask.service).copied().unwrap_or_default();
+        let ids = self.services.get(ask.service)?;
+        let mut candidates: Vec<(u64, &backend::Backend)> = ids
+            .iter()
+            .filter(|id| !ask.tried.contains(id))
+            .filter_map(|id| self.backends.get(id))
+            .filter(|b| b.region == *region && self.takes_work(b) && self.may_warm(b, now))
+            .map(|b| (affinity(ask.key, &b.endpoint.id), b))
+            .collect();
+        candidates.sort_by_key(|(hash, _)| cmp::Reverse(*hash));
+        let is_sound = |b: &backend::Backend| {
+            !b.health.is_ejected(now) && !b.health.is_silent(work.mean(), now)
+        };
+        if candidates.iter().any(|(_, b)| is_sound(b)) {
+            candidates.retain(|(_, b)| is_sound(b));
+        }
+        let mut best: Option<(&backend::Backend, f64)> = None;
+        for (rank, (_, backend)) in candidates.iter().enumerate() {
+            let cost = backend.expected(work.mean(), now)
+                * affinity_cost(ask.route.is_sticky, rank)
+                * (1.0 + backend.health.failures(now) * FAILURE_COST);
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((backend, cost));
+            }
+        }
+        best.map(|(backend, _)| {
+            let wait = backend.wait(work.mean(), now);
+            let id = backend.endpoint.id.clone();
+            Candidate { id, wait, expected: wait + work.careful() }
+        })
+    }
+}
+
+/// Returns how much dearer an upstream is than the one that knows the object best.
+fn affinity_cost(is_sticky: bool, rank: usize) -> f64 {
+    match (is_sticky, rank) {
+        (false, _) | (true, 0) => 1.0,
+        (true, 1) => SECOND_COST,
+        (true, _) => FURTHER_COST,
+    }
+}
+
+fn affinity(key: u64, upstream: &id::Upstream) -> u64 {
+    xxh3::xxh3_64_with_seed(upstream.as_str().as_bytes(), key)
+}
