--- a/crates/cli/src/demo/example.rs
+++ b/crates/cli/src/demo/example.rs
@@ -55,16 +55,18 @@
     pub rate: f64,
 }
 
-const DIAGNE: [(&str, &str); 3] = [
+const DIAGNE: [(&str, &str); 4] = [
     ("services.yaml", include_str!("../../../../examples/diagne/services.yaml")),
     ("places.yaml", include_str!("../../../../examples/diagne/places.yaml")),
     ("caps.yaml", include_str!("../../../../examples/diagne/caps.yaml")),
+    ("routes.yaml", include_str!("../../../../examples/diagne/routes.yaml")),
 ];
 
-const TAF: [(&str, &str); 3] = [
+const TAF: [(&str, &str); 4] = [
     ("services.yaml", include_str!("../../../../examples/taf/services.yaml")),
     ("places.yaml", include_str!("../../../../examples/taf/places.yaml")),
     ("caps.yaml", include_str!("../../../../examples/taf/caps.yaml")),
+    ("routes.yaml", include_str!("../../../../examples/taf/routes.yaml")),
 ];
 
 impl Example {
