--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -8,6 +8,7 @@
 mod report;
 mod traffic;
 
+use std::io;
 use std::sync;
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
 /// Fails when the example cannot be started, which says nothing about promises.
 pub async fn run(args: &args::Demo) -> anyhow::Result<Code> {
     anyhow::ensure!(args.seconds >= LEAST_SECONDS, "--seconds: expected at least {LEAST_SECONDS}");
-    node::logging::start(settings::Level::Warn)?;
+    node::logging::start(settings::Level::Warn, io::stderr())?;
     if args.platform {
         return platform::run(args).await;
     }
--- a/crates/node/src/controller.rs
+++ b/crates/node/src/controller.rs
@@ -1,5 +1,6 @@
 //! What `yokespoked` does with its command line.
 
+use std::io;
 use std::process;
 
 use ::node::gateway;
@@ -33,7 +34,7 @@
         println!("{}: settings of node {} are valid", args.settings.display(), settings.node);
         return Ok(process::ExitCode::SUCCESS);
     }
-    logging::start(settings.log)?;
+    logging::start(settings.log, io::stdout())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(serve(&settings))
 }
@@ -44,7 +45,7 @@
         println!("{}: settings of gateway {} are valid", args.settings.display(), settings.node);
         return Ok(process::ExitCode::SUCCESS);
     }
-    logging::start(settings.log)?;
+    logging::start(settings.log, io::stdout())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tasks = tokio::task::LocalSet::new();
     tasks.block_on(&runtime, serve_gateway(args, settings))
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,7 +1,8 @@
-//! Logs: one line of key=value pairs for each event, on standard output.
+//! Logs: one line of key=value pairs for each event.
 
 use std::fmt;
 use std::fmt::Write as _;
+use std::io;
 use std::sync;
 use std::sync::atomic::AtomicU64;
 use std::time::SystemTime;
@@ -11,13 +12,17 @@
 use crate::log_writer;
 use crate::settings;
 
-/// Sends events of `level` and above to standard output.
+/// Sends events of `level` and above to `output`: a process's own is standard output; a tool whose
+/// results go there logs to standard error.
 ///
 /// # Errors
 ///
 /// Fails when a logger is set already.
-pub fn start(level: settings::Level) -> anyhow::Result<()> {
-    let lines = log_writer::LogWriter::start(std::io::stdout(), dropped())?;
+pub fn start(
+    level: settings::Level,
+    output: impl io::Write + Send + 'static,
+) -> anyhow::Result<()> {
+    let lines = log_writer::LogWriter::start(output, dropped())?;
     fern::Dispatch::new()
         .format(|out, message, record| out.finish(format_args!("{}", Line { message, record })))
         .level(log::LevelFilter::Warn)
