An object waits for the upstream that knows it rather than run cold elsewhere

Cause: an upstream that has not seen an object works about three times as long on it, yet the second in rank counted as only 1.25 times as dear and a further one 2.5 times. So a short queue at the first was enough to spread an object over several upstreams, each of which ran it cold, which took more slots and lengthened the queues further.

Test: an_object_waits_..., which failed before.

--- a/crates/steer/src/dispatch/dispatcher/selection.rs
+++ b/crates/steer/src/dispatch/dispatcher/selection.rs
@@ -24,10 +24,10 @@
 const WORTH_THE_WAY: f64 = 0.1;
 
 /// Cost of an object's second upstream against its first, which knows the object.
-const SECOND_COST: f64 = 1.25;
+const SECOND_COST: f64 = 2.5;
 
 /// Cost of an upstream that has probably not seen the object.
-const FURTHER_COST: f64 = 2.5;
+const FURTHER_COST: f64 = 5.0;
 
 /// Cost of an upstream all of whose tries broke, against a sound one.
 const FAILURE_COST: f64 = 6.0;
--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -403,3 +403,19 @@
     dispatcher.tick(began + bounds::Bounds::default().drain / 2);
     assert_eq!(dispatcher.backends().count(), 0);
 }
+
+#[test]
+fn an_object_waits_for_the_upstream_that_knows_it_rather_than_run_cold_elsewhere() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher("n");
+    set(&mut dispatcher, &many()[..2], now);
+    let knows = choose(&mut dispatcher, &route(&[]), 7, now).expect("both are idle");
+    let mut chosen_at = |requests: u32| {
+        let load = vec![(peers::Key::of(&knows.id), requests)];
+        dispatcher.set_peer_load(id::Node::new("m"), load, now);
+        choose(&mut dispatcher, &route(&[]), 7, now).expect("one is idle").id.clone()
+    };
+    // Four slots: with six requests before it, it waits for less than a cold run takes longer.
+    assert_eq!(chosen_at(6), knows.id);
+    assert_ne!(chosen_at(12), knows.id);
+}
