--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -74,7 +74,7 @@
     let mut tries = tries::Tries::new(server, &head, &route, service, rules, body, deadline);
     let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
     let outcome = outcome.unwrap_or_else(|_| Err(tries.expired()));
-    trace.set_tries(tries.tried());
+    trace.set_tries(tries.tried(), tries.inputs());
     outcome
 }
 
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -22,6 +22,7 @@
     service: Option<id::Service>,
     version: u64,
     tried: String,
+    inputs: String,
     is_ended: bool,
 }
 
@@ -37,6 +38,7 @@
             service: None,
             version: 0,
             tried: String::new(),
+            inputs: String::new(),
             is_ended: false,
         }
     }
@@ -67,9 +69,10 @@
         self.service = Some(service.clone());
     }
 
-    /// Notes the tries, as `upstream:end` separated by commas.
-    pub fn set_tries(&mut self, tried: &str) {
+    /// Notes the tries, as `upstream:end` separated by commas, and what decided a refusal.
+    pub fn set_tries(&mut self, tried: &str, inputs: &str) {
         tried.clone_into(&mut self.tried);
+        inputs.clone_into(&mut self.inputs);
     }
 
     /// Notes that an upstream's answer is passed on.
@@ -110,7 +113,9 @@
             route = self.route.as_str(),
             service = self.service.as_ref().map_or("", id::Service::as_str),
             config = self.version,
+            revision = self.state.replica.borrow().at(),
             tries = self.tried.as_str(),
+            inputs = self.inputs.as_str(),
             waited_ms = waited;
             "{event}"
         );
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -48,6 +48,7 @@
     is_trying: bool,
     is_in_flight: bool,
     tried: String,
+    inputs: String,
 }
 
 impl<'a> Tries<'a> {
@@ -77,6 +78,7 @@
             is_trying: false,
             is_in_flight: false,
             tried: String::new(),
+            inputs: String::new(),
         }
     }
 
@@ -86,6 +88,12 @@
         &self.tried
     }
 
+    /// Returns what decided when the dispatcher refused the request, as pairs.
+    #[must_use]
+    pub fn inputs(&self) -> &str {
+        &self.inputs
+    }
+
     /// Returns the answer to a request whose time is up, and notes the try that was not answered.
     pub fn expired(&mut self) -> answer::Reason {
         if let Some(last) = self.upstreams.last().cloned().filter(|_| self.is_trying) {
@@ -153,10 +161,11 @@
         };
         let chosen = self.server.state.dispatcher.borrow_mut().choose(&ask, now);
         chosen.map_err(|refusal| {
-            let after = match refusal {
-                refusal::Refusal::NoUpstream => COME_BACK,
-                refusal::Refusal::Overloaded { retry_after } => retry_after,
+            let after = match &refusal {
+                refusal::Refusal::NoUpstream(_) => COME_BACK,
+                refusal::Refusal::Overloaded { retry_after, .. } => *retry_after,
             };
+            self.inputs = refusal.to_string();
             self.given_up(refusal.as_str(), after)
         })
     }
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -198,11 +198,13 @@
     }
 
     /// Returns whether the process has ended.
+    #[allow(dead_code, reason = "only the soak asks")]
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("the process can be waited for").is_some()
     }
 
     /// Returns the most memory that the process has held, in kilobytes.
+    #[allow(dead_code, reason = "only the soak asks")]
     pub fn peak_memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the process is there");
--- a/crates/node/tests/soak/link.rs
+++ b/crates/node/tests/soak/link.rs
@@ -30,10 +30,12 @@
 
 impl Mode {
     fn holds(self, way: Way) -> bool {
-        match (self, way) {
-            (Self::Silent, _) | (Self::CutForward, Way::Forward) => true,
-            (Self::CutBackward, Way::Backward) => true,
-            _ => false,
+        let is_forward = way == Way::Forward;
+        match self {
+            Self::Silent => true,
+            Self::CutForward => is_forward,
+            Self::CutBackward => !is_forward,
+            Self::Open | Self::Delayed(_) | Self::Reset => false,
         }
     }
 }
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -97,7 +97,7 @@
     let calm = callers.finish().await;
     let mut broken = world.broken_in_calm(&calm, before);
     outcomes.extend(calm);
-    outcomes.extend(world.settling.drain(..));
+    outcomes.append(&mut world.settling);
     let records = world.upstreams.iter().map(|upstream| upstream.instance.record());
     broken.extend(oracle::Truth::of(records).broken(&outcomes));
     broken.extend(world.broken_processes().await);
--- a/crates/steer/src/dispatch/dispatcher/selection.rs
+++ b/crates/steer/src/dispatch/dispatcher/selection.rs
@@ -38,11 +38,25 @@
 /// The best upstream of a region for a request.
 #[derive(Clone, Debug)]
 struct Candidate {
-    id: id::Upstream,
+    endpoint: sync::Arc<endpoint::Endpoint>,
     /// Time the request would wait, in seconds.
     wait: f64,
     /// A careful guess of the time until it would be done, in seconds.
     expected: f64,
+    /// Age of what was last heard of its load.
+    load_age: Duration,
+}
+
+impl Candidate {
+    fn estimate(&self, left: Duration) -> refusal::Estimate {
+        refusal::Estimate {
+            upstream: self.endpoint.id.clone(),
+            wait: Duration::from_secs_f64(self.wait),
+            expected: Duration::from_secs_f64(self.expected),
+            left,
+            load_age: self.load_age,
+        }
+    }
 }
 
 impl Dispatcher {
@@ -63,7 +77,7 @@
         let options = regions.iter().filter_map(|region| self.best_in(region, ask, now));
         let options: Vec<Candidate> = options.collect();
         let Some((own, others)) = options.split_first() else {
-            return Err(refusal::Refusal::NoUpstream);
+            return Err(refusal::Refusal::NoUpstream(self.census(ask, now)));
         };
         let chosen = self.spilled(own, others, ask).unwrap_or(own);
         let left = ask.left.as_secs_f64();
@@ -71,10 +85,29 @@
         if chosen.wait > 0.0 && chosen.expected > left {
             let surplus = (chosen.expected - left).clamp(0.0, 1.0);
             let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
-            return Err(refusal::Refusal::Overloaded { retry_after });
+            let estimate = chosen.estimate(ask.left);
+            return Err(refusal::Refusal::Overloaded { retry_after, estimate });
+        }
+        Ok(sync::Arc::clone(&chosen.endpoint))
+    }
+
+    /// Counts the upstreams of the service by why they may not take the request.
+    fn census(&self, ask: &ask::Ask<'_>, now: Instant) -> refusal::Census {
+        let ids = self.services.get(ask.service).into_iter().flatten();
+        let mut census = refusal::Census::default();
+        for backend in ids.filter_map(|id| self.backends.get(id)) {
+            census.known += 1;
+            let homes = &ask.route.home_regions;
+            match () {
+                () if !homes.is_empty() && !homes.contains(&backend.region) => census.outside += 1,
+                () if !backend.is_usable() => census.leaving += 1,
+                () if !self.takes_work(backend) => census.evacuated += 1,
+                () if ask.tried.contains(&backend.endpoint.id) => census.tried += 1,
+                () if !self.may_warm(backend, now) => census.cold += 1,
+                () => {}
+            }
         }
-        let backend = self.backends.get(&chosen.id).ok_or(refusal::Refusal::NoUpstream)?;
-        Ok(sync::Arc::clone(&backend.endpoint))
+        census
     }
 
     /// Returns the upstream of another region that is so much less crowded than the request's own
@@ -140,8 +173,9 @@
         }
         best.map(|(backend, _)| {
             let wait = backend.wait(work.mean(), now);
-            let id = backend.endpoint.id.clone();
-            Candidate { id, wait, expected: wait + work.careful() }
+            let endpoint = sync::Arc::clone(&backend.endpoint);
+            let load_age = backend.load.age(now);
+            Candidate { endpoint, wait, expected: wait + work.careful(), load_age }
         })
     }
 }
--- a/crates/steer/src/dispatch/load.rs
+++ b/crates/steer/src/dispatch/load.rs
@@ -58,6 +58,12 @@
         self.told = now;
     }
 
+    /// Returns how long ago an answer last told the load.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.told)
+    }
+
     /// Returns how many requests it has, as far as known.
     #[must_use]
     pub fn requests(&self, now: Instant) -> f64 {
--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -117,7 +117,8 @@
     }
     let elsewhere: Vec<_> = many().into_iter().filter(|e| e.hall.as_str() != "s-1").collect();
     set(&mut dispatcher, &elsewhere, now);
-    assert_eq!(choose(&mut dispatcher, &homes, 1, now), Err(refusal::Refusal::NoUpstream));
+    let census = refusal::Census { known: 4, outside: 4, ..refusal::Census::default() };
+    assert_eq!(choose(&mut dispatcher, &homes, 1, now), Err(refusal::Refusal::NoUpstream(census)));
 }
 
 #[test]
@@ -269,7 +270,9 @@
     dispatcher.sent(&only[0].id, true, now);
     dispatcher.ended(&only[0].id, outcome::Outcome::Replaced, Duration::ZERO, now);
     set(&mut dispatcher, &only, now);
-    assert_eq!(choose(&mut dispatcher, &route(&[]), 1, now), Err(refusal::Refusal::NoUpstream));
+    let refused = choose(&mut dispatcher, &route(&[]), 1, now);
+    let census = refusal::Census { known: 1, leaving: 1, ..refusal::Census::default() };
+    assert_eq!(refused, Err(refusal::Refusal::NoUpstream(census)));
 }
 
 #[test]
@@ -352,7 +355,7 @@
     }
     dispatcher.tick(back + Duration::from_secs(2));
     let refused = choose(&mut dispatcher, &route(&[]), 1, back + Duration::from_secs(2));
-    assert!(matches!(refused, Err(refusal::Refusal::NoUpstream)));
+    assert!(matches!(refused, Err(refusal::Refusal::NoUpstream(_))));
 }
 
 #[test]
@@ -419,3 +422,24 @@
     assert_eq!(chosen_at(6), knows.id);
     assert_ne!(chosen_at(12), knows.id);
 }
+
+#[test]
+fn a_refusal_tells_what_decided_it() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher("n");
+    let mut leaving = endpoint("i-0", "n-1");
+    leaving.state = endpoint::State::Draining;
+    let far = endpoint("i-2", "s-1");
+    set(&mut dispatcher, &[leaving, endpoint("i-1", "n-2"), far], now);
+    dispatcher.set_evacuated([id::Hall::new("n-2")].into(), now);
+    let refused = choose(&mut dispatcher, &route(&["north"]), 1, now).expect_err("none is left");
+    assert_eq!(refused.to_string(), "known=3 outside=1 leaving=1 evacuated=1 cold=0 tried=0");
+    dispatcher.set_evacuated(collections::BTreeSet::new(), now);
+    let load = vec![(peers::Key::of(&id::Upstream::new("i-1")), 400)];
+    dispatcher.set_peer_load(id::Node::new("m"), load, now);
+    let later = now + Duration::from_millis(35);
+    let refused = choose(&mut dispatcher, &route(&["north"]), 1, later).expect_err("it is full");
+    let text = refused.to_string();
+    assert!(text.starts_with("upstream=i-1 wait_ms="), "{text}");
+    assert!(text.ends_with(" left_ms=2000 load_age_ms=35"), "{text}");
+}
