A request that waiting alone would make late is refused at once

Cause: under overload every queue grew until requests could only just be done before their callers leave, so nearly all answers were late: with a hall evacuated and another come back cold (taf), 67 to 80 of 100 answers were late for seven seconds. A request was refused only when it could not be done before its deadline.

Change: where work takes less than the time within which an answer is wanted, a request may wait for 0.6 of that time at most. When the object's upstream is that full, its second takes it if it has nothing to do; else the caller is told at once when to come back. Where work alone takes longer than wanted, nothing changes.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -33,7 +33,7 @@
     match replica.is_complete() {
         false => status(StatusCode::SERVICE_UNAVAILABLE),
         true => match state.extracts.borrow_mut().get(&replica, after) {
-            Ok(bytes) => with_type("application/gzip", bytes),
+            Ok(bytes) => with_type("application/octet-stream", bytes),
             Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
         },
     }
--- a/crates/node/src/gateway/extracts.rs
+++ b/crates/node/src/gateway/extracts.rs
@@ -14,6 +14,12 @@
 /// Largest extract after decompression, in bytes.
 const LARGEST: u64 = 64 * 1_024 * 1_024;
 
+/// Length from which extracts are compressed, in bytes; for shorter ones it costs more than it saves.
+const SMALLEST_COMPRESSED: usize = 16 * 1_024;
+
+/// First bytes of what is compressed (RFC 1952, section 2.3.1).
+const COMPRESSED: [u8; 2] = [0x1f, 0x8b];
+
 /// An extract, and the revisions between which it tells changes.
 #[derive(Clone, Debug)]
 struct Kept {
@@ -48,14 +54,18 @@
     }
 }
 
-/// Encodes an extract as compressed JSON.
+/// Encodes an extract as JSON, compressed when it is long.
 ///
 /// # Errors
 ///
 /// Fails when it cannot be encoded, which would be a bug.
 pub fn encode(extract: &replica::Extract) -> io::Result<Vec<u8>> {
+    let text = serde_json::to_vec(extract)?;
+    if text.len() < SMALLEST_COMPRESSED {
+        return Ok(text);
+    }
     let mut encoder = flate2::write::GzEncoder::new(Vec::new(), flate2::Compression::fast());
-    encoder.write_all(&serde_json::to_vec(extract)?)?;
+    encoder.write_all(&text)?;
     encoder.finish()
 }
 
@@ -65,6 +75,9 @@
 ///
 /// Fails when `bytes` are not an extract, or one that is too large.
 pub fn decode(bytes: &[u8]) -> io::Result<replica::Extract> {
+    if !bytes.starts_with(&COMPRESSED) {
+        return Ok(serde_json::from_slice(bytes)?);
+    }
     let mut text = Vec::new();
     flate2::read::GzDecoder::new(bytes).take(LARGEST).read_to_end(&mut text)?;
     Ok(serde_json::from_slice(&text)?)
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -35,6 +35,9 @@
 /// Time that an upstream works.
 const WORK: Duration = Duration::from_millis(5);
 
+/// Time that an upstream works while a gateway is stopped as planned, so that requests are under way.
+const LONG_WORK: Duration = Duration::from_millis(200);
+
 /// Time after the store's return at which upstreams write their entries again.
 const ENTRIES_RETURN: Duration = Duration::from_millis(700);
 
@@ -361,6 +364,10 @@
 
     /// Stops a gateway as planned while callers use their connections to it.
     async fn stop_one(&mut self) {
+        for upstream in &self.upstreams {
+            upstream.instance.set(instance::Manner::Slow(LONG_WORK));
+        }
+        tokio::time::sleep(LONG_WORK).await;
         self.stop(0);
         tokio::time::sleep(CALM).await;
     }
--- a/crates/steer/src/dispatch/dispatcher/selection.rs
+++ b/crates/steer/src/dispatch/dispatcher/selection.rs
@@ -31,6 +31,13 @@
 /// Cost of an upstream all of whose tries broke, against a sound one.
 const FAILURE_COST: f64 = 6.0;
 
+/// Longest wait, as a part of the time within which an answer is wanted, where waiting alone would make
+/// it late.
+const LONGEST_WAIT: f64 = 0.6;
+
+/// Longest time after which a refused request is told to come back.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Shortest time after which a refused request is worth another try.
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -40,6 +47,8 @@
     endpoint: sync::Arc<endpoint::Endpoint>,
     /// Time the request would wait, in seconds.
     wait: f64,
+    /// Time that upstreams of the service work on a request, in seconds.
+    work: f64,
     /// A careful guess of the time until it would be done, in seconds.
     expected: f64,
     /// Age of what was last heard of its load.
@@ -47,6 +56,14 @@
 }
 
 impl Candidate {
+    /// Returns by how much a request would wait too long here, in seconds; negative when it would not.
+    ///
+    /// It may not be done later than its caller waits, nor wait longer than [`longest_wait`].
+    fn surplus(&self, ask: &ask::Ask<'_>) -> f64 {
+        let beyond_deadline = self.expected - ask.left.as_secs_f64();
+        beyond_deadline.max(self.wait - longest_wait(self.work, ask))
+    }
+
     fn estimate(&self, left: Duration) -> refusal::Estimate {
         refusal::Estimate {
             upstream: self.endpoint.id.clone(),
@@ -79,10 +96,10 @@
             return Err(refusal::Refusal::NoUpstream(self.census(ask, now)));
         };
         let chosen = self.spilled(own, others, ask).unwrap_or(own);
-        let left = ask.left.as_secs_f64();
+        let surplus = chosen.surplus(ask);
         // Where nothing waits, a try costs nobody anything, and its answer tells how long work takes.
-        if chosen.wait > 0.0 && chosen.expected > left {
-            let surplus = (chosen.expected - left).clamp(0.0, 1.0);
+        if chosen.wait > 0.0 && surplus > 0.0 {
+            let surplus = surplus.min(LONGEST_RETRY_AFTER.as_secs_f64());
             let retry_after = SHORTEST_RETRY_AFTER.max(Duration::from_secs_f64(surplus));
             let estimate = chosen.estimate(ask.left);
             return Err(refusal::Refusal::Overloaded { retry_after, estimate });
@@ -171,15 +188,34 @@
                 best = Some((backend, cost));
             }
         }
+        let longest = longest_wait(work.mean(), ask);
+        if best.is_some_and(|(b, _)| b.wait(work.mean(), now) > longest) {
+            // Rather than refuse it, the object gets a second upstream that has nothing to do.
+            let idle = candidates.iter().take(2).find(|(_, b)| b.wait(work.mean(), now) <= 0.0);
+            best = idle.map(|(_, b)| (*b, 0.0)).or(best);
+        }
         best.map(|(backend, _)| {
             let wait = backend.wait(work.mean(), now);
             let endpoint = sync::Arc::clone(&backend.endpoint);
             let load_age = backend.load.age(now);
-            Candidate { endpoint, wait, expected: wait + work.careful(), load_age }
+            let expected = wait + work.careful();
+            Candidate { endpoint, wait, work: work.mean(), expected, load_age }
         })
     }
 }
 
+/// Returns how long a request may wait for an upstream, in seconds, where work takes `work`.
+///
+/// Where it could be in time but for the wait, it may not wait long: a queue that makes all answers late
+/// helps nobody, and a caller that is refused at once finds a shorter one when it comes back.
+fn longest_wait(work: f64, ask: &ask::Ask<'_>) -> f64 {
+    let target = ask.route.target_latency.as_secs_f64();
+    match work <= target {
+        true => target * LONGEST_WAIT,
+        false => f64::INFINITY,
+    }
+}
+
 /// Returns how much dearer an upstream is than the one that knows the object best.
 fn affinity_cost(is_sticky: bool, rank: usize) -> f64 {
     match (is_sticky, rank) {
