--- a/crates/node/tests/soak/callers.rs
+++ b/crates/node/tests/soak/callers.rs
@@ -45,6 +45,8 @@
     pub status: Option<u16>,
     /// The answer's body.
     pub answer: String,
+    /// The request that the answer names.
+    pub answered: String,
     /// Whether it says when to come back.
     pub has_retry_after: bool,
 }
@@ -127,7 +129,15 @@
         true => String::new(),
         false => id.repeat(random.random_range(0..LARGEST_BODY)),
     };
-    Outcome { id, is_repeatable, body, status: None, answer: String::new(), has_retry_after: false }
+    Outcome {
+        id,
+        is_repeatable,
+        body,
+        status: None,
+        answer: String::new(),
+        answered: String::new(),
+        has_retry_after: false,
+    }
 }
 
 /// Sends a request and notes the whole answer; none when the connection can no longer be used.
@@ -152,9 +162,12 @@
         .expect("the request is well formed");
     let answer = sender.send_request(request).await.ok()?;
     let status = answer.status().as_u16();
+    let answered = answer.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
+    let answered = answered.unwrap_or_default().to_owned();
     let has_retry_after = answer.headers().contains_key(http::header::RETRY_AFTER);
     let body = answer.into_body().collect().await.ok()?.to_bytes();
     outcome.status = Some(status);
+    outcome.answered = answered;
     outcome.has_retry_after = has_retry_after;
     outcome.answer = String::from_utf8_lossy(&body).into_owned();
     Some(())
--- a/crates/node/tests/soak/fault.rs
+++ b/crates/node/tests/soak/fault.rs
@@ -14,6 +14,9 @@
 /// Shortest and longest time of a fault.
 const LENGTHS: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(2_500));
 
+/// Manners in which an upstream misbehaves.
+const MANNERS: usize = 9;
+
 /// Something that goes wrong, or that operators do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -65,8 +68,9 @@
     gateways: usize,
     upstreams: usize,
 ) -> Vec<Event> {
-    let mut events = Vec::new();
+    let mut events: Vec<Event> = Vec::new();
     let mut from = Duration::ZERO;
+    let mut turn = random.random_range(0..MANNERS);
     loop {
         from += MEAN_GAP.mul_f64(random.random_range(0.1..1.9));
         if from >= length {
@@ -74,7 +78,13 @@
         }
         let (shortest, longest) = LENGTHS;
         let to = from + random.random_range(shortest..longest);
-        events.push(Event { from, to, fault: one(random, gateways, upstreams) });
+        let fault = match one(random, gateways, upstreams) {
+            // In turn, so that a few soaks reach every manner.
+            Fault::Manner(upstream, _) => Fault::Manner(upstream, manner(turn, random)),
+            fault => fault,
+        };
+        turn += usize::from(matches!(fault, Fault::Manner(..)));
+        events.push(Event { from, to, fault });
     }
 }
 
@@ -87,7 +97,7 @@
         6 | 7 => Fault::Door(gateway, door(random)),
         8 => Fault::StoreAway(door(random)),
         9 => Fault::Compaction,
-        10..=13 => Fault::Manner(upstream, manner(random)),
+        10..=13 => Fault::Manner(upstream, instance::Manner::Lost),
         14 | 15 => Fault::Pause(gateway),
         16 | 17 => Fault::Kill(gateway),
         18 => Fault::Stop(gateway),
@@ -118,8 +128,8 @@
     }
 }
 
-fn manner(random: &mut rngs::StdRng) -> instance::Manner {
-    match random.random_range(0..9) {
+fn manner(turn: usize, random: &mut rngs::StdRng) -> instance::Manner {
+    match turn % MANNERS {
         0 => instance::Manner::Slow(Duration::from_millis(random.random_range(50..1_500))),
         1 => instance::Manner::Full,
         2 => instance::Manner::UnprovedRefusal,
--- a/crates/node/tests/soak/oracle.rs
+++ b/crates/node/tests/soak/oracle.rs
@@ -54,6 +54,9 @@
             () if is_success && !answer.ends_with(&format!(" to {id}")) => {
                 Some(format!("MIXED: {id} got {answer:?}"))
             }
+            () if is_success && outcome.answered != *id => {
+                Some(format!("MIXED: {id} got the answer to {:?}", outcome.answered))
+            }
             () if is_success && ran == 0 => Some(format!("MIXED: {id} did not run: {answer:?}")),
             () if ran > 0 && body != outcome.body.as_bytes() => {
                 Some(format!("UNASKED: {id} ran with a body of {} bytes", body.len()))
