An upstream's forged verdict no longer reaches callers

Cause: answers of upstreams were passed on with every header but those of the connection, so an upstream could write yokespoke-verdict, by which callers decide whether a request may be sent again. Now the headers that only yokespoke may say (verdict, reason, load) are removed from answers too.

--- a/crates/node/src/gateway/own_headers.rs
+++ b/crates/node/src/gateway/own_headers.rs
@@ -21,7 +21,7 @@
 /// Cookie that is the same on requests about one object.
 const AFFINITY_COOKIE: &str = "yokespoke-object";
 
-/// Headers by which a caller could pass itself off as a gateway or an upstream.
+/// Headers by which a caller could pass itself off as a gateway or an upstream, and an upstream as a gateway.
 static OURS: [HeaderName; 3] = [names::VERDICT, names::REASON, LOAD];
 
 /// Shortest time left that is sent to an upstream, in milliseconds, so that the deadline lies ahead.
@@ -48,7 +48,7 @@
     *name == REQUEST_ID
 }
 
-/// Removes what a caller could pass itself off with as a gateway or an upstream.
+/// Removes what only a gateway says to callers, and an upstream to a gateway.
 pub fn strip(headers: &mut HeaderMap) {
     for name in &OURS {
         headers.remove(name);
--- a/crates/node/src/gateway/proxy/head.rs
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -10,6 +10,7 @@
 
 use crate::common::head as names;
 use crate::gateway::dialect;
+use crate::gateway::own_headers;
 
 /// Headers that a gateway removes as concerning one connection only (RFC 9110, section 7.6.1), with an
 /// expectation that it has met itself. An owner's list differs, as it says.
@@ -165,9 +166,12 @@
 /// Headers that no connection option may remove.
 const PROTECTED: [HeaderName; 3] = [header::CONTENT_LENGTH, header::HOST, header::COOKIE];
 
-/// Removes from an answer what concerns the upstream's connection only.
+/// Removes from an answer what concerns the upstream's connection only, and what only yokespoke may say.
+///
+/// A caller goes by the verdict on whether its request has run, so an upstream must not write it.
 pub fn clean_answer(headers: &mut HeaderMap) {
     for name in &HOP_BY_HOP {
         headers.remove(name);
     }
+    own_headers::strip(headers);
 }
