Retry-After of the own dialect is in whole seconds

Cause: one format, seconds with two decimals, served both dialects; only the platform's callers read fractions (RFC 9110, section 10.2.3 has whole seconds). The dialect writes it now: the platform's in platform::answer, yokespoke's own by the function that owners had already, rounded up.

--- a/crates/node/src/common/head.rs
+++ b/crates/node/src/common/head.rs
@@ -2,9 +2,11 @@
 //!
 //! Owns the names of yokespoke's own headers that both roles use, and an owner's rules of hops.
 
+use std::net;
+use std::time::Duration;
+
 use http::header;
 use http::{HeaderMap, HeaderName, HeaderValue};
-use std::net;
 
 /// Header by which a caller gives the time it will wait, in milliseconds.
 pub const TIMEOUT: HeaderName = HeaderName::from_static("yokespoke-timeout-ms");
@@ -82,6 +84,16 @@
     }
 }
 
+/// Writes the time after which a refused caller may come back, for `Retry-After`.
+///
+/// The header counts whole seconds (RFC 9110, section 10.2.3); rounding down would bring the caller back
+/// too early.
+#[must_use]
+pub fn retry_after(wait: Duration) -> HeaderValue {
+    let seconds = wait.as_millis().div_ceil(1_000).max(1);
+    HeaderValue::from(u64::try_from(seconds).unwrap_or(u64::MAX))
+}
+
 /// A header that should hold a number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Number {
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -5,13 +5,14 @@
 
 use std::time::{Duration, SystemTime};
 
-use http::{HeaderMap, HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use model::head;
 use model::id;
 use model::routing;
 use platform::field;
 use steer::dispatch::execution;
 
+use crate::common::head as names;
 use crate::gateway::own_headers;
 
 /// Upstreams of the platform name the request and seal a success.
@@ -89,6 +90,15 @@
         }
     }
 
+    /// Writes the time after which a refused caller may come back.
+    #[must_use]
+    pub fn retry_after(self, after: Duration) -> HeaderValue {
+        match self {
+            Self::Platform => platform::answer::retry_after(after),
+            Self::Own => names::retry_after(after),
+        }
+    }
+
     /// Returns what a genuine answer of an upstream has to show.
     #[must_use]
     pub fn requirements(self) -> execution::Requirements {
--- a/crates/node/src/owner/callers/respond.rs
+++ b/crates/node/src/owner/callers/respond.rs
@@ -19,10 +19,7 @@
     headers.insert(head::REASON, HeaderValue::from_static(failure.reason.as_str()));
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
     if let Some(wait) = failure.retry_after {
-        // The header counts whole seconds; rounding down would bring the caller back too early.
-        let seconds = wait.as_millis().div_ceil(1_000).max(1);
-        let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(header::RETRY_AFTER, head::retry_after(wait));
     }
     response
 }
