check refuses a resource that two paths declare

Cause: declarations were compared within one path of the command line, not over all. Now all paths are collected first, and a file that two of them lead to is read once. It wants exit code 2 (files are wrong); the pinned code for two files of one folder was 1 (it failed), against the meaning that exit.rs gives to both, so that pin is 2 now too, beside two new ones (the same by two paths; one file twice).

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -59,7 +59,7 @@
     client: &client::Client,
     args: &args::Apply,
 ) -> anyhow::Result<(model::revision::Revision, diff::Diff)> {
-    let wanted = declarations::read(&args.file)?;
+    let wanted = declarations::read(std::slice::from_ref(&args.file))?;
     let (revision, standing) = client.list_all().await?;
     Ok((revision, diff::between(standing, wanted, args.prune)))
 }
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -24,16 +24,17 @@
 ///
 /// Fails at the first file that is malformed.
 pub fn run(args: &args::Check) -> anyhow::Result<exit::Code> {
-    let mut declared = Vec::new();
+    let mut of_declarations = Vec::new();
     for at in &args.paths {
         match is_settings(at)? {
             true => {
                 check_settings(at)?;
                 printer::line(&format!("{}: settings are valid", at.display()));
             }
-            false => declared.extend(declarations::read(at)?),
+            false => of_declarations.push(at.clone()),
         }
     }
+    let declared = declarations::read(&of_declarations)?;
     match declared.is_empty() {
         true => Ok(exit::Code::Done),
         false => check(declared),
--- a/crates/cli/src/declarations.rs
+++ b/crates/cli/src/declarations.rs
@@ -8,16 +8,22 @@
 use model::document;
 use model::resource;
 
-/// Reads a file, or every `.yaml` and `.yml` file of a folder and the folders in it.
+/// Reads files, and every `.yaml` and `.yml` file of folders and the folders in them.
+///
+/// A file that two paths lead to is read once.
 ///
 /// # Errors
 ///
-/// Fails when a file cannot be read, is malformed, or names a resource that another file names.
-pub fn read(at: &path::Path) -> anyhow::Result<Vec<resource::Resource>> {
-    let mut files = Vec::new();
-    collect(at, &mut files)?;
-    anyhow::ensure!(!files.is_empty(), "{} holds no .yaml file", at.display());
-    files.sort();
+/// Fails when a path holds no file, a file cannot be read or is malformed, or names a resource that another
+/// file names.
+pub fn read(paths: &[path::PathBuf]) -> anyhow::Result<Vec<resource::Resource>> {
+    let mut files = collections::BTreeSet::new();
+    for at in paths {
+        let mut of_path = Vec::new();
+        collect(at, &mut of_path)?;
+        anyhow::ensure!(!of_path.is_empty(), "{} holds no .yaml file", at.display());
+        files.extend(of_path);
+    }
     let mut all: Vec<resource::Resource> = Vec::new();
     let mut seen: collections::BTreeMap<(resource::Kind, String), String> =
         collections::BTreeMap::new();
@@ -28,7 +34,9 @@
             let key = (resource.kind(), resource.name().to_owned());
             if let Some(other) = seen.insert(key, name.clone()) {
                 let (kind, called) = (resource.kind(), resource.name());
-                anyhow::bail!("{name}: {kind} {called} is declared in {other} too");
+                let message = format!("{kind} {called} is declared in {other} too");
+                let field = String::new();
+                return Err(document::Fault { file: name, line: None, field, message }.into());
             }
             all.push(resource);
         }
--- a/crates/cli/tests/known_faults.rs
+++ b/crates/cli/tests/check_paths.rs
@@ -1,6 +1,4 @@
-//! Faults that are known and not mended yet.
-//!
-//! Each test fails for the fault that it names, and is listed with its cause in KNOWN-RED.txt.
+//! `yokespoke check` over several paths.
 
 use assert_cmd::Command;
 
@@ -9,7 +7,7 @@
 
 /// A resource may be declared once; within one file or folder the check says so.
 #[test]
-fn known_fault_check_refuses_a_resource_that_two_paths_declare() {
+fn check_refuses_a_resource_that_two_paths_declare() {
     let folder = tempfile::tempdir().expect("a folder can be made");
     let files = ["first.yaml", "second.yaml"].map(|name| folder.path().join(name));
     for file in &files {
--- a/crates/cli/tests/forms/main.rs
+++ b/crates/cli/tests/forms/main.rs
@@ -146,7 +146,9 @@
     check(&["none.yaml"]).code(1).stderr(contains("error: cannot read none.yaml: "));
     check(&["empty"]).code(1).stderr("error: empty holds no .yaml file\n");
     let twice = "error: twice/b.yaml: place quai is declared in twice/a.yaml too\n";
-    check(&["twice"]).code(1).stderr(twice);
+    check(&["twice"]).code(2).stderr(twice);
+    check(&["twice/a.yaml", "twice/b.yaml"]).code(2).stderr(twice);
+    check(&["place.yaml", "place.yaml"]).code(0).stdout("1 declarations are valid\n");
 }
 
 #[test]
