Sight: calls to the store, who watches, which upstreams lapsed, failed exchanges

Cause: the log had one line when the store was lost and one when it answered again, so a call that waits looked like a quiet store, and a lapsed upstream had no name. Ruled out as too many lines: one a call. Forms: pinned events, metrics and dumps grow by the new lines, none goes.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -9,11 +9,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::id;
+use platform::field;
 use steer::dispatch::dispatcher;
 use steer::dispatch::upstream;
 
 use crate::gateway::peer;
 use crate::gateway::state;
+use crate::gateway::store_calls;
 
 /// Path of the metrics.
 pub const METRICS: &str = "/metrics";
@@ -26,7 +28,10 @@
 pub fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     match request.uri().path() {
         peer::CHANGES => changes(state, request.uri().query().unwrap_or_default()),
-        METRICS => with_type("text/plain; version=0.0.4", state.metrics.text().into_bytes()),
+        METRICS => {
+            state.update_gauges(Instant::now());
+            with_type("text/plain; version=0.0.4", state.metrics.text().into_bytes())
+        }
         DUMP => with_type("application/json", dump(state)),
         _ => status(StatusCode::NOT_FOUND),
     }
@@ -57,6 +62,7 @@
     let dump = serde_json::json!({
         "me": *state.me.borrow(),
         "store_reached": state.is_store_reached(),
+        "store_calls": store_calls(state, now),
         "revision": replica.at(),
         "config_version": state.routing().map(|r| r.version),
         "peers_alive": alive,
@@ -69,6 +75,18 @@
     })
 }
 
+/// Returns what this node waits for at the store, and when it last got an answer.
+fn store_calls(state: &state::State, now: Instant) -> serde_json::Value {
+    let waited = |kind| state.calls.waiting(kind, now).map(field::whole_millis);
+    let waiting =
+        store_calls::Kind::ALL.map(|kind| (kind.as_str().to_owned(), waited(kind).into()));
+    let waiting: serde_json::Map<String, serde_json::Value> = waiting.into_iter().collect();
+    serde_json::json!({
+        "answered_ms_ago": state.calls.since_answer(now).map(field::whole_millis),
+        "waiting_ms": waiting,
+    })
+}
+
 fn upstreams(dispatcher: &dispatcher::Dispatcher, now: Instant) -> Vec<serde_json::Value> {
     let upstream = |u: &upstream::Upstream| {
         serde_json::json!({
@@ -77,6 +95,7 @@
             "address": u.entry.address.to_string(),
             "hall": u.entry.hall.as_str(),
             "usable": u.is_usable(),
+            "lapsed": u.lapsed_until.is_some(),
             "cold": u.slow_start.is_cold(now),
             "ejected": u.health.is_ejected(now),
             "in_flight": u.load.in_flight(),
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -8,6 +8,7 @@
 use std::rc;
 use std::time::{Duration, Instant};
 
+use platform::field;
 use rand::RngExt as _;
 use steer::dispatch::fleet::catch_up;
 use tokio::net::UdpSocket;
@@ -150,6 +151,7 @@
 
 async fn fetch(state: &state::State, source: net::SocketAddr, kind: state::Source) {
     let after = state.replica.borrow().at();
+    let began = Instant::now();
     state.metrics.peer_fetches.add(1);
     match peer::fetch(source, after).await {
         Ok(extract) => {
@@ -159,8 +161,10 @@
             }
         }
         Err(error) => {
+            state.metrics.peer_fetches_failed.add(1);
             let (source, error) = (source.to_string(), format!("{error:#}"));
-            log::debug!(peer = source.as_str(), error = error.as_str(); "peer-fetch-failed");
+            let waited_ms = field::whole_millis(began.elapsed());
+            log::info!(peer = source.as_str(), error = error.as_str(), waited_ms; "peer-fetch-failed");
         }
     }
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// A figure that goes up and down.
+#[derive(Debug, Default)]
+pub struct Gauge(cell::Cell<f64>);
+
+impl Gauge {
+    /// Sets the figure.
+    pub fn set(&self, value: f64) {
+        self.0.set(value);
+    }
+}
+
 /// Latencies of answered requests.
 #[derive(Debug)]
 pub struct Latencies(cell::RefCell<hdrhistogram::Histogram<u32>>);
@@ -101,15 +112,31 @@
     pub control_bytes: Counter,
     /// Copies of the store fetched from other nodes.
     pub peer_fetches: Counter,
+    /// Such copies that did not arrive.
+    pub peer_fetches_failed: Counter,
+    /// Calls to the platform's store.
+    pub store_calls: Counter,
+    /// Such calls without an answer, or refused.
+    pub store_calls_failed: Counter,
+    /// Tries at upstreams whose entries have vanished.
+    pub tries_lapsed: Counter,
     /// Items of the store that could not be read.
     pub malformed_items: Counter,
+    /// Age of the oldest call that waits for the store's answer, in seconds.
+    pub store_call_age: Gauge,
+    /// Time since the store last answered a call of this node, in seconds; 0 before.
+    pub store_answer_age: Gauge,
+    /// 1 while this node watches the store itself, 0 otherwise.
+    pub is_watching: Gauge,
+    /// Upstreams that are used though their entries have vanished.
+    pub upstreams_lapsed: Gauge,
     /// Time from a request to the end of its answer.
     pub latency: Latencies,
 }
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 16] {
+    fn counters(&self) -> [(&'static str, &Counter); 20] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -127,6 +154,20 @@
             ("control_bytes", &self.control_bytes),
             ("peer_fetches", &self.peer_fetches),
             ("malformed_items", &self.malformed_items),
+            ("peer_fetches_failed", &self.peer_fetches_failed),
+            ("store_calls", &self.store_calls),
+            ("store_calls_failed", &self.store_calls_failed),
+            ("tries_lapsed", &self.tries_lapsed),
+        ]
+    }
+
+    /// Returns every gauge with its name, in the order in which they are written.
+    fn gauges(&self) -> [(&'static str, &Gauge); 4] {
+        [
+            ("store_call_age_seconds", &self.store_call_age),
+            ("store_answer_age_seconds", &self.store_answer_age),
+            ("watching", &self.is_watching),
+            ("upstreams_lapsed", &self.upstreams_lapsed),
         ]
     }
 
@@ -139,6 +180,10 @@
         }
         let dropped = logging::dropped().load(atomic::Ordering::Relaxed);
         write_counter(&mut text, "log_lines_dropped", dropped);
+        for (name, gauge) in self.gauges() {
+            let _ =
+                writeln!(text, "# TYPE yokespoke_{name} gauge\nyokespoke_{name} {}", gauge.0.get());
+        }
         self.latency.write(&mut text);
         text
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -24,5 +24,6 @@
 pub mod settings;
 pub mod shutdown;
 pub mod state;
+pub mod store_calls;
 pub mod sync;
 pub mod thread;
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -172,14 +172,7 @@
             let gap = humantime::format_duration(gap).to_string();
             log::warn!(gap = gap.as_str(); "stood-still");
         }
-        let mut dispatcher = state.dispatcher.borrow_mut();
-        let lapsed = dispatcher.lapsed();
-        dispatcher.tick(now);
-        let dropped = lapsed.saturating_sub(dispatcher.lapsed());
-        drop(dispatcher);
-        if dropped > 0 {
-            log::warn!(dropped; "lapsed-endpoints-dropped");
-        }
+        state.tick(now);
         pool.sweep();
     }
 }
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -35,8 +35,13 @@
         deadline: Instant,
     ) -> Self {
         let now = Instant::now();
-        let crowding = state.dispatcher.borrow_mut().sent(&upstream.id, is_first, now);
+        let mut dispatcher = state.dispatcher.borrow_mut();
+        let crowding = dispatcher.sent(&upstream.id, is_first, now);
         state.metrics.tries.add(1);
+        if dispatcher.is_lapsed(&upstream.id) {
+            state.metrics.tries_lapsed.add(1);
+        }
+        drop(dispatcher);
         Self {
             state: rc::Rc::clone(state),
             upstream,
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -11,6 +11,7 @@
 use platform::store::item;
 
 use crate::gateway::state;
+use crate::gateway::store_calls;
 
 /// Life of the lease without a renewal. Not measured; three renewals.
 const LEASE_TIME: Duration = Duration::from_secs(12);
@@ -26,7 +27,7 @@
     loop {
         match register(&state, &client).await {
             Ok(lease) => renew(&state, &client, lease).await,
-            // The sync task logs when the store is lost and reached again.
+            // The record of calls has logged it.
             Err(_) => {
                 state.store_failed();
                 tokio::time::sleep(PAUSE).await;
@@ -37,14 +38,17 @@
 
 /// Writes the entry under a new lease.
 async fn register(state: &state::State, client: &client::Client) -> Result<u64, error::Error> {
-    let lease = client.lease(LEASE_TIME).await?;
+    let call = client.lease(LEASE_TIME);
+    let lease = state.calls.run(store_calls::Kind::Lease, &state.metrics, call).await?;
     let (key, value) = {
         let me = state.me.borrow();
         let value = serde_json::to_vec(&*me).expect("a member is plain text and numbers");
         (fact::node_key(&me.node), value)
     };
     let put = item::Put { key, value, lease };
-    client.write(&item::Write { put: vec![put], ..item::Write::default() }).await?;
+    let write = item::Write { put: vec![put], ..item::Write::default() };
+    let call = client.write(&write);
+    state.calls.run(store_calls::Kind::Entry, &state.metrics, call).await?;
     Ok(lease)
 }
 
@@ -59,13 +63,14 @@
             log::info!(key = key.as_str(); "registration-lost");
             return;
         }
-        match client.keep(lease).await {
+        let call = client.keep(lease);
+        match state.calls.run(store_calls::Kind::Renewal, &state.metrics, call).await {
             Ok(()) => {}
             Err(error::Error::NoLease) => {
                 log::info!(lease; "lease-over");
                 return;
             }
-            // The sync task logs when the store is lost and reached again.
+            // The record of calls has logged it.
             Err(_) => {
                 state.store_failed();
                 tokio::time::sleep(PAUSE).await;
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -24,6 +24,10 @@
 use crate::gateway::metrics;
 use crate::gateway::replica;
 use crate::gateway::settings;
+use crate::gateway::store_calls;
+
+/// Upstreams that one line of log names at most. Not measured; some 300 characters.
+const MOST_NAMED: usize = 20;
 
 /// Source of a configuration or discovery update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +87,10 @@
     pub members: cell::RefCell<members::Members>,
     /// What this node reports of itself.
     pub me: cell::RefCell<member::Member>,
+    /// Calls to the store.
+    pub calls: store_calls::Calls,
+    /// Whether this node watches the store itself.
+    is_watching: cell::Cell<bool>,
     /// Counters and latencies.
     pub metrics: metrics::Metrics,
     /// Whether all of the upstreams and the configuration were ever known.
@@ -127,6 +135,8 @@
             extracts: cell::RefCell::default(),
             members: cell::RefCell::new(members::Members::new(me.region.clone())),
             me: cell::RefCell::new(me),
+            calls: store_calls::Calls::default(),
+            is_watching: cell::Cell::new(false),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
             dialect,
@@ -211,8 +221,10 @@
             let lapsed_before = dispatcher.lapsed();
             dispatcher.set_upstreams(upstreams.into_iter(), now);
             let lapsed = dispatcher.lapsed();
-            if lapsed > lapsed_before {
-                log::warn!(lapsed, revision, source; "endpoints-lapsed");
+            if lapsed.len() > lapsed_before.len() {
+                let upstreams = names(lapsed.difference(&lapsed_before));
+                let (lapsed, upstreams) = (lapsed.len(), upstreams.as_str());
+                log::warn!(lapsed, upstreams, revision, source; "endpoints-lapsed");
             }
         }
         if let Some(halls) = evacuated.filter(|halls| halls != dispatcher.evacuated()) {
@@ -256,6 +268,43 @@
         }
     }
 
+    /// Records whether this node watches the store itself, and logs a change.
+    pub fn set_watching(&self, watching: bool) {
+        if self.is_watching.replace(watching) != watching {
+            let reaching = self.reaching().len();
+            log::info!(watching, reaching; "watching-changed");
+        }
+    }
+
+    /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
+    pub fn tick(&self, now: Instant) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let lapsed = dispatcher.lapsed();
+        dispatcher.tick(now);
+        let left = dispatcher.lapsed();
+        let usual = self.settings.borrow().bounds().contact;
+        drop(dispatcher);
+        if left.len() < lapsed.len() {
+            let dropped = lapsed.len() - left.len();
+            let upstreams = names(lapsed.difference(&left));
+            log::warn!(dropped, upstreams = upstreams.as_str(); "lapsed-endpoints-dropped");
+        }
+        self.calls.log_unanswered(usual, now);
+    }
+
+    /// Brings the figures up to date that are no counters.
+    pub fn update_gauges(&self, now: Instant) {
+        let waiting =
+            store_calls::Kind::ALL.into_iter().filter_map(|k| self.calls.waiting(k, now)).max();
+        let figures = &self.metrics;
+        figures.store_call_age.set(waiting.unwrap_or_default().as_secs_f64());
+        let answered = self.calls.since_answer(now).unwrap_or_default();
+        figures.store_answer_age.set(answered.as_secs_f64());
+        figures.is_watching.set(f64::from(u8::from(self.is_watching.get())));
+        let lapsed = u32::try_from(self.dispatcher.borrow().lapsed().len()).unwrap_or(u32::MAX);
+        figures.upstreams_lapsed.set(lapsed.into());
+    }
+
     /// Marks the node as stopping.
     pub fn leave(&self) {
         self.me.borrow_mut().is_leaving = true;
@@ -271,3 +320,9 @@
         }
     }
 }
+
+/// Joins the first names of upstreams for a line of log.
+fn names<'a>(upstreams: impl Iterator<Item = &'a id::Upstream>) -> String {
+    let first: Vec<&str> = upstreams.take(MOST_NAMED).map(id::Upstream::as_str).collect();
+    first.join(",")
+}
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -5,6 +5,7 @@
 use std::collections;
 use std::time::Instant;
 
+use model::id;
 use rand::RngExt as _;
 use steer::dispatch::fleet::{announcement, watchers};
 use steer::dispatch::slow_start_owner;
@@ -37,9 +38,14 @@
     /// Returns whether this node should watch the store itself.
     #[must_use]
     pub fn should_watch(&self) -> bool {
+        watchers::contains(&self.me.borrow().node, self.reaching().iter())
+    }
+
+    /// Returns the other living nodes of the region that say they reach the store.
+    pub(super) fn reaching(&self) -> Vec<id::Node> {
         let members = self.members.borrow();
         let reaching = members.staying(Instant::now()).filter(|m| m.is_store_reached);
-        watchers::contains(&self.me.borrow().node, reaching.map(|m| &m.node))
+        reaching.map(|m| m.node.clone()).collect()
     }
 
     /// Passes the known nodes to the dispatcher, for slow start and the retry budget.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 
 use crate::gateway::state;
+use crate::gateway::store_calls;
 
 /// Longest time one watch waits. Not measured.
 const WAIT: Duration = Duration::from_secs(20);
@@ -35,7 +36,9 @@
     let mut pause = FIRST_PAUSE;
     loop {
         let is_complete = state.replica.borrow().is_complete();
-        if is_complete && !state.should_watch() {
+        let watches = state.should_watch();
+        state.set_watching(watches);
+        if is_complete && !watches {
             tokio::time::sleep(CHECK_PERIOD).await;
             continue;
         }
@@ -66,14 +69,16 @@
 }
 
 async fn read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
-    let page = client.range(ALL_KEYS).await?;
+    let call = client.range(ALL_KEYS);
+    let page = state.calls.run(store_calls::Kind::Read, &state.metrics, call).await?;
     state.apply(state::Source::Store, |replica| replica.replace(page));
     Ok(())
 }
 
 async fn watch(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
     let after = state.replica.borrow().at();
-    let page = client.watch(ALL_KEYS, after, WAIT).await?;
+    let call = client.watch(ALL_KEYS, after, WAIT);
+    let page = state.calls.run(store_calls::Kind::Watch, &state.metrics, call).await?;
     let has_changes = !page.items.is_empty();
     state.apply(state::Source::Store, |replica| replica.merge(page));
     if has_changes {
--- a/crates/steer/src/dispatch/dispatcher/upstreams.rs
+++ b/crates/steer/src/dispatch/dispatcher/upstreams.rs
@@ -71,10 +71,17 @@
         entries.len() != listed || !entries.iter().all(is_known)
     }
 
-    /// Returns how many upstreams are used without an entry.
+    /// Returns the upstreams that are used without an entry.
     #[must_use]
-    pub fn lapsed(&self) -> usize {
-        self.upstreams.values().filter(|u| u.lapsed_until.is_some()).count()
+    pub fn lapsed(&self) -> collections::BTreeSet<id::Upstream> {
+        let lapsed = self.upstreams.values().filter(|u| u.lapsed_until.is_some());
+        lapsed.map(|u| u.entry.id.clone()).collect()
+    }
+
+    /// Returns whether an upstream is used without an entry.
+    #[must_use]
+    pub fn is_lapsed(&self, upstream: &id::Upstream) -> bool {
+        self.upstreams.get(upstream).is_some_and(|u| u.lapsed_until.is_some())
     }
 
     /// Records a sign that the source of entries is away, or was until now.
