--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -7,4 +7,5 @@
 mod fleet;
 mod requests;
 mod rig;
+mod silence;
 mod stop;
--- /dev/null
+++ b/crates/node/tests/gateway/silence.rs
@@ -0,0 +1,79 @@
+//! Open connections that say nothing more, while new ones work.
+
+use std::net;
+use std::time::{Duration, Instant};
+
+use standin::platform::listener::Mode;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpListener;
+
+use crate::rig::{self, Rig};
+
+/// Bound on contact of the deployment under test, as the settings' default.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Receive buffer of an upstream that does not read, in bytes; far less than the body that is sent to it.
+const SMALL_BUFFER: usize = 4_096;
+
+/// Length of a body that does not fit into such a buffer, but into the sender's, in bytes.
+const BODY: usize = 65_536;
+
+/// The store takes calls and never answers them, then answers new ones. What was accepted since is in force
+/// within the bound on contact, although the calls from before are still open.
+#[tokio::test]
+async fn config_a_call_that_the_store_never_answers_delays_no_change_beyond_contact() {
+    let mut rig = Rig::start(&rig::routes()).await;
+    let _desk = rig.upstream("i-desk", "desk", "north-1").await;
+    let _shelf = rig.upstream("i-shelf", "shelf", "north-1").await;
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let mut caller = gateway.caller().await;
+    assert_eq!(caller.get("/read/a", "id-1").await.text(), "answer of i-desk to id-1");
+    // The watch that waits is answered; the one after it is not.
+    let before = door.calls();
+    door.set(Mode::Silent);
+    rig.store.put("op/wakes-the-watch", b"{}");
+    rig::until("a call waits in vain", async || door.calls() > before).await;
+    door.set(Mode::Open);
+    let mut routes = rig::routes();
+    routes[0].service = "shelf";
+    rig.configure(&routes);
+    let accepted = Instant::now();
+    rig::until("the new version is in force", async || {
+        caller.get("/read/a", "id-2").await.text() == "answer of i-shelf to id-2"
+    })
+    .await;
+    let took = accepted.elapsed();
+    assert!(took < CONTACT, "{took:?}");
+}
+
+/// An upstream takes a connection and reads nothing; the request is given up at its route's time. When
+/// the upstream reads again, perhaps having said that it leaves, the request no longer arrives whole.
+#[tokio::test]
+async fn drain_a_request_that_was_given_up_does_not_arrive_later() {
+    let mut routes = rig::routes();
+    for route in &mut routes {
+        route.timeout = "500ms";
+    }
+    let rig = Rig::start(&routes).await;
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("the buffer is set");
+    let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&any_port.into()).expect("a port is free");
+    socket.listen(1).expect("it listens");
+    socket.set_nonblocking(true).expect("it does not block");
+    let listener = TcpListener::from_std(socket.into()).expect("a listener");
+    let address = listener.local_addr().expect("it has an address");
+    rig.enter_at("i-stuck", address, "desk", "north-1", "ready");
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let body = "x".repeat(BODY);
+    let answer = gateway.caller().await.post("/upload/a", "id-1", &body).await;
+    assert_eq!(answer.status, 504);
+    let (mut stream, _) = listener.accept().await.expect("the gateway connected");
+    let mut arrived = Vec::new();
+    // Fails where the connection was reset; what arrived before stays in the buffer.
+    let _ = tokio::time::timeout(rig::PATIENCE, stream.read_to_end(&mut arrived)).await;
+    assert!(arrived.len() < BODY, "{} bytes arrived", arrived.len());
+}
--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -498,3 +498,19 @@
     // So is one that waiting does not make late.
     assert!(ask_at(7, Duration::from_millis(900)).is_ok());
 }
+
+/// A node is held to the bound on leaving upstreams once `contact` has passed since the last failure, so from
+/// then on it uses no upstream whose entry has vanished.
+#[test]
+fn drain_no_upstream_without_an_entry_is_used_when_contact_is_over() {
+    let bounds = bounds::Bounds::default();
+    let failed = Instant::now();
+    let mut dispatcher = dispatcher("n");
+    set(&mut dispatcher, &[entry("i-0", "n-1")], failed);
+    dispatcher.source_failed(failed);
+    set(&mut dispatcher, &[], failed + bounds.contact / 2);
+    let over = failed + bounds.contact;
+    dispatcher.tick(over);
+    let refused = choose(&mut dispatcher, &route(&[]), 1, over);
+    assert!(matches!(refused, Err(refusal::Refusal::NoUpstream(_))), "{refused:?}");
+}
