An upstream without an entry is used within both bounds on leaving upstreams

The class: waits that are bounded one by one, and whose sum is not. Now the use ends 0.7 s (WAY) before the bound, at the choice and not at the tick, and not after contact has passed since the latest failed call began, which is when the node is held to the bound; a call counts from when it began, since the store may be back long before it is given up. The source of declarations no longer counts failed calls: what vanishes there was removed by an operator. Ruled out: trusting other nodes on whether the store is away (their word is up to 22 s old).

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -94,7 +94,7 @@
             "service": u.entry.service.as_str(),
             "address": u.entry.address.to_string(),
             "hall": u.entry.hall.as_str(),
-            "usable": u.is_usable(),
+            "usable": u.is_usable(now),
             "lapsed": u.lapsed_until.is_some(),
             "cold": u.slow_start.is_cold(now),
             "ejected": u.health.is_ejected(now),
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -29,7 +29,6 @@
             Ok(lease) => renew(&state, &client, lease).await,
             // The record of calls has logged it.
             Err(_) => {
-                state.store_failed();
                 tokio::time::sleep(PAUSE).await;
             }
         }
@@ -39,7 +38,7 @@
 /// Writes the entry under a new lease.
 async fn register(state: &state::State, client: &client::Client) -> Result<u64, error::Error> {
     let call = client.lease(LEASE_TIME);
-    let lease = state.calls.run(store_calls::Kind::Lease, &state.metrics, call).await?;
+    let lease = state.call_store(store_calls::Kind::Lease, call).await?;
     let (key, value) = {
         let me = state.me.borrow();
         let value = serde_json::to_vec(&*me).expect("a member is plain text and numbers");
@@ -48,7 +47,7 @@
     let put = item::Put { key, value, lease };
     let write = item::Write { put: vec![put], ..item::Write::default() };
     let call = client.write(&write);
-    state.calls.run(store_calls::Kind::Entry, &state.metrics, call).await?;
+    state.call_store(store_calls::Kind::Entry, call).await?;
     Ok(lease)
 }
 
@@ -64,7 +63,7 @@
             return;
         }
         let call = client.keep(lease);
-        match state.calls.run(store_calls::Kind::Renewal, &state.metrics, call).await {
+        match state.call_store(store_calls::Kind::Renewal, call).await {
             Ok(()) => {}
             Err(error::Error::NoLease) => {
                 log::info!(lease; "lease-over");
@@ -72,7 +71,6 @@
             }
             // The record of calls has logged it.
             Err(_) => {
-                state.store_failed();
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -4,6 +4,7 @@
 //! change to them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
 
 mod nodes;
+mod store;
 
 use std::cell;
 use std::collections;
@@ -238,44 +239,6 @@
         self.update_ready();
     }
 
-    /// Returns whether the store answered last time.
-    #[must_use]
-    pub fn is_store_reached(&self) -> bool {
-        self.me.borrow().is_store_reached
-    }
-
-    /// Records that a call to the store failed.
-    pub fn store_failed(&self) {
-        self.dispatcher.borrow_mut().source_failed(Instant::now());
-    }
-
-    /// Records whether the store answers, and logs a change.
-    pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
-        let is_reached = failure.is_none();
-        let was_reached = std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached);
-        if !is_reached {
-            self.store_failed();
-        }
-        match failure {
-            None if !was_reached => {
-                log::info!(revision = self.replica.borrow().at(); "store-reached");
-            }
-            Some(error) if was_reached => {
-                let error = error.to_string();
-                log::warn!(error = error.as_str(); "store-lost");
-            }
-            _ => {}
-        }
-    }
-
-    /// Records whether this node watches the store itself, and logs a change.
-    pub fn set_watching(&self, watching: bool) {
-        if self.is_watching.replace(watching) != watching {
-            let reaching = self.reaching().len();
-            log::info!(watching, reaching; "watching-changed");
-        }
-    }
-
     /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
     pub fn tick(&self, now: Instant) {
         let mut dispatcher = self.dispatcher.borrow_mut();
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -70,7 +70,7 @@
 
 async fn read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
     let call = client.range(ALL_KEYS);
-    let page = state.calls.run(store_calls::Kind::Read, &state.metrics, call).await?;
+    let page = state.call_store(store_calls::Kind::Read, call).await?;
     state.apply(state::Source::Store, |replica| replica.replace(page));
     Ok(())
 }
@@ -78,7 +78,7 @@
 async fn watch(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
     let after = state.replica.borrow().at();
     let call = client.watch(ALL_KEYS, after, WAIT);
-    let page = state.calls.run(store_calls::Kind::Watch, &state.metrics, call).await?;
+    let page = state.call_store(store_calls::Kind::Watch, call).await?;
     let has_changes = !page.items.is_empty();
     state.apply(state::Source::Store, |replica| replica.merge(page));
     if has_changes {
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -82,7 +82,7 @@
         let of_service = self.services.get(service).into_iter().flatten();
         of_service
             .filter_map(|id| self.upstreams.get(id))
-            .filter(|u| u.region == *region && eligibility::takes_work(u, &self.evacuated))
+            .filter(|u| u.region == *region && eligibility::takes_work(u, &self.evacuated, now))
             .map(|u| share::effective_slots(u.entry.slots, u.slow_start.is_cold(now)))
             .sum()
     }
--- a/crates/steer/src/dispatch/dispatcher/upstreams.rs
+++ b/crates/steer/src/dispatch/dispatcher/upstreams.rs
@@ -30,7 +30,7 @@
             };
             self.upstreams.insert(id, upstream);
         }
-        before.retain(|_, upstream| upstream.is_usable());
+        before.retain(|_, upstream| upstream.is_usable(now));
         let until = self.source.used_until(before.len(), known, &self.bounds, now);
         for (id, mut upstream) in before {
             upstream.lapsed_until = upstream.lapsed_until.or(until);
@@ -84,9 +84,9 @@
         self.upstreams.get(upstream).is_some_and(|u| u.lapsed_until.is_some())
     }
 
-    /// Records a sign that the source of entries is away, or was until now.
-    pub fn source_failed(&mut self, now: Instant) {
-        self.source.record_failure(now);
+    /// Records a call to the source of entries that began at `began` and failed.
+    pub fn source_failed(&mut self, began: Instant) {
+        self.source.record_failure(began);
     }
 
     /// Returns the evacuated halls, whose upstreams get no requests.
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -23,7 +23,7 @@
 pub enum Exclusion {
     /// Its region may not serve the route.
     Outside,
-    /// It drains, or another upstream has its address.
+    /// It drains, its entry has vanished for good, or another upstream has its address.
     Leaving,
     /// Its hall is evacuated.
     Evacuated,
@@ -61,8 +61,8 @@
             () if !homes.is_empty() && !homes.contains(&upstream.region) => {
                 Some(Exclusion::Outside)
             }
-            () if !upstream.is_usable() => Some(Exclusion::Leaving),
-            () if !takes_work(upstream, self.evacuated) => Some(Exclusion::Evacuated),
+            () if !upstream.is_usable(self.now) => Some(Exclusion::Leaving),
+            () if !takes_work(upstream, self.evacuated, self.now) => Some(Exclusion::Evacuated),
             () if request.tried.contains(&upstream.entry.id) => Some(Exclusion::Tried),
             () if !self.may_warm(upstream) => Some(Exclusion::Cold),
             () => None,
@@ -108,6 +108,7 @@
 pub fn takes_work(
     upstream: &upstream::Upstream,
     evacuated: &collections::BTreeSet<id::Hall>,
+    now: Instant,
 ) -> bool {
-    upstream.is_usable() && !evacuated.contains(&upstream.entry.hall)
+    upstream.is_usable(now) && !evacuated.contains(&upstream.entry.hall)
 }
--- a/crates/steer/src/dispatch/lapsed.rs
+++ b/crates/steer/src/dispatch/lapsed.rs
@@ -1,21 +1,32 @@
 //! Lapsed entries: upstreams whose entries vanished, perhaps only since the store was away.
 //!
-//! Owns the time of the latest failure of the source of entries. Upstreams renew their entries; while the
-//! store is away they cannot, so nearly all entries may vanish at once though the upstreams live. Those
+//! Owns the time of the latest failed call to the source of entries. Upstreams renew their entries; while
+//! the store is away they cannot, so nearly all entries may vanish at once though the upstreams live. Those
 //! that live write them again soon after the store returns. Until then the dispatcher goes on using them.
 //! An entry that says that its upstream drains is never used so.
+//!
+//! An entry may also vanish because its upstream leaves, and nothing tells the two apart. Therefore an
+//! upstream without an entry is never used for as long as `Bounds::drain` allows for one that leaves, and no
+//! longer at all once `Bounds::contact` has passed since the latest failed call began: from then on the node
+//! counts as in touch, and is held to that bound.
 
 use std::time::{Duration, Instant};
 
 use model::bounds;
 
-/// Time for which upstreams without an entry are used.
+/// Time for which upstreams without an entry are used, where `Bounds::drain` does not end it sooner.
 ///
 /// Measured: living upstreams wrote their entries again 0.15 to 0.8 s after the store returned, on the day
 /// behind docs/measurements/platform.md, row "lapsed entries are used until they should be back"; the
 /// rest is a margin for the way to this node.
 const RETURN: Duration = Duration::from_millis(1_800);
 
+/// Part of `Bounds::drain` that passes before a node knows that an entry vanished, and after it has chosen.
+///
+/// Measured: 0.14 to 0.3 s from the store's acknowledgement to the node, docs/incidents/drain-home.md; the rest
+/// is a margin for a lost heartbeat (0.5 s) and a new connection.
+const WAY: Duration = Duration::from_millis(700);
+
 /// Part of `Bounds::drain` that is used when only the number of vanished entries suggests a lapse.
 ///
 /// Not measured; leaves the other half of the bound to the way of a real removal.
@@ -31,9 +42,9 @@
 }
 
 impl Source {
-    /// Records a sign that the source is away, or was until now.
-    pub fn record_failure(&mut self, now: Instant) {
-        self.failed = Some(now);
+    /// Records a call to the source that began at `began` and failed.
+    pub fn record_failure(&mut self, began: Instant) {
+        self.failed = self.failed.max(Some(began));
     }
 
     /// Returns until when upstreams are used whose entries vanish now, `gone` of the `known` ones.
@@ -47,14 +58,14 @@
         bounds: &bounds::Bounds,
         now: Instant,
     ) -> Option<Instant> {
-        let has_failed =
-            self.failed.is_some_and(|at| now.saturating_duration_since(at) <= bounds.contact);
+        let in_touch = self.failed.map(|began| began + bounds.contact).filter(|at| now < *at);
         #[expect(clippy::cast_precision_loss, reason = "a few thousand entries")]
         let is_most = gone as f64 >= known as f64 * MAX_SHARE_AT_ONCE && gone > 1;
-        match (has_failed, is_most) {
-            (true, _) => Some(now + RETURN.min(bounds.drain)),
-            (false, true) => Some(now + RETURN.min(bounds.drain.mul_f64(UNCONFIRMED_SHARE))),
-            (false, false) => None,
+        let confirmed = now + RETURN.min(bounds.drain.saturating_sub(WAY));
+        match (in_touch, is_most) {
+            (Some(in_touch), _) => Some(confirmed.min(in_touch)),
+            (None, true) => Some(confirmed.min(now + bounds.drain.mul_f64(UNCONFIRMED_SHARE))),
+            (None, false) => None,
         }
     }
 }
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -52,8 +52,9 @@
 
     /// Returns whether it takes new work at all, wherever its hall stands.
     #[must_use]
-    pub fn is_usable(&self) -> bool {
-        self.entry.state == discovery::State::Ready && !self.is_replaced
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let is_gone = self.lapsed_until.is_some_and(|until| now >= until);
+        self.entry.state == discovery::State::Ready && !self.is_replaced && !is_gone
     }
 
     /// Returns the work times of one request that pass until one more would be done; at least 1.
--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -514,3 +514,19 @@
     let refused = choose(&mut dispatcher, &route(&[]), 1, over);
     assert!(matches!(refused, Err(refusal::Refusal::NoUpstream(_))), "{refused:?}");
 }
+
+/// The bound on leaving upstreams also holds between two ticks, and the way of the change counts toward it.
+#[test]
+fn drain_an_upstream_without_an_entry_is_used_for_less_than_the_bound() {
+    /// Time that a change takes to a node, in calm times.
+    const WAY: Duration = Duration::from_millis(500);
+    let bounds = bounds::Bounds::default();
+    let failed = Instant::now();
+    let mut dispatcher = dispatcher("n");
+    set(&mut dispatcher, &[entry("i-0", "n-1")], failed);
+    dispatcher.source_failed(failed);
+    set(&mut dispatcher, &[], failed);
+    let over = failed + bounds.drain.saturating_sub(WAY);
+    let refused = choose(&mut dispatcher, &route(&[]), 1, over);
+    assert!(matches!(refused, Err(refusal::Refusal::NoUpstream(_))), "{refused:?}");
+}
