Connections to upstreams end with a reset, so that nothing given up arrives later

The class: work that outlives whoever waits for it. Both roles had it: gateways' own connections, and owners' through the HTTP library's client. Ruled out: a shorter time for unacknowledged bytes alone, which also breaks connections on lossy links.

--- a/crates/node/src/common/mod.rs
+++ b/crates/node/src/common/mod.rs
@@ -5,5 +5,6 @@
 pub mod head;
 pub mod log_writer;
 pub mod logging;
+pub mod reset;
 pub mod settings;
 pub mod store;
--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -11,6 +11,7 @@
 use tokio::task;
 
 use crate::common::body;
+use crate::common::reset;
 
 /// Longest time a connection may take to come up. Not measured.
 const CONNECT_TIME: Duration = Duration::from_millis(350);
@@ -18,7 +19,7 @@
 /// Time after which bytes that the upstream does not acknowledge break the connection. Not measured.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(2);
 
-/// A connection to an upstream; dropping it closes it at once.
+/// A connection to an upstream; dropping it resets it at once, so that nothing more of a request arrives.
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests.
@@ -44,6 +45,7 @@
         };
         stream.set_nodelay(true)?;
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME))?;
+        reset::when_closed(&stream)?;
         let (sender, connection) =
             http1::handshake(rt::TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         let driver = task::spawn_local(async move {
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::common::body;
 use crate::common::head;
+use crate::common::reset;
 use crate::owner::event_loop::message;
 use crate::owner::failed;
 use crate::owner::handle;
@@ -60,7 +61,7 @@
 /// Runs requests; each thread that does so has its own connections.
 #[derive(Clone, Debug)]
 pub struct Runner {
-    client: legacy::Client<HttpConnector, body::Body>,
+    client: legacy::Client<reset::Connector, body::Body>,
     handle: handle::Handle,
 }
 
@@ -86,7 +87,7 @@
             .pool_timer(rt::TokioTimer::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .pool_idle_timeout(IDLE_TIME)
-            .build(connector);
+            .build(reset::connector(connector));
         Self { client, handle }
     }
 
