Calls to the store end within contact, and only a watcher says that it reaches the store

Cause (hypothesis 1): a watch could wait 20 s and 2 s more, longer than any bound; one that began while the store was silent, or on a connection that fell silent for good, was answered by nobody, and its node learnt nothing for 22 s. Others did not take over, because a node's word that it reaches the store was that of its last ended call, or of none at all. Two tasks shared one pool, so that a second dead connection could follow the first. The class: a wait on an open connection without a bound of the purpose it serves, and a belief without an age. Design: fleet::store_call holds every wait at the store as a share of contact; the longest waits in a row stay below it (a test sums them); after a failure the next call waits for nothing; nodes that come first to watch pause at most a sixth of contact, the others as before; a node that does not watch says so; a change of that word is announced at once; each task has connections of its own, one resting. Renewals, leases and writes end after a third of contact.

--- a/crates/model/src/bounds.rs
+++ b/crates/model/src/bounds.rs
@@ -8,7 +8,9 @@
 /// Bounds that a deployment sets for the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// Time without a failed call after which the store counts as reachable again.
+    /// Time after the end of a trouble from which a node is held to the other bounds.
+    ///
+    /// All waits at the store are shares of it.
     pub contact: Duration,
     /// Longest time for which a leaving upstream may get new requests, from when a node knows.
     pub drain: Duration,
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -28,7 +28,7 @@
     pub is_ready: bool,
     /// Whether it is stopping.
     pub is_leaving: bool,
-    /// Whether the store answered it last time.
+    /// Whether it watches the store, and the store answered it last time.
     #[serde(default)]
     pub is_store_reached: bool,
     /// The store's revision up to which its copy is complete.
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -25,9 +25,6 @@
 use crate::gateway::state;
 use crate::gateway::sync;
 
-/// Longest time for an answer of the store. Not measured.
-const CALL_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time between two ticks of the dispatcher. Not measured.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -117,10 +114,11 @@
     let state = || rc::Rc::clone(state);
     match source {
         settings::Source::Platform(address) => {
-            let client = client::Client::new(address, CALL_TIME);
+            // Connections of its own for each task, so that none takes one on which the other waits in vain.
+            let client = || client::Client::new(address);
             vec![
-                task::spawn_local(sync::run(state(), client.clone())),
-                task::spawn_local(registration::run(state(), client)),
+                task::spawn_local(sync::run(state(), client())),
+                task::spawn_local(registration::run(state(), client())),
                 task::spawn_local(heartbeat::fetch_changes(state())),
             ]
         }
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -9,6 +9,7 @@
 use platform::store::client;
 use platform::store::error;
 use platform::store::item;
+use steer::dispatch::fleet::store_call;
 
 use crate::gateway::state;
 use crate::gateway::store_calls;
@@ -37,7 +38,8 @@
 
 /// Writes the entry under a new lease.
 async fn register(state: &state::State, client: &client::Client) -> Result<u64, error::Error> {
-    let call = client.lease(LEASE_TIME);
+    let time = store_call::answer(state.contact());
+    let call = client.lease(LEASE_TIME, time);
     let lease = state.call_store(store_calls::Kind::Lease, call).await?;
     let (key, value) = {
         let me = state.me.borrow();
@@ -46,7 +48,7 @@
     };
     let put = item::Put { key, value, lease };
     let write = item::Write { put: vec![put], ..item::Write::default() };
-    let call = client.write(&write);
+    let call = client.write(&write, time);
     state.call_store(store_calls::Kind::Entry, call).await?;
     Ok(lease)
 }
@@ -58,11 +60,11 @@
     loop {
         tokio::time::sleep(RENEWAL).await;
         let is_listed = state.replica.borrow().nodes().any(|listed| listed.name == me);
-        if !is_listed && state.is_store_reached() {
+        if !is_listed && state.is_store_known() {
             log::info!(key = key.as_str(); "registration-lost");
             return;
         }
-        let call = client.keep(lease);
+        let call = client.renew(lease, store_call::answer(state.contact()));
         match state.call_store(store_calls::Kind::Renewal, call).await {
             Ok(()) => {}
             Err(error::Error::NoLease) => {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -245,14 +245,13 @@
         let lapsed = dispatcher.lapsed();
         dispatcher.tick(now);
         let left = dispatcher.lapsed();
-        let usual = self.settings.borrow().bounds().contact;
         drop(dispatcher);
         if left.len() < lapsed.len() {
             let dropped = lapsed.len() - left.len();
             let upstreams = names(lapsed.difference(&left));
             log::warn!(dropped, upstreams = upstreams.as_str(); "lapsed-endpoints-dropped");
         }
-        self.calls.log_unanswered(usual, now);
+        self.calls.log_unanswered(self.contact(), now);
     }
 
     /// Brings the figures up to date that are no counters.
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -7,7 +7,7 @@
 
 use model::id;
 use rand::RngExt as _;
-use steer::dispatch::fleet::{announcement, watchers};
+use steer::dispatch::fleet::{announcement, store_call, watchers};
 use steer::dispatch::slow_start_owner;
 
 use crate::gateway::member;
@@ -41,6 +41,14 @@
         watchers::contains(&self.me.borrow().node, self.reaching().iter())
     }
 
+    /// Returns whether this node comes first to watch the store where nobody reaches it.
+    #[must_use]
+    pub fn turn(&self) -> store_call::Turn {
+        let members = self.members.borrow();
+        let others = members.staying(Instant::now()).map(|m| &m.node);
+        watchers::turn(&self.me.borrow().node, others)
+    }
+
     /// Returns the other living nodes of the region that say they reach the store.
     pub(super) fn reaching(&self) -> Vec<id::Node> {
         let members = self.members.borrow();
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -3,7 +3,7 @@
 //! Relies on [`store_calls`] for the record of calls, and on the dispatcher for what a failed one means for
 //! entries that vanish.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use platform::store::error;
 
@@ -29,33 +29,56 @@
         outcome
     }
 
-    /// Returns whether the store answered last time.
+    /// Returns the time after a trouble from which this node is held to its bounds.
+    #[must_use]
+    pub fn contact(&self) -> Duration {
+        self.settings.borrow().bounds().contact
+    }
+
+    /// Returns whether this node watches the store, and the store answered it last time.
     #[must_use]
     pub fn is_store_reached(&self) -> bool {
         self.me.borrow().is_store_reached
     }
 
-    /// Records whether the store answers, and logs a change.
+    /// Returns whether this node or another living one reaches the store, so that its copy is not old.
+    #[must_use]
+    pub fn is_store_known(&self) -> bool {
+        let members = self.members.borrow();
+        self.is_store_reached() || members.alive(Instant::now()).any(|m| m.is_store_reached)
+    }
+
+    /// Records whether the store answers, and logs and announces a change.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
-        let is_reached = failure.is_none();
-        let was_reached = std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached);
+        if !self.set_store_reached(failure.is_none()) {
+            return;
+        }
         match failure {
-            None if !was_reached => {
-                log::info!(revision = self.replica.borrow().at(); "store-reached");
-            }
-            Some(error) if was_reached => {
+            None => log::info!(revision = self.replica.borrow().at(); "store-reached"),
+            Some(error) => {
                 let error = error.to_string();
                 log::warn!(error = error.as_str(); "store-lost");
             }
-            _ => {}
         }
+        self.beat.notify_one();
     }
 
     /// Records whether this node watches the store itself, and logs a change.
+    ///
+    /// A node that does not watch no longer says that it reaches the store: it would not notice otherwise.
     pub fn set_watching(&self, watching: bool) {
-        if self.is_watching.replace(watching) != watching {
-            let reaching = self.reaching().len();
-            log::info!(watching, reaching; "watching-changed");
+        if self.is_watching.replace(watching) == watching {
+            return;
         }
+        let reaching = self.reaching().len();
+        log::info!(watching, reaching; "watching-changed");
+        if !watching {
+            self.set_store_reached(false);
+        }
+    }
+
+    /// Sets what this node says about the store; returns whether that has changed.
+    fn set_store_reached(&self, is_reached: bool) -> bool {
+        std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached) != is_reached
     }
 }
--- a/crates/node/tests/forms/calls.rs
+++ b/crates/node/tests/forms/calls.rs
@@ -58,25 +58,25 @@
 #[tokio::test]
 async fn calls_to_the_platform_s_store() {
     let store = recorder::Recorder::start(platform_answers).await;
-    let client = client::Client::new(store.address, CALL_TIME);
+    let client = client::Client::new(store.address);
     let item = |key: &str, value: &[u8], revision, is_removed| item::Item {
         key: key.to_owned(),
         value: value.to_vec(),
         revision,
         is_removed,
     };
-    let page = client.range("a b/").await.expect("a page");
+    let page = client.range("a b/", CALL_TIME).await.expect("a page");
     assert_eq!((page.items, page.at), (vec![item("a", b"a", 3, false)], 4));
-    let page = client.watch("", 4, Duration::from_secs(20)).await.expect("a page");
+    let page = client.watch("", 4, Duration::from_secs(20), CALL_TIME).await.expect("a page");
     assert_eq!((page.items, page.at), (vec![item("a", b"", 5, true)], 5));
-    assert_eq!(client.write(&write_of("free")).await, Ok(6));
+    assert_eq!(client.write(&write_of("free"), CALL_TIME).await, Ok(6));
     let conflict = error::Error::Conflict(vec![item("taken", b"a", 3, false)]);
-    assert_eq!(client.write(&write_of("taken")).await, Err(conflict));
-    assert_eq!(client.lease(Duration::from_secs(12)).await, Ok(7));
-    assert_eq!(client.keep(7).await, Ok(()));
-    assert_eq!(client.keep(8).await, Err(error::Error::NoLease));
-    assert_eq!(client.keep(9).await, Err(error::Error::Refused(503)));
-    assert_eq!(client.end_lease(7).await, Ok(()));
+    assert_eq!(client.write(&write_of("taken"), CALL_TIME).await, Err(conflict));
+    assert_eq!(client.lease(Duration::from_secs(12), CALL_TIME).await, Ok(7));
+    assert_eq!(client.renew(7, CALL_TIME).await, Ok(()));
+    assert_eq!(client.renew(8, CALL_TIME).await, Err(error::Error::NoLease));
+    assert_eq!(client.renew(9, CALL_TIME).await, Err(error::Error::Refused(503)));
+    assert_eq!(client.end_lease(7, CALL_TIME).await, Ok(()));
     fixture::assert_is("calls-platform.txt", store.transcript().as_bytes());
 }
 
--- a/crates/steer/src/dispatch/fleet/catch_up.rs
+++ b/crates/steer/src/dispatch/fleet/catch_up.rs
@@ -22,7 +22,7 @@
 pub struct Standing {
     /// Whether its copy of the store is complete.
     pub is_complete: bool,
-    /// Whether the store answered it last time.
+    /// Whether it watches the store, and the store answered it last time.
     pub is_store_reached: bool,
 }
 
--- a/crates/steer/src/dispatch/fleet/mod.rs
+++ b/crates/steer/src/dispatch/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each node decides alone from the members that it knows; nodes that know the same decide alike. The
 //! gateway's tasks own the members and perform the I/O. In the order of a change's way: [`watchers`] read
-//! it from the store, [`announcement`] and [`catch_up`] spread it, [`gossip`] sets how often nodes report,
+//! it from the store by [`store_call`]s, [`announcement`] and [`catch_up`] spread it, [`gossip`] sets how often nodes report,
 //! [`representatives`] report between regions, and [`lookup`] names nodes to callers.
 
 pub mod announcement;
@@ -10,4 +10,5 @@
 pub mod gossip;
 pub mod lookup;
 pub mod representatives;
+pub mod store_call;
 pub mod watchers;
--- a/crates/steer/src/dispatch/fleet/watchers.rs
+++ b/crates/steer/src/dispatch/fleet/watchers.rs
@@ -1,10 +1,14 @@
 //! Watchers: the nodes of a region that watch the store; the others learn changes from them.
 //!
 //! So the store's calls grow with regions and not with nodes. Called before each watch; a node becomes a
-//! watcher as soon as too few nodes before it reach the store.
+//! watcher as soon as too few nodes before it reach the store. Only a node that watches says that it reaches
+//! the store, and only as long as the store answers it: its word is as old as [`store_call::watch`] lets a watch
+//! wait, and no older.
 
 use model::id;
 
+use crate::dispatch::fleet::store_call;
+
 /// Watchers of a region.
 ///
 /// Measured: docs/measurements/platform.md, row "three watchers a region" (scores as before; the commit
@@ -15,5 +19,19 @@
 ///
 /// `reaching` are the living nodes of its region, but `me`, that reach the store and do not leave.
 pub fn contains<'a>(me: &id::Node, reaching: impl Iterator<Item = &'a id::Node>) -> bool {
-    reaching.filter(|node| *node < me).count() < PER_REGION
+    is_among_first(me, reaching)
+}
+
+/// Returns whether `me` comes first to watch the store where nobody reaches it.
+///
+/// `others` are the living nodes of its region, but `me`, that do not leave.
+pub fn turn<'a>(me: &id::Node, others: impl Iterator<Item = &'a id::Node>) -> store_call::Turn {
+    match is_among_first(me, others) {
+        true => store_call::Turn::First,
+        false => store_call::Turn::Later,
+    }
+}
+
+fn is_among_first<'a>(me: &id::Node, others: impl Iterator<Item = &'a id::Node>) -> bool {
+    others.filter(|node| *node < me).count() < PER_REGION
 }
--- /dev/null
+++ b/crates/steer/tests/store_calls.rs
@@ -0,0 +1,78 @@
+//! Waits at the store, in a row.
+
+use std::time::Duration;
+
+use model::id;
+use quickcheck::quickcheck;
+use steer::dispatch::fleet::store_call::{self, Backoff, Turn};
+use steer::dispatch::fleet::watchers;
+
+/// Time from the store's answer to the node, in the slowest deployment known: slow, and in another region.
+const ANSWER: Duration = Duration::from_millis(310);
+
+/// Bounds on contact of a few deployments, and below and above them.
+const CONTACTS: [Duration; 6] = [
+    Duration::from_secs(2),
+    Duration::from_millis(2_500),
+    Duration::from_secs(3),
+    Duration::from_secs(4),
+    Duration::from_secs(6),
+    Duration::from_secs(10),
+];
+
+#[test]
+fn the_longest_waits_in_a_row_and_an_answer_stay_below_contact() {
+    for contact in CONTACTS {
+        let gap = store_call::longest_gap(contact) + ANSWER;
+        assert!(gap < contact, "{gap:?} of {contact:?}");
+    }
+}
+
+#[test]
+fn a_slow_store_answers_in_time() {
+    for contact in CONTACTS {
+        assert!(store_call::watch_answer(contact) > ANSWER);
+        assert!(store_call::answer(contact) > ANSWER);
+        assert!(store_call::read(contact) > ANSWER);
+    }
+}
+
+quickcheck! {
+    fn no_pause_of_a_node_that_comes_first_is_longer_than_the_gap_allows(
+        failures: u8,
+        draws: Vec<u8>
+    ) -> bool {
+        let contact = CONTACTS[0];
+        let mut backoff = Backoff::default();
+        for _ in 0..failures {
+            backoff.pause(contact, Turn::First, 1.0);
+        }
+        let draw = |byte: &u8| f64::from(*byte) / f64::from(u8::MAX);
+        let longest = store_call::longest_gap(contact).saturating_sub(store_call::answer(contact));
+        draws.iter().all(|byte| backoff.pause(contact, Turn::First, draw(byte)) <= longest)
+    }
+}
+
+#[test]
+fn a_pause_grows_with_failures_and_starts_anew_after_an_answer() {
+    let contact = CONTACTS[1];
+    let mut backoff = Backoff::default();
+    let first = backoff.pause(contact, Turn::Later, 0.5);
+    let second = backoff.pause(contact, Turn::Later, 0.5);
+    assert!(backoff.has_failed());
+    assert_eq!(second, first * 2);
+    backoff.reset();
+    assert!(!backoff.has_failed());
+    assert_eq!(backoff.pause(contact, Turn::Later, 0.5), first);
+}
+
+#[test]
+fn the_first_nodes_of_a_region_come_first_whether_they_reach_the_store_or_not() {
+    let nodes: Vec<id::Node> = (1..=5).map(|n| id::Node::new(&format!("n-{n}"))).collect();
+    let turn = |me: usize| {
+        let others = nodes.iter().enumerate().filter(|(n, _)| *n != me).map(|(_, node)| node);
+        watchers::turn(&nodes[me], others)
+    };
+    assert_eq!([0, 1, 2].map(turn), [Turn::First; 3]);
+    assert_eq!([3, 4].map(turn), [Turn::Later; 2]);
+}
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -33,7 +33,7 @@
     /// Whether the sender is stopping.
     #[prost(bool, tag = "9")]
     pub is_leaving: bool,
-    /// Whether the store answered the sender's last call.
+    /// Whether the sender watches the store, and the store answered its last call.
     #[prost(bool, tag = "10")]
     pub is_store_reached: bool,
     /// Revision of the store up to which the sender's copy is complete.
