Reproduced: a node that answers nothing delays changes at others (known red)

Hypothesis 4: a node that is behind asks one other node at a time and waits up to 1.5 s for it, also for one that is frozen or dark and still counts as alive.

--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -3,15 +3,28 @@
 use std::net;
 use std::time::{Duration, Instant};
 
+use model::id;
+use node::gateway::datagram;
+use node::gateway::member;
 use standin::platform::listener::Mode;
 use tokio::io::AsyncReadExt as _;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::rig::{self, Rig};
 
 /// Bound on contact of the deployment under test, as the settings' default.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Changes of a test that looks at each.
+const CHANGES: usize = 6;
+
+/// Time in which a node learns a change from another one, with a margin: a heartbeat, the time to gather, and
+/// one node that is asked in vain.
+const SOON: Duration = Duration::from_millis(1_500);
+
+/// Time between two heartbeats.
+const BEAT: Duration = Duration::from_millis(300);
+
 /// Receive buffer of an upstream that does not read, in bytes; far less than the body that is sent to it.
 const SMALL_BUFFER: usize = 4_096;
 
@@ -77,3 +90,65 @@
     let _ = tokio::time::timeout(rig::PATIENCE, stream.read_to_end(&mut arrived)).await;
     assert!(arrived.len() < BODY, "{} bytes arrived", arrived.len());
 }
+
+/// Another node says that it is ahead and takes connections, but answers nothing, as one that is frozen
+/// does. A node that the store turns away still learns each change soon, from the nodes that answer.
+#[tokio::test]
+async fn config_a_node_that_answers_nothing_delays_no_change_at_others() {
+    let mut rig = Rig::start(&rig::routes()).await;
+    let _desk = rig.upstream("i-desk", "desk", "north-1").await;
+    let _shelf = rig.upstream("i-shelf", "shelf", "north-1").await;
+    let open = rig.store.open().await.expect("the store opens");
+    let closed = rig.store.open().await.expect("the store opens");
+    closed.set(Mode::Busy);
+    let served = rig.gateway("n-2", "north-1", &open).await;
+    let turned_away = rig.gateway_at("n-3", "north-1", closed.address, &[served.peers]).await;
+    turned_away.wait_ready().await;
+    let frozen = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let frozen_at = frozen.local_addr().expect("it has an address");
+    let beats = tokio::spawn(beat(frozen_at, turned_away.peers));
+    rig::until("it is taken for alive", async || {
+        turned_away.has_logged(&["event=peer-alive", "peer=n-1"])
+    })
+    .await;
+    let mut caller = turned_away.caller().await;
+    for index in 0..CHANGES {
+        let service = ["shelf", "desk"][index % 2];
+        let mut routes = rig::routes();
+        routes[0].service = service;
+        rig.configure(&routes);
+        let accepted = Instant::now();
+        let expected = format!("answer of i-{service} to id-{index}");
+        rig::until("the new version is in force", async || {
+            caller.get("/read/a", &format!("id-{index}")).await.text() == expected
+        })
+        .await;
+        let took = accepted.elapsed();
+        assert!(took < SOON, "change {index}: {took:?}");
+    }
+    beats.abort();
+}
+
+/// Sends the heartbeats of a node `n-1` at `frozen` that is far ahead.
+async fn beat(frozen: net::SocketAddr, to: net::SocketAddr) {
+    let socket = UdpSocket::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let mut member = member::Member {
+        node: id::Node::new("n-1"),
+        incarnation: 1,
+        sequence: 0,
+        region: id::Region::new("north"),
+        hall: id::Hall::new("north-1"),
+        callers: frozen,
+        peers: frozen,
+        is_ready: true,
+        is_leaving: false,
+        is_store_reached: true,
+        at: u64::MAX / 2,
+    };
+    loop {
+        member.sequence += 1;
+        // A datagram that is lost is followed by the next.
+        let _ = socket.send_to(&datagram::write(&member), to).await;
+        tokio::time::sleep(BEAT).await;
+    }
+}
