Connections of clients that fall silent end, in both roles

The same cause elsewhere: the callers' and the peers' servers of owners, the operators' one and the gateways' short answers waited on a connection without a bound of their own. An HTTP/2 client that said nothing more held a connection (of a limited number, behind which accepting waits) for ever; so did an answer that nobody acknowledges. Now bytes without an acknowledgement end a connection after 5 s everywhere, and HTTP/2 is pinged after 5 s and given up 5 s later. Ruled out: an end of idle HTTP/2 connections that do answer (callers may keep them).

--- a/crates/node/src/common/mod.rs
+++ b/crates/node/src/common/mod.rs
@@ -5,6 +5,6 @@
 pub mod head;
 pub mod log_writer;
 pub mod logging;
-pub mod reset;
 pub mod settings;
+pub mod socket;
 pub mod store;
--- /dev/null
+++ b/crates/node/src/common/socket.rs
@@ -0,0 +1,68 @@
+//! Options of sockets by which a connection that has fallen silent, or was given up, ends.
+//!
+//! Owns the options that both roles set, and the times of connections from callers, nodes and operators.
+
+use std::io;
+use std::time::Duration;
+
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt;
+use tokio::net::TcpStream;
+use tower::util;
+
+/// Time after which bytes that a client does not acknowledge end its connection. Not measured.
+pub const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
+
+/// Time between two pings on an HTTP/2 connection whose client is silent. Not measured.
+pub const PING_EVERY: Duration = Duration::from_secs(5);
+
+/// Time after which a ping without an answer ends the connection. Not measured.
+pub const PING_TIME: Duration = Duration::from_secs(5);
+
+/// A socket as the HTTP library holds it.
+type Socket = rt::TokioIo<TcpStream>;
+
+/// A connector of the HTTP library whose connections end with a reset.
+pub type Connector = util::MapResponse<HttpConnector, fn(Socket) -> Socket>;
+
+/// Makes a connector whose connections end with a reset, as [`reset_when_closed`] says.
+#[must_use]
+pub fn connector(inner: HttpConnector) -> Connector {
+    util::MapResponse::new(inner, |socket: Socket| {
+        if let Err(error) = reset_when_closed(socket.inner()) {
+            // The connection works; only what is given up on it may arrive later.
+            log_not_set(&error);
+        }
+        socket
+    })
+}
+
+/// Makes `stream` end with a reset when it is closed, and what is not acknowledged by then is discarded.
+///
+/// Closing a connection usually leaves what was written to the operating system, which goes on sending it. A
+/// request that was given up long ago would then still arrive, at an upstream that has left meanwhile.
+/// After a reset nothing more is sent, and the upstream learns that nobody waits for its answer.
+///
+/// # Errors
+///
+/// Fails when the option cannot be set.
+pub fn reset_when_closed(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Prepares a connection that was accepted: small answers are sent at once, and a client that no longer
+/// acknowledges them ends its connection after [`UNACKNOWLEDGED_TIME`].
+pub fn accepted(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let set = stream.set_nodelay(true);
+    let set = set.and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME)));
+    if let Err(error) = set {
+        // Usually the client has gone already, which shows when the connection is read.
+        log_not_set(&error);
+    }
+}
+
+fn log_not_set(error: &io::Error) {
+    let error = error.to_string();
+    log::debug!(error = error.as_str(); "socket-option-not-set");
+}
--- a/crates/node/src/gateway/control_server.rs
+++ b/crates/node/src/gateway/control_server.rs
@@ -16,6 +16,7 @@
 use platform::directory as names;
 use tokio::net::TcpListener;
 
+use crate::common::socket;
 use crate::gateway::control;
 use crate::gateway::directory;
 use crate::gateway::state;
@@ -38,8 +39,7 @@
                 continue;
             }
         };
-        // Without it answers may be delayed; a connection that has ended fails when it is read.
-        let _ = stream.set_nodelay(true);
+        socket::accepted(&stream);
         let state = rc::Rc::clone(&state);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -11,7 +11,7 @@
 use tokio::task;
 
 use crate::common::body;
-use crate::common::reset;
+use crate::common::socket;
 
 /// Longest time a connection may take to come up. Not measured.
 const CONNECT_TIME: Duration = Duration::from_millis(350);
@@ -45,7 +45,7 @@
         };
         stream.set_nodelay(true)?;
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME))?;
-        reset::when_closed(&stream)?;
+        socket::reset_when_closed(&stream)?;
         let (sender, connection) =
             http1::handshake(rt::TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         let driver = task::spawn_local(async move {
--- a/crates/node/src/gateway/proxy/listener.rs
+++ b/crates/node/src/gateway/proxy/listener.rs
@@ -11,6 +11,7 @@
 use model::routing;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::common::socket;
 use crate::gateway::proxy::handler;
 use crate::gateway::proxy::server;
 
@@ -23,9 +24,6 @@
 /// Smallest buffer that the HTTP library takes, in bytes.
 const SMALLEST_BUFFER: usize = 8_192;
 
-/// Time after which bytes that a caller does not acknowledge end its connection. Not measured.
-const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
-
 /// Accepts callers' connections until the task ends.
 pub async fn serve(server: server::Server, listener: TcpListener) {
     let mut close = server.close.clone();
@@ -57,9 +55,7 @@
 }
 
 async fn connection(server: server::Server, stream: TcpStream) {
-    // Both fail on a connection that has ended already, which shows when it is read.
-    let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+    socket::accepted(&stream);
     let limits = server.state.routing().map_or_else(routing::CallerLimits::default, |r| r.limits);
     let mut close = server.close.clone();
     let service = service_fn(|request| {
--- a/crates/node/src/owner/callers/server.rs
+++ b/crates/node/src/owner/callers/server.rs
@@ -24,6 +24,7 @@
 
 use crate::common::body;
 use crate::common::head;
+use crate::common::socket;
 use crate::owner::callers::entry;
 use crate::owner::callers::lookup;
 use crate::owner::callers::respond;
@@ -90,8 +91,7 @@
     peer: net::SocketAddr,
     connections: &graceful::GracefulShutdown,
 ) -> impl Future<Output = ()> + use<> {
-    // Without it small answers are only slower.
-    let _ = stream.set_nodelay(true);
+    socket::accepted(&stream);
     let server = sync::Arc::clone(server);
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
@@ -103,6 +103,8 @@
         .http2()
         .timer(rt::TokioTimer::new())
         .max_concurrent_streams(STREAMS)
+        .keep_alive_interval(socket::PING_EVERY)
+        .keep_alive_timeout(socket::PING_TIME)
         .max_header_list_size(u32::try_from(server.limits.head_bytes).unwrap_or(u32::MAX));
     let watcher = connections.watcher();
     async move {
--- a/crates/node/src/owner/node.rs
+++ b/crates/node/src/owner/node.rs
@@ -8,6 +8,7 @@
 use std::sync;
 use std::time::{Duration, Instant};
 
+use axum::serve::ListenerExt as _;
 use model::clock;
 use model::epoch;
 use model::member;
@@ -18,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::common::socket;
 use crate::common::store::client;
 use crate::owner::callers;
 use crate::owner::event_loop::outputs;
@@ -254,6 +256,7 @@
     io_thread::IoThread::start("operators", move || async move {
         let Some(listener) = register("operators", listener) else { return };
         // It serves until the thread is stopped and never returns an error.
+        let listener = listener.tap_io(|stream| socket::accepted(stream));
         let _ = axum::serve(listener, operators::api::router(context)).await;
     })
 }
--- a/crates/node/src/owner/peers/server.rs
+++ b/crates/node/src/owner/peers/server.rs
@@ -23,6 +23,7 @@
 use wire::peer::peer_server::{Peer, PeerServer};
 
 use crate::common::body;
+use crate::common::socket;
 use crate::owner::callers::entry;
 use crate::owner::failed;
 use crate::owner::handle;
@@ -66,6 +67,8 @@
         .initial_connection_window_size(connections::CONNECTION_WINDOW)
         .initial_stream_window_size(connections::STREAM_WINDOW)
         .max_concurrent_streams(Some(STREAMS))
+        .http2_keepalive_interval(Some(socket::PING_EVERY))
+        .http2_keepalive_timeout(Some(socket::PING_TIME))
         .add_service(server)
         .serve_with_incoming(incoming)
         .await
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::common::body;
 use crate::common::head;
-use crate::common::reset;
+use crate::common::socket;
 use crate::owner::event_loop::message;
 use crate::owner::failed;
 use crate::owner::handle;
@@ -61,7 +61,7 @@
 /// Runs requests; each thread that does so has its own connections.
 #[derive(Clone, Debug)]
 pub struct Runner {
-    client: legacy::Client<reset::Connector, body::Body>,
+    client: legacy::Client<socket::Connector, body::Body>,
     handle: handle::Handle,
 }
 
@@ -87,7 +87,7 @@
             .pool_timer(rt::TokioTimer::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .pool_idle_timeout(IDLE_TIME)
-            .build(reset::connector(connector));
+            .build(socket::connector(connector));
         Self { client, handle }
     }
 
--- a/crates/node/tests/resets.rs
+++ b/crates/node/tests/resets.rs
@@ -9,7 +9,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
-use node::common::reset;
+use node::common::socket;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 
@@ -28,16 +28,16 @@
 /// Nodes that own upstreams send through the HTTP library's client, which gives up by dropping the exchange.
 #[tokio::test]
 async fn drain_a_request_that_an_owner_gave_up_does_not_arrive_later() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
-    let socket = socket.expect("a socket");
-    socket.set_recv_buffer_size(SMALL_BUFFER).expect("the buffer is set");
+    let raw = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let raw = raw.expect("a socket");
+    raw.set_recv_buffer_size(SMALL_BUFFER).expect("the buffer is set");
     let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-    socket.bind(&any_port.into()).expect("a port is free");
-    socket.listen(1).expect("it listens");
-    socket.set_nonblocking(true).expect("it does not block");
-    let listener = TcpListener::from_std(socket.into()).expect("a listener");
+    raw.bind(&any_port.into()).expect("a port is free");
+    raw.listen(1).expect("it listens");
+    raw.set_nonblocking(true).expect("it does not block");
+    let listener = TcpListener::from_std(raw.into()).expect("a listener");
     let address = listener.local_addr().expect("it has an address");
-    let connector = reset::connector(HttpConnector::new());
+    let connector = socket::connector(HttpConnector::new());
     let client = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
     let body = Full::new(Bytes::from(vec![b'x'; BODY]));
     let request = Request::post(format!("http://{address}/")).body(body).expect("a request");
