A long answer that stalls is cut off

Now it is cut off where nothing arrives for 3 s and the deadline is over; the upstream's try counts as broken, and a line says so. Ruled out: cutting off at the deadline an answer that goes on arriving. Test, failing before (no end within 20 s): mixed_an_answer_that_stalls_is_cut_off.

--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -64,6 +64,12 @@
         self.report(outcome);
     }
 
+    /// Returns the deadline of the request.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     fn report(&mut self, outcome: outcome::Outcome) {
         if std::mem::replace(&mut self.is_reported, true) {
             return;
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -3,11 +3,13 @@
 //! Owns the task that streams what is too long to be read whole first.
 
 use std::io;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
+use steer::dispatch::{give_up, outcome};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers;
 
@@ -27,30 +29,52 @@
     Response::from_parts(parts, body)
 }
 
-/// Returns a body that goes on with what still arrives; an end too early cuts it off.
+/// Returns a body that goes on with what still arrives; an end too early, or a stall, cuts it off.
 ///
 /// The connection and the try live until the answer has ended or the caller has left.
 #[must_use]
 pub fn rest(
     first: Bytes,
-    mut incoming: Incoming,
+    incoming: Incoming,
     connection: connection::Connection,
     attempt: attempt::Attempt,
 ) -> body::Body {
     let (sender, receiver) = mpsc::channel::<io::Result<Frame<Bytes>>>(WAITING);
     tokio::task::spawn_local(async move {
-        let _held = (connection, attempt);
-        let mut next = Some(Ok(Frame::data(first)));
-        while let Some(piece) = next {
-            let is_cut = piece.is_err();
-            if sender.send(piece).await.is_err() || is_cut {
-                return;
-            }
-            next = tokio::select! {
-                frame = incoming.frame() => frame.map(|f| f.map_err(io::Error::other)),
-                () = sender.closed() => return,
-            };
+        let _held = connection;
+        if let Err(error) = pass_on(first, incoming, attempt.deadline(), &sender).await {
+            let (upstream, cause) = (attempt.upstream.id.as_str(), error.to_string());
+            log::info!(upstream, error = cause.as_str(); "answer-cut-off");
+            attempt.end(outcome::Outcome::Broken);
+            // Fails when the caller has left, so that nobody is to see the end.
+            let _ = sender.send(Err(error)).await;
         }
     });
     StreamBody::new(wrappers::ReceiverStream::new(receiver)).boxed_unsync()
 }
+
+/// Passes on `first` and what still arrives, until the answer ends or the caller leaves.
+///
+/// # Errors
+///
+/// Fails when the answer breaks off or stalls.
+async fn pass_on(
+    first: Bytes,
+    mut incoming: Incoming,
+    deadline: Instant,
+    sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
+) -> io::Result<()> {
+    let mut next = Some(Frame::data(first));
+    while let Some(piece) = next {
+        if sender.send(Ok(piece)).await.is_err() {
+            return Ok(());
+        }
+        let stalled_at = give_up::stalled_at(deadline, Instant::now());
+        let frame = tokio::select! {
+            frame = tokio::time::timeout_at(stalled_at.into(), incoming.frame()) => frame,
+            () = sender.closed() => return Ok(()),
+        };
+        next = frame?.transpose().map_err(io::Error::other)?;
+    }
+    Ok(())
+}
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -7,7 +7,7 @@
 use node::gateway::datagram;
 use node::gateway::member;
 use standin::platform::listener::Mode;
-use tokio::io::AsyncReadExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::rig::{self, Rig};
@@ -22,6 +22,12 @@
 /// one node that is asked in vain.
 const SOON: Duration = Duration::from_millis(1_500);
 
+/// Part of an answer that is too long to be read whole before it is passed on, in bytes.
+const LONG_PART: usize = 700_000;
+
+/// Time after which an answer that stalls has been cut off, with a margin: the route's time, and 3 s.
+const STALLED: Duration = Duration::from_secs(6);
+
 /// Time between two heartbeats.
 const BEAT: Duration = Duration::from_millis(300);
 
@@ -152,3 +158,39 @@
         tokio::time::sleep(BEAT).await;
     }
 }
+
+/// An upstream sends the beginning of a long answer and then nothing more, on a connection that stays open.
+/// The caller's connection ends, so that what it got does not look whole.
+#[tokio::test]
+async fn mixed_an_answer_that_stalls_is_cut_off() {
+    let mut routes = rig::routes();
+    routes[0].timeout = "500ms";
+    let rig = Rig::start(&routes).await;
+    let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    rig.enter_at("i-stalls", address, "desk", "north-1", "ready");
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let upstream = tokio::spawn(stall(listener));
+    let asked = Instant::now();
+    let answer = gateway.caller().await.get("/read/a", "id-1").await;
+    let took = asked.elapsed();
+    assert_eq!((answer.status, answer.is_whole), (200, false));
+    assert!(took < STALLED, "{took:?}");
+    upstream.abort();
+}
+
+/// Accepts a request, sends the beginning of an answer, and keeps the connection.
+async fn stall(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.expect("the gateway connects");
+    let mut request = [0; 4_096];
+    let _ = stream.read(&mut request).await.expect("the request comes");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nYokespoke-Request-Id: id-1\r\nYokespoke-Response-Seal: s\r\n\
+         Content-Length: {}\r\n\r\n",
+        2 * LONG_PART
+    );
+    stream.write_all(head.as_bytes()).await.expect("the gateway reads");
+    stream.write_all(&vec![b'x'; LONG_PART]).await.expect("the gateway reads");
+    std::future::pending::<()>().await;
+}
--- a/crates/steer/src/dispatch/give_up.rs
+++ b/crates/steer/src/dispatch/give_up.rs
@@ -1,11 +1,11 @@
 //! Giving up: why a request gets no answer of an upstream, and its `Retry-After`.
 //!
-//! Owns the reasons and the default times. Relies on nothing; [`retry`] decides when one applies, and
+//! Owns the reasons and the default times, and when an answer that stalls is cut off. Relies on nothing; [`retry`] decides when one applies, and
 //! the gateway maps each to a status.
 //!
 //! [`retry`]: crate::dispatch::retry
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// `Retry-After` when upstreams refused or none could be reached or chosen.
 ///
@@ -17,6 +17,18 @@
 /// Not measured; longer than `RETRY_AFTER_REFUSALS`, since no upstream has refused yet.
 pub const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(200);
 
+/// Silence within an answer that is being passed on, after which it is cut off.
+///
+/// Not measured; above the pauses that lost packets cause. An answer that goes on arriving may take longer than its
+/// request's deadline, since its caller reads it meanwhile.
+const STALL: Duration = Duration::from_secs(3);
+
+/// Returns when an answer is cut off of which nothing more arrives from `now` on.
+#[must_use]
+pub fn stalled_at(deadline: Instant, now: Instant) -> Instant {
+    deadline.max(now + STALL)
+}
+
 /// Why a request is given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
