One silent connection to an upstream warns of the others that rest

Each resting one to an upstream then cost one request its whole time, one after the other, up to 16 an upstream. Now, when a request's time passes without an answer on a connection that had rested, the connections to that upstream that rested since before it was sent are closed; those that were used since have shown that they work. Ruled out: closing them on any broken answer too (upstreams that lose or spoil answers would cost a handshake each), and a shorter time for unacknowledged bytes (breaks requests on lossy links, which may then have run). Test, failing before: one_silent_connection_to_an_upstream_warns_of_the_others (three 504 in a row, then one).

--- a/crates/node/src/gateway/proxy/pool.rs
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams that rest until they are used again.
 //!
-//! Owns resting connections and their bounds; what does not fit is closed.
+//! Owns resting connections and their bounds; what does not fit is closed, and so is what rested as long as a
+//! connection that turned out to be silent.
 
 use std::cell;
 use std::collections;
@@ -61,6 +62,15 @@
         }
     }
 
+    /// Closes connections to `upstream` that have rested since before `sent`; returns how many.
+    fn close_older(&self, upstream: &id::Upstream, sent: Instant) -> usize {
+        let mut resting = self.resting.borrow_mut();
+        let Some(of_upstream) = resting.get_mut(upstream) else { return 0 };
+        let before = of_upstream.len();
+        of_upstream.retain(|c| c.used >= sent);
+        before - of_upstream.len()
+    }
+
     /// Closes connections that have rested for too long.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -72,3 +82,43 @@
         });
     }
 }
+
+/// Doubt about the connections that rested beside one that was taken, until that one brings an answer.
+///
+/// All open connections may fall silent at once, for good. When the deadline of a request passes without an
+/// answer, those to its upstream that rested since before it was sent are closed; those that were used since
+/// have shown that they work.
+#[derive(Debug)]
+pub struct Doubt<'a> {
+    pool: &'a Pool,
+    upstream: &'a id::Upstream,
+    sent: Instant,
+    deadline: Instant,
+    is_over: bool,
+}
+
+impl<'a> Doubt<'a> {
+    /// Begins when a request is sent on a connection that has rested.
+    #[must_use]
+    pub fn new(pool: &'a Pool, upstream: &'a id::Upstream, deadline: Instant) -> Self {
+        Self { pool, upstream, sent: Instant::now(), deadline, is_over: false }
+    }
+
+    /// Ends with an answer, or with a failure that shows itself.
+    pub fn end(mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for Doubt<'_> {
+    fn drop(&mut self) {
+        if self.is_over || Instant::now() < self.deadline {
+            return;
+        }
+        let closed = self.pool.close_older(self.upstream, self.sent);
+        if closed > 0 {
+            let upstream = self.upstream.as_str();
+            log::info!(upstream, closed; "silent-connections-closed");
+        }
+    }
+}
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -22,6 +22,7 @@
 use crate::gateway::proxy::connection;
 use crate::gateway::proxy::exchange;
 use crate::gateway::proxy::head;
+use crate::gateway::proxy::pool;
 use crate::gateway::proxy::relay;
 use crate::gateway::proxy::request_body;
 use crate::gateway::proxy::server;
@@ -145,6 +146,8 @@
             self.progress.connecting();
             let (mut connection, is_rested) = self.connect(upstream).await?;
             self.progress.sending();
+            let doubt = is_rested
+                .then(|| pool::Doubt::new(&self.server.pool, &upstream.id, self.request.deadline));
             let left = self.request.deadline.saturating_duration_since(Instant::now());
             let body = self.request.body.take();
             let answer = exchange::run(
@@ -155,6 +158,9 @@
                 self.request.rules,
             )
             .await;
+            if let Some(doubt) = doubt {
+                doubt.end();
+            }
             match answer {
                 Ok(answer) => return Ok((connection, answer)),
                 // The upstream closed the connection while it rested.
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -1,6 +1,8 @@
 //! Open connections that say nothing more, while new ones work.
 
 use std::net;
+use std::sync;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use model::id;
@@ -28,6 +30,9 @@
 /// Time after which an answer that stalls has been cut off, with a margin: the route's time, and 3 s.
 const STALLED: Duration = Duration::from_secs(6);
 
+/// Time that an upstream works on a request, long enough for three requests to overlap.
+const WORK: Duration = Duration::from_millis(50);
+
 /// Time between two heartbeats.
 const BEAT: Duration = Duration::from_millis(300);
 
@@ -194,3 +199,59 @@
     stream.write_all(&vec![b'x'; LONG_PART]).await.expect("the gateway reads");
     std::future::pending::<()>().await;
 }
+
+/// All open connections to an upstream fall silent for good, while new ones work. One request finds out; those
+/// after it go over new connections.
+#[tokio::test]
+async fn one_silent_connection_to_an_upstream_warns_of_the_others() {
+    let mut routes = rig::routes();
+    routes[0].timeout = "700ms";
+    let rig = Rig::start(&routes).await;
+    let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    rig.enter_at("i-0", address, "desk", "north-1", "ready");
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let generation = sync::Arc::new(AtomicU64::new(0));
+    let upstream = tokio::spawn(accept(listener, sync::Arc::clone(&generation)));
+    let (mut a, mut b, mut c) =
+        (gateway.caller().await, gateway.caller().await, gateway.caller().await);
+    let answers = tokio::join!(a.get("/read/a", "a"), b.get("/read/a", "b"), c.get("/read/a", "c"));
+    assert_eq!((answers.0.status, answers.1.status, answers.2.status), (200, 200, 200));
+    assert_eq!(gateway.metric("connections").await, 3);
+    generation.fetch_add(1, Ordering::SeqCst);
+    assert_eq!(a.get("/read/a", "first").await.status, 504);
+    for index in 0..CHANGES {
+        let id = format!("id-{index}");
+        assert_eq!(a.get("/read/a", &id).await.status, 200, "{id}");
+    }
+    upstream.abort();
+}
+
+/// Serves connections; those of an earlier `generation` than the present one take requests and say nothing.
+async fn accept(listener: TcpListener, generation: sync::Arc<AtomicU64>) {
+    let mut connections = tokio::task::JoinSet::new();
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let generation = sync::Arc::clone(&generation);
+        connections.spawn(async move {
+            let opened = generation.load(Ordering::SeqCst);
+            let mut buffer = [0; 4_096];
+            while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                if generation.load(Ordering::SeqCst) != opened {
+                    continue;
+                }
+                tokio::time::sleep(WORK).await;
+                let head = String::from_utf8_lossy(&buffer[..length]).to_lowercase();
+                let id = head.split_once("yokespoke-request-id: ").map_or("", |(_, rest)| rest);
+                let id = id.split('\r').next().unwrap_or_default();
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nYokespoke-Request-Id: {id}\r\n\
+                     Yokespoke-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
+                );
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
