Owners: what nobody repeats is delivered, and no failed read is silent

A failed read of the VM list, a table that cannot be written and a malformed table or configuration leave a line with the error; a 200 without a readable revision is a lost answer, not the lack of a value; a view whose configuration cannot be encoded says so; a gateway's malformed declarations have error and source. Behaviour kept: a malformed stored table is replaced like none. Forms: events grow by three lines and two keys.

--- a/crates/node/src/common/store/accept.rs
+++ b/crates/node/src/common/store/accept.rs
@@ -68,15 +68,22 @@
     let value = store.get(KEY).await?;
     match value {
         None => Ok(Standing { version: 0, snapshot: sync::Arc::default() }),
-        Some(value) => parse(&value).ok_or(edge::Error::Refused),
+        Some(value) => parse(&value).map_err(|error| {
+            let error = error.to_string();
+            log::error!(key = KEY, error = error.as_str(); "store-value-malformed");
+            edge::Error::Refused
+        }),
     }
 }
 
-/// Reads a configuration's value; none when it is malformed, which callers log with the key.
-#[must_use]
-pub fn parse(value: &edge::Value) -> Option<Standing> {
-    let snapshot = serde_json::from_slice(&value.bytes).ok()?;
-    Some(Standing { version: value.revision, snapshot: sync::Arc::new(snapshot) })
+/// Reads a configuration's value.
+///
+/// # Errors
+///
+/// Fails when it is malformed; callers log it with the key.
+pub fn parse(value: &edge::Value) -> serde_json::Result<Standing> {
+    let snapshot = serde_json::from_slice(&value.bytes)?;
+    Ok(Standing { version: value.revision, snapshot: sync::Arc::new(snapshot) })
 }
 
 /// How a write of the configuration ended.
--- a/crates/node/src/common/store/client.rs
+++ b/crates/node/src/common/store/client.rs
@@ -123,9 +123,11 @@
         count(&self.calls.gets);
         let path = key.to_owned();
         let (status, value) = self.call(Method::GET, path, Bytes::new(), Duration::ZERO).await?;
-        match status {
-            StatusCode::OK => Ok(value),
-            StatusCode::NOT_FOUND => Ok(None),
+        match (status, value) {
+            (StatusCode::OK, Some(value)) => Ok(Some(value)),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            // Not a value and not the lack of one: an answer without a readable revision.
+            (StatusCode::OK, None) => Err(edge::Error::Lost),
             _ => Err(edge::Error::Refused),
         }
     }
@@ -139,9 +141,10 @@
         count(&self.calls.watches);
         let path = format!("{key}?after={after}&wait_ms={}", wait.as_millis());
         let (status, value) = self.call(Method::GET, path, Bytes::new(), wait).await?;
-        match status {
-            StatusCode::OK => Ok(value),
-            StatusCode::NOT_MODIFIED => Ok(None),
+        match (status, value) {
+            (StatusCode::OK, Some(value)) => Ok(Some(value)),
+            (StatusCode::NOT_MODIFIED, _) => Ok(None),
+            (StatusCode::OK, None) => Err(edge::Error::Lost),
             _ => Err(edge::Error::Refused),
         }
     }
@@ -163,7 +166,7 @@
     response: Response<Incoming>,
 ) -> Result<(StatusCode, Option<edge::Value>), edge::Error> {
     let (head, body) = response.into_parts();
-    // An answer without a readable revision counts as one without a value.
+    // None when it is absent or cannot be read; the call decides what that means.
     let revision = head.headers.get(REVISION).and_then(|v| v.to_str().ok()?.parse().ok());
     let body = Limited::new(body, LARGEST_VALUE).collect().await;
     let bytes = body.map_err(|_| edge::Error::Lost)?.to_bytes();
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -84,13 +84,16 @@
 
 /// Reads a configuration; what cannot be read leaves the last good one in force.
 fn read(state: &state::State, value: edge::Value) -> Option<accept::Standing> {
-    let revision = value.revision;
-    let standing = accept::parse(&value);
-    if standing.is_none() {
-        state.metrics.malformed_items.add(1);
-        log::error!(key = accept::KEY, revision; "item-malformed");
+    let (revision, source) = (value.revision, state::Source::Declarations.as_str());
+    match accept::parse(&value) {
+        Ok(standing) => Some(standing),
+        Err(error) => {
+            state.metrics.malformed_items.add(1);
+            let error = error.to_string();
+            log::error!(key = accept::KEY, revision, error = error.as_str(), source; "item-malformed");
+            None
+        }
     }
-    standing
 }
 
 fn put_in_force(state: &state::State, snapshot: &snapshot::Snapshot) {
--- a/crates/node/src/owner/handle/mod.rs
+++ b/crates/node/src/owner/handle/mod.rs
@@ -30,6 +30,9 @@
 /// `Retry-After` when this process has too many requests in flight. Not measured.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
+/// Time between two tries to hand over an event while the ring is full. Not measured; a fraction of a tick.
+const ROOM_CHECK: Duration = Duration::from_millis(5);
+
 /// The way for other threads to ask the decisions; cheap to clone.
 #[derive(Clone)]
 pub struct Handle {
@@ -158,6 +161,21 @@
         }
     }
 
+    /// Hands an event to the decisions, and waits for room in their ring until the node ends.
+    ///
+    /// For events that nobody repeats. The decisions empty their ring all the time, so the wait is short.
+    pub async fn deliver(&self, event: event::Event) {
+        let mut message = message::Message::Event(event);
+        loop {
+            message = match self.asks.try_send(message) {
+                Err(ring::TrySendError::Full(message)) => message,
+                // Without a receiver the node ends, and its decisions with it.
+                Ok(()) | Err(ring::TrySendError::Disconnected(_)) => return,
+            };
+            tokio::time::sleep(ROOM_CHECK).await;
+        }
+    }
+
     /// Reports how much of its slots a service uses at an owner; the next answer reports it again.
     pub fn used(&self, owner: &id::Node, service: &id::Service, usage: heartbeat::Usage) {
         let (owner, service) = (owner.clone(), service.clone());
--- a/crates/node/src/owner/node.rs
+++ b/crates/node/src/owner/node.rs
@@ -117,7 +117,7 @@
     /// Returns how long it took, and whether everything had ended in time.
     pub async fn stop(mut self) -> (Duration, bool) {
         let began = Instant::now();
-        self.handle.send(event::Event::Stop);
+        self.handle.deliver(event::Event::Stop).await;
         // Callers may use a look-up for this long, so their new requests are still served.
         tokio::time::sleep(self.limits.lookup_cache).await;
         // Without a receiver the callers' server has ended already.
--- a/crates/node/src/owner/store/follower.rs
+++ b/crates/node/src/owner/store/follower.rs
@@ -74,30 +74,33 @@
     }
 
     async fn follow_config(&self) {
-        self.follow(accept::KEY, |value| match value.map(accept::parse) {
-            Some(Some(standing)) => {
-                let event = event::Event::Configure { snapshot: standing.snapshot };
-                self.handle.send(event);
-            }
-            Some(None) => log::error!(key = accept::KEY; "store-value-malformed"),
-            None => {}
+        self.follow(accept::KEY, |value| {
+            let standing = accept::parse(value?);
+            Some(standing.map(|s| event::Event::Configure { snapshot: s.snapshot }))
         })
         .await;
     }
 
     async fn follow_table(&self) {
-        let key = key_of(&self.region);
-        self.follow(&key, |value| match value.map(parse_table) {
-            Some(Some(table)) => self.apply_table(sync::Arc::new(table)),
-            Some(None) => log::error!(key = key.as_str(); "store-value-malformed"),
-            None => self.apply_table(sync::Arc::new(table::Table::empty(&self.region))),
+        self.follow(&key_of(&self.region), |value| {
+            let table = match value {
+                Some(value) => parse_table(value),
+                None => Ok(table::Table::empty(&self.region)),
+            };
+            Some(table.map(adopted))
         })
         .await;
     }
 
-    /// Reads a value once, then watches it whenever this node is a watcher. `apply` gets each value,
-    /// or none when the first read found no value.
-    async fn follow(&self, key: &str, apply: impl Fn(Option<&edge::Value>)) {
+    /// Reads a value once, then watches it whenever this node is a watcher.
+    ///
+    /// `event` makes what the decisions get of each value, or of none when the first read found none. Nothing
+    /// repeats it, so it is delivered and not just sent.
+    async fn follow(
+        &self,
+        key: &str,
+        event: impl Fn(Option<&edge::Value>) -> Option<serde_json::Result<event::Event>>,
+    ) {
         let mut views = self.handle.views();
         let mut seen = None;
         let mut pause = PAUSE;
@@ -109,40 +112,64 @@
                     self.store.next(key, after, WATCH).await
                 }
             };
-            match value {
-                Ok(value) => {
-                    pause = PAUSE;
-                    if value.is_some() || seen.is_none() {
-                        apply(value.as_ref());
-                    }
-                    seen = value.map(|v| v.revision).or(seen).or(Some(0));
+            let value = match value {
+                Ok(value) => value,
+                Err(error) => {
+                    rest(&mut pause, key, error).await;
+                    continue;
+                }
+            };
+            pause = PAUSE;
+            if value.is_some() || seen.is_none() {
+                match event(value.as_ref()) {
+                    Some(Ok(event)) => self.handle.deliver(event).await,
+                    Some(Err(error)) => log_malformed(key, &error),
+                    None => {}
                 }
-                Err(_) => self.rest(&mut pause, key).await,
             }
+            seen = value.map(|v| v.revision).or(seen).or(Some(0));
         }
     }
 
     async fn write_tables(&self, mut tables: mpsc::Receiver<sync::Arc<table::Table>>) {
-        let key = key_of(&self.region);
         while let Some(next) = tables.recv().await {
-            let Ok(standing) = self.store.get(&key).await else { continue };
-            let version = standing.as_ref().map_or(0, |value| value.revision);
-            let before = standing.and_then(|value| parse_table(&value));
-            let epoch = before.as_ref().map_or(epoch::Epoch(0), |table| table.epoch);
-            // The proposal was made for the epoch before it; another may have come in between.
-            if epoch.next() != next.epoch {
-                before.into_iter().for_each(|table| self.apply_table(sync::Arc::new(table)));
-                continue;
+            // The decisions propose the table again as long as it is not in force.
+            if let Err(error) = self.write_table(next).await {
+                let (region, error) = (self.region.as_str(), format!("{error:#}"));
+                log::warn!(region, error = error.as_str(); "table-not-written");
             }
-            let Ok(bytes) = serde_json::to_vec(&*next) else { continue };
-            if let Ok(edge::Put::Written(_)) =
-                self.store.put(&key, Bytes::from(bytes), version).await
-            {
-                let seats = next.listed.len();
-                log::info!(region = self.region.as_str(), epoch = next.epoch.0, seats; "table-written");
-                self.apply_table(next);
+        }
+    }
+
+    /// Writes a table if it follows the one that stands; otherwise adopts that one.
+    async fn write_table(&self, next: sync::Arc<table::Table>) -> anyhow::Result<()> {
+        let key = key_of(&self.region);
+        let standing = self.store.get(&key).await?;
+        let version = standing.as_ref().map_or(0, |value| value.revision);
+        let before = match standing.as_ref().map(parse_table) {
+            Some(Ok(table)) => Some(table),
+            Some(Err(error)) => {
+                // It is replaced like none at all.
+                log_malformed(&key, &error);
+                None
+            }
+            None => None,
+        };
+        let epoch = before.as_ref().map_or(epoch::Epoch(0), |table| table.epoch);
+        // The proposal was made for the epoch before it; another may have come in between.
+        if epoch.next() != next.epoch {
+            if let Some(table) = before {
+                self.handle.deliver(adopted(table)).await;
             }
+            return Ok(());
+        }
+        let bytes = Bytes::from(serde_json::to_vec(&*next)?);
+        if let edge::Put::Written(_) = self.store.put(&key, bytes, version).await? {
+            let seats = next.listed.len();
+            log::info!(region = self.region.as_str(), epoch = next.epoch.0, seats; "table-written");
+            self.handle.deliver(event::Event::Adopt { table: next, is_stored: true }).await;
         }
+        Ok(())
     }
 
     async fn apply_writes(&self, mut writes: mpsc::Receiver<Write>) {
@@ -154,25 +181,32 @@
             };
             let (outcome, snapshot) = accept::apply(&*self.store, &write.change, &facts).await;
             if let Some(snapshot) = snapshot {
-                self.handle.send(event::Event::Configure { snapshot });
+                self.handle.deliver(event::Event::Configure { snapshot }).await;
             }
             log_outcome(&write.change, &outcome);
             // Without a receiver the operator has disconnected; the outcome is logged.
             let _ = write.reply.send(outcome);
         }
     }
+}
 
-    fn apply_table(&self, table: sync::Arc<table::Table>) {
-        self.handle.send(event::Event::Adopt { table, is_stored: true });
-    }
+fn adopted(table: table::Table) -> event::Event {
+    event::Event::Adopt { table: sync::Arc::new(table), is_stored: true }
+}
 
-    async fn rest(&self, pause: &mut Duration, key: &str) {
-        if *pause == PAUSE {
-            log::warn!(key; "store-unavailable");
-        }
-        tokio::time::sleep(*pause).await;
-        *pause = (*pause * 2).min(LONGEST_PAUSE);
+/// Pauses after a call that failed; the first of several is logged.
+async fn rest(pause: &mut Duration, key: &str, error: edge::Error) {
+    if *pause == PAUSE {
+        let error = error.to_string();
+        log::warn!(key, error = error.as_str(); "store-unavailable");
     }
+    tokio::time::sleep(*pause).await;
+    *pause = (*pause * 2).min(LONGEST_PAUSE);
+}
+
+fn log_malformed(key: &str, error: &serde_json::Error) {
+    let error = error.to_string();
+    log::error!(key, error = error.as_str(); "store-value-malformed");
 }
 
 /// Waits until this node is one that watches for its region.
@@ -185,8 +219,8 @@
     format!("table/{region}")
 }
 
-fn parse_table(value: &edge::Value) -> Option<table::Table> {
-    serde_json::from_slice(&value.bytes).ok()
+fn parse_table(value: &edge::Value) -> serde_json::Result<table::Table> {
+    serde_json::from_slice(&value.bytes)
 }
 
 fn log_outcome(change: &change::Change, outcome: &accept::Outcome) {
--- a/crates/node/src/owner/store/vmlist.rs
+++ b/crates/node/src/owner/store/vmlist.rs
@@ -24,34 +24,40 @@
 /// Largest list, in bytes.
 const LARGEST: usize = 4 << 20;
 
+/// The HTTP library's client, for calls without a body.
+type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
+
 /// Reads the list at `address` for ever and hands each new one to the decisions.
 pub async fn run(address: net::SocketAddr, handle: handle::Handle) {
-    let http: legacy::Client<HttpConnector, Empty<Bytes>> =
-        legacy::Client::builder(rt::TokioExecutor::new()).build_http();
+    let http: Client = legacy::Client::builder(rt::TokioExecutor::new()).build_http();
     let mut last = vms::List::default();
+    let mut is_read = true;
     loop {
-        let list = tokio::time::timeout(CALL_TIME, read(&http, address)).await.ok().flatten();
-        match list {
-            Some(list) if list != last => {
+        let read = tokio::time::timeout(CALL_TIME, read(&http, address)).await;
+        let read = read.unwrap_or_else(|elapsed| Err(elapsed.into()));
+        match &read {
+            Ok(list) if *list != last => {
                 last = list.clone();
-                handle.send(event::Event::Vms { list });
+                // Nothing repeats it: the next list may be the same.
+                handle.deliver(event::Event::Vms { list: list.clone() }).await;
+            }
+            Ok(_) => {}
+            // The last list stays in force. The first of several failures is logged.
+            Err(error) if is_read => {
+                let error = format!("{error:#}");
+                log::warn!(error = error.as_str(); "vms-not-read");
             }
-            // The same list, or one that cannot be read: the last one stays in force.
-            _ => {}
+            Err(_) => {}
         }
+        is_read = read.is_ok();
         tokio::time::sleep(EVERY).await;
     }
 }
 
-async fn read(
-    http: &legacy::Client<HttpConnector, Empty<Bytes>>,
-    address: net::SocketAddr,
-) -> Option<vms::List> {
-    let uri = format!("http://{address}/vms").parse().ok()?;
-    let response = http.get(uri).await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    let body = Limited::new(response.into_body(), LARGEST).collect().await.ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
+async fn read(http: &Client, address: net::SocketAddr) -> anyhow::Result<vms::List> {
+    let response = http.get(format!("http://{address}/vms").parse()?).await?;
+    anyhow::ensure!(response.status().is_success(), "status {}", response.status());
+    let body = Limited::new(response.into_body(), LARGEST).collect().await;
+    let body = body.map_err(|error| anyhow::anyhow!(error))?;
+    Ok(serde_json::from_slice(&body.to_bytes())?)
 }
--- a/crates/node/src/owner/view.rs
+++ b/crates/node/src/owner/view.rs
@@ -72,7 +72,13 @@
     /// Prepares a configuration.
     #[must_use]
     pub fn new(snapshot: sync::Arc<snapshot::Snapshot>) -> Self {
-        let document = serde_json::to_vec(&*snapshot).map_or_else(|_| Bytes::new(), Bytes::from);
+        let document = serde_json::to_vec(&*snapshot).unwrap_or_else(|error| {
+            // It would be a bug; peers then find no document and ask another node.
+            let (revision, error) = (snapshot.revision.0, error.to_string());
+            log::error!(revision, error = error.as_str(); "configuration-not-written");
+            Vec::new()
+        });
+        let document = Bytes::from(document);
         let services = snapshot.services.values();
         let hosts =
             services.map(|s| (s.spec.host.to_ascii_lowercase(), s.spec.name.clone())).collect();
