A node that is served takes over from silenced watchers within the bound on leaving upstreams

Cause: both watchers of a region begin their watches together after a change. Ruled out: three watchers (only moves which one is spared), shorter watches for all (a third more waiting watches), ages in heartbeats (new field, as old as a heartbeat). Change: of the watches that follow a change, the second watcher's waits half as long. The waits are shares of the shorter of contact and 1.5 drain.

--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -38,7 +38,7 @@
 
 /// Writes the entry under a new lease.
 async fn register(state: &state::State, client: &client::Client) -> Result<u64, error::Error> {
-    let time = store_call::answer(state.contact());
+    let time = store_call::answer(state.store_bound());
     let call = client.lease(LEASE_TIME, time);
     let lease = state.call_store(store_calls::Kind::Lease, call).await?;
     let (key, value) = {
@@ -64,7 +64,7 @@
             log::info!(key = key.as_str(); "registration-lost");
             return;
         }
-        let call = client.renew(lease, store_call::answer(state.contact()));
+        let call = client.renew(lease, store_call::answer(state.store_bound()));
         match state.call_store(store_calls::Kind::Renewal, call).await {
             Ok(()) => {}
             Err(error::Error::NoLease) => {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -252,7 +252,7 @@
             let upstreams = names(lapsed.difference(&left));
             log::warn!(dropped, upstreams = upstreams.as_str(); "lapsed-endpoints-dropped");
         }
-        self.calls.log_unanswered(store_call::longest_gap(self.contact()), now);
+        self.calls.log_unanswered(store_call::longest_gap(self.store_bound()), now);
     }
 
     /// Brings the figures up to date that are no counters.
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -35,10 +35,10 @@
         announcement::is_immediate(source == Source::NearPeer, near, draw)
     }
 
-    /// Returns whether this node should watch the store itself.
+    /// Returns the place of this node among those that watch the store; none when it should not watch.
     #[must_use]
-    pub fn should_watch(&self) -> bool {
-        watchers::contains(&self.me.borrow().node, self.reaching().iter())
+    pub fn watcher_place(&self) -> Option<watchers::Place> {
+        watchers::place(&self.me.borrow().node, self.reaching().iter())
     }
 
     /// Returns whether this node is among the first to watch the store while no node reaches it.
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use platform::store::error;
+use steer::dispatch::fleet::store_call;
 
 use crate::gateway::state::State;
 use crate::gateway::store_calls;
@@ -29,10 +30,10 @@
         outcome
     }
 
-    /// Returns the time after a trouble from which this node is held to its bounds.
+    /// Returns the bound on this node's waits for the store.
     #[must_use]
-    pub fn contact(&self) -> Duration {
-        self.settings.borrow().bounds().contact
+    pub fn store_bound(&self) -> Duration {
+        store_call::bound(&self.settings.borrow().bounds())
     }
 
     /// Returns whether this node watches the store, and the store answered it last time.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -9,54 +9,82 @@
 use platform::store::client;
 use platform::store::error;
 use rand::RngExt as _;
-use steer::dispatch::fleet::store_call;
+use steer::dispatch::fleet::{store_call, watchers};
 
 use crate::gateway::state;
 use crate::gateway::store_calls;
 
-/// Time in which changes gather before the next watch, since calls are priced. Not measured.
-const GATHER: Duration = Duration::from_millis(150);
-
 /// Prefix of all keys.
 const ALL_KEYS: &str = "";
 
-/// Time between two checks whether this node should watch. Not measured.
-const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// What an answer of the store brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Brought {
+    /// Changes, or everything.
+    Changes,
+    /// No change within the time of the watch.
+    Nothing,
+}
 
 /// Follows the store until the task ends.
 pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
     let mut backoff = store_call::Backoff::default();
+    let mut brought = Brought::Changes;
     loop {
         let is_complete = state.replica.borrow().is_complete();
-        let watches = state.should_watch();
-        state.set_watching(watches);
-        if is_complete && !watches {
-            backoff.reset();
-            tokio::time::sleep(CHECK_PERIOD).await;
-            continue;
-        }
-        let outcome = match is_complete {
-            true => watch_or_read(&state, &client, backoff.has_failed()).await,
-            false => read(&state, &client).await,
+        let place = state.watcher_place();
+        state.set_watching(place.is_some());
+        let outcome = match (is_complete, place) {
+            (true, None) => {
+                backoff.reset();
+                brought = Brought::Changes;
+                tokio::time::sleep(store_call::CHECK_PERIOD).await;
+                continue;
+            }
+            (true, Some(place)) => {
+                let wait = wait(&state, place, brought, &backoff);
+                watch_or_read(&state, &client, wait).await
+            }
+            (false, _) => read(&state, &client).await,
         };
         state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
         match outcome {
-            Ok(()) => backoff.reset(),
+            Ok(answer) => {
+                brought = answer;
+                backoff.reset();
+            }
             Err(_) => {
+                brought = Brought::Changes;
                 let draw = rand::rng().random_range(0.0..1.0);
-                tokio::time::sleep(backoff.pause(state.contact(), state.turn(), draw)).await;
+                let pause = backoff.pause(state.store_bound(), state.turn(), draw);
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
+/// Returns how long the next watch waits for a change: not at all after a failure.
+fn wait(
+    state: &state::State,
+    place: watchers::Place,
+    brought: Brought,
+    backoff: &store_call::Backoff,
+) -> Duration {
+    let bound = state.store_bound();
+    match brought {
+        _ if backoff.has_failed() => Duration::ZERO,
+        Brought::Changes => store_call::watch_after_change(bound, place),
+        Brought::Nothing => store_call::watch(bound),
+    }
+}
+
 /// Watches; reads everything when the store dropped the history since the last watch.
 async fn watch_or_read(
     state: &state::State,
     client: &client::Client,
-    has_failed: bool,
-) -> Result<(), error::Error> {
-    match watch(state, client, has_failed).await {
+    wait: Duration,
+) -> Result<Brought, error::Error> {
+    match watch(state, client, wait).await {
         Err(error::Error::Compacted) => {
             log::info!(after = state.replica.borrow().at(); "history-compacted");
             read(state, client).await
@@ -65,31 +93,32 @@
     }
 }
 
-async fn read(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
-    let call = client.range(ALL_KEYS, store_call::read(state.contact()));
+async fn read(state: &state::State, client: &client::Client) -> Result<Brought, error::Error> {
+    let call = client.range(ALL_KEYS, store_call::read(state.store_bound()));
     let page = state.call_store(store_calls::Kind::Read, call).await?;
     state.apply(state::Source::Store, |replica| replica.replace(page));
-    Ok(())
+    Ok(Brought::Changes)
 }
 
-/// Asks for changes, and waits for one unless the latest call has failed.
+/// Asks for changes, and waits for one for as long as `wait`.
 async fn watch(
     state: &state::State,
     client: &client::Client,
-    has_failed: bool,
-) -> Result<(), error::Error> {
+    wait: Duration,
+) -> Result<Brought, error::Error> {
     let after = state.replica.borrow().at();
-    let contact = state.contact();
-    let (wait, answer) = match has_failed {
-        true => (Duration::ZERO, store_call::answer(contact)),
-        false => (store_call::watch(contact), store_call::watch_answer(contact)),
+    let bound = state.store_bound();
+    let answer = match wait.is_zero() {
+        true => store_call::answer(bound),
+        false => store_call::watch_answer(bound),
     };
     let call = client.watch(ALL_KEYS, after, wait, answer);
     let page = state.call_store(store_calls::Kind::Watch, call).await?;
     let has_changes = !page.items.is_empty();
     state.apply(state::Source::Store, |replica| replica.merge(page));
-    if has_changes {
-        tokio::time::sleep(GATHER).await;
+    if !has_changes {
+        return Ok(Brought::Nothing);
     }
-    Ok(())
+    tokio::time::sleep(store_call::GATHER).await;
+    Ok(Brought::Changes)
 }
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -17,6 +17,9 @@
 /// Bound on contact of the deployment under test, as the settings' default.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Bound on leaving upstreams of the deployment under test, as the settings' default.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// Changes of a test that looks at each.
 const CHANGES: usize = 6;
 
@@ -71,6 +74,44 @@
     assert!(took < CONTACT, "{took:?}");
 }
 
+/// The store stops answering the nodes that watch it, and answers another one. What was accepted just before
+/// is in force at that one within the bound on leaving upstreams, although nobody told it of the change.
+#[tokio::test]
+async fn drain_a_node_that_is_served_takes_over_from_silenced_watchers_in_time() {
+    let mut rig = Rig::start(&rig::routes()).await;
+    let _desk = rig.upstream("i-desk", "desk", "north-1").await;
+    let _shelf = rig.upstream("i-shelf", "shelf", "north-1").await;
+    let silenced = rig.store.open().await.expect("the store opens");
+    let served = rig.store.open().await.expect("the store opens");
+    let first = rig.gateway("n-1", "north-1", &silenced).await;
+    let seeds = [first.peers];
+    let second = rig.gateway_at("n-2", "north-1", silenced.address, &seeds).await;
+    let third = rig.gateway_at("n-3", "north-1", served.address, &seeds).await;
+    for gateway in [&second, &third] {
+        gateway.wait_ready().await;
+    }
+    rig::until("the third leaves the watch to the others", async || {
+        third.has_logged(&["event=watching-changed", "watching=false", "reaching=2"])
+    })
+    .await;
+    // The watches that wait are answered; the ones after them are not.
+    let before = silenced.calls();
+    silenced.set(Mode::Silent);
+    rig.store.put("op/wakes-the-watch", b"{}");
+    rig::until("both watches wait in vain", async || silenced.calls() >= before + 2).await;
+    let mut routes = rig::routes();
+    routes[0].service = "shelf";
+    rig.configure(&routes);
+    let accepted = Instant::now();
+    let mut caller = third.caller().await;
+    rig::until("the new version is in force", async || {
+        caller.get("/read/a", "id-1").await.text() == "answer of i-shelf to id-1"
+    })
+    .await;
+    let took = accepted.elapsed();
+    assert!(took < DRAIN, "{took:?}");
+}
+
 /// An upstream takes a connection and reads nothing; the request is given up at its route's time. When
 /// the upstream reads again, perhaps having said that it leaves, the request no longer arrives whole.
 #[tokio::test]
--- a/crates/steer/src/dispatch/fleet/store_call.rs
+++ b/crates/steer/src/dispatch/fleet/store_call.rs
@@ -1,14 +1,33 @@
 //! Store calls: how long a node waits for the store's answer, and when it calls again after a failure.
 //!
-//! Every time is a share of `Bounds::contact`, the time after a disruption from which a node must keep its bounds on
-//! configurations and leaving upstreams. A call that began just before the disruption ended may never be
-//! answered: a store that was silent drops it, and an open connection may stay silent. The sum of the
-//! longest waits in a row, [`longest_gap`], is below that bound, so a node that must keep its bounds has had an
-//! answer from the store since the disruption.
+//! Every time is a share of [`bound`], which is `Bounds::contact` unless `Bounds::drain` is much shorter. `contact` is
+//! the time after a disruption from which a node must keep its bounds on configurations and leaving upstreams.
+//! A call that began just before the disruption ended may never be answered: a store that was silent drops
+//! it, and an open connection may stay silent. The sum of the longest waits in a row, [`longest_gap`], is below
+//! that bound, so a node that must keep its bounds has had an answer from the store since the disruption.
+//!
+//! A node that does not watch must learn a change within `Bounds::drain` even where the store stops
+//! answering those that do, so the time until it takes over, [`longest_takeover`], is below that.
 
 use std::time::Duration;
 
-/// Longest time for which a watch that brings nothing may wait, as a share of `Bounds::contact`.
+use model::bounds;
+
+use crate::dispatch::fleet::watchers;
+
+/// Longest time of these waits, as a multiple of `Bounds::drain`.
+///
+/// Not measured; with it the sum of waits in [`longest_takeover`] stays below bounds on leaving upstreams of 2 s and
+/// more, however long `Bounds::contact` is.
+const DRAIN_TIMES: f64 = 1.5;
+
+/// Time in which changes gather before the next watch, since calls are priced. Not measured.
+pub const GATHER: Duration = Duration::from_millis(150);
+
+/// Time between two checks whether a node should begin to watch. Not measured.
+pub const CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest time for which a watch that brings nothing may wait, as a share of [`bound`].
 ///
 /// Measured: docs/incidents/drain-home.md, row "calls to the store end within contact" (all nodes in touch with the
 /// store 1.4 s after a silence, at 121 to 283 more calls on a standard day); other shares were not measured.
@@ -19,27 +38,27 @@
 /// With it and [`SHORTEST_ANSWER`], the waits in a row stay below bounds of 2 s and more.
 const SHORTEST_WATCH: Duration = Duration::from_millis(500);
 
-/// Time for the answer of a watch beyond its wait, as a share of `Bounds::contact`. Not measured alone.
+/// Time for the answer of a watch beyond its wait, as a share of [`bound`]. Not measured alone.
 const ANSWER_SHARE: f64 = 1.0 / 6.0;
 
 /// Shortest time for any answer. Not measured; a slow store (0.24 s) in another region (0.07 s) answers within.
 const SHORTEST_ANSWER: Duration = Duration::from_millis(400);
 
-/// Time for the answer of a call that does not wait for changes, as a share of `Bounds::contact`. Not measured
+/// Time for the answer of a call that does not wait for changes, as a share of [`bound`]. Not measured
 /// alone.
 const CALL_SHARE: f64 = 1.0 / 3.0;
 
-/// Time for the answer of a read of everything, which may be long, as a share of `Bounds::contact`. Not
+/// Time for the answer of a read of everything, which may be long, as a share of [`bound`]. Not
 /// measured.
 const READ_SHARE: f64 = 0.5;
 
-/// Pause after the first failure, as a share of `Bounds::contact`. Not measured.
+/// Pause after the first failure, as a share of [`bound`]. Not measured.
 const FIRST_PAUSE_SHARE: f64 = 1.0 / 15.0;
 
-/// Longest pause of a node that is among the first to watch the store, as a share of `Bounds::contact`. Not measured.
+/// Longest pause of a node that is among the first to watch the store, as a share of [`bound`]. Not measured.
 const PAUSE_SHARE: f64 = 1.0 / 6.0;
 
-/// Longest pause of any other node, as a share of `Bounds::contact`.
+/// Longest pause of any other node, as a share of [`bound`].
 ///
 /// Not measured; the first nodes announce changes to the others, and calls are priced, refused ones too.
 const OTHERS_PAUSE_SHARE: f64 = 0.5;
@@ -48,12 +67,24 @@
 /// measured.
 const JITTER: f64 = 0.5;
 
+/// Returns the bound of which the times of this module are shares.
+#[must_use]
+pub fn bound(bounds: &bounds::Bounds) -> Duration {
+    bounds.contact.min(bounds.drain.mul_f64(DRAIN_TIMES))
+}
+
 /// Returns the longest time for which a watch may wait.
 #[must_use]
 pub fn watch(contact: Duration) -> Duration {
     contact.mul_f64(WATCH_SHARE).max(SHORTEST_WATCH)
 }
 
+/// Returns the longest time for which the first watch after a change may wait.
+#[must_use]
+pub fn watch_after_change(contact: Duration, place: watchers::Place) -> Duration {
+    watch(contact).mul_f64(place.part_of_watch())
+}
+
 /// Returns the time for the answer of a watch beyond its wait.
 #[must_use]
 pub fn watch_answer(contact: Duration) -> Duration {
@@ -84,6 +115,14 @@
     after_watch.max(after_failure)
 }
 
+/// Returns the longest time until a node that does not watch begins to, once nobody answers the watchers.
+///
+/// A change arrives just after one that all watchers wait to gather; the last watcher's next watch is unanswered.
+#[must_use]
+pub fn longest_takeover(contact: Duration, last: watchers::Place) -> Duration {
+    GATHER + watch_after_change(contact, last) + watch_answer(contact) + CHECK_PERIOD
+}
+
 /// Whether a node is among the first to watch the store, of the living nodes of its region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
--- a/crates/steer/tests/gateway_fleet.rs
+++ b/crates/steer/tests/gateway_fleet.rs
@@ -16,10 +16,10 @@
 #[test]
 fn the_first_two_nodes_that_reach_the_store_watch_it() {
     let reaching = names(10..30);
-    assert!(watchers::contains(&id::Node::new("n-011"), reaching.iter()));
-    assert!(!watchers::contains(&id::Node::new("n-012"), reaching.iter()));
+    assert!(watchers::place(&id::Node::new("n-011"), reaching.iter()).is_some());
+    assert!(watchers::place(&id::Node::new("n-012"), reaching.iter()).is_none());
     // With nobody before it that reaches the store, any node watches.
-    assert!(watchers::contains(&id::Node::new("n-029"), [].iter()));
+    assert!(watchers::place(&id::Node::new("n-029"), [].iter()).is_some());
 }
 
 #[test]
--- a/crates/steer/tests/store_calls.rs
+++ b/crates/steer/tests/store_calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use model::bounds::Bounds;
 use model::id;
 use quickcheck::quickcheck;
 use steer::dispatch::fleet::store_call::{self, Backoff, Turn};
@@ -10,6 +11,14 @@
 /// Time from the store's answer to the node, in the slowest deployment known: slow, and in another region.
 const ANSWER: Duration = Duration::from_millis(310);
 
+/// Bounds on leaving upstreams of a few deployments.
+const DRAINS: [Duration; 4] = [
+    Duration::from_secs(2),
+    Duration::from_millis(2_500),
+    Duration::from_secs(3),
+    Duration::from_secs(8),
+];
+
 /// Bounds on contact of a few deployments, and below and above them.
 const CONTACTS: [Duration; 6] = [
     Duration::from_secs(2),
@@ -28,6 +37,19 @@
     }
 }
 
+#[test]
+fn a_node_takes_over_from_silenced_watchers_within_the_bound_on_leaving_upstreams() {
+    let nodes: Vec<id::Node> = ["n-1", "n-2"].into_iter().map(id::Node::new).collect();
+    let last = watchers::place(&nodes[1], nodes[..1].iter()).expect("it watches");
+    for contact in CONTACTS {
+        for drain in DRAINS {
+            let bound = store_call::bound(&Bounds { contact, drain, ..Bounds::default() });
+            let takeover = store_call::longest_takeover(bound, last) + ANSWER;
+            assert!(takeover < drain, "{takeover:?} of {drain:?}, contact {contact:?}");
+        }
+    }
+}
+
 #[test]
 fn a_slow_store_answers_in_time() {
     for contact in CONTACTS {
