A region may lead its share by 20 requests, so that fewer objects run in two regions

Cause: objects whose region has had its share run in another one, where they are new. Test: 2.13 % of the runs are new to their upstream with 1, 1.42 % with 5, 1.33 % with 20. Conclusion: kept at 20; the limit on shifts is about the split, which does not move.

--- a/crates/steer/src/dispatch/region/order.rs
+++ b/crates/steer/src/dispatch/region/order.rs
@@ -19,7 +19,7 @@
 ///
 /// Measured: docs/measurements/platform.md, row "objects keep their region" (0.776 to 0.943 and 0.869 to
 /// 0.970), and docs/measurements/worst-load.md, row "a longer lead" (5, 20 and 60 compared).
-const MAX_LEAD: f64 = 5.0;
+const MAX_LEAD: f64 = 20.0;
 
 /// Requests that share a split: those for a service that the same regions may serve.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/steer/tests/load/replays.rs
+++ b/crates/steer/tests/load/replays.rs
@@ -64,3 +64,15 @@
     let forgotten = mean(&plan, "reads", |tally| tally.first_sights);
     assert!(forgotten <= 0.47, "{forgotten:.3} forgotten");
 }
+
+/// Three regions of unequal room, so that many objects belong to two regions.
+///
+/// With a lead of 5 requests 1.42 % of the runs are of objects that are new to their upstream, with 1 2.13 %.
+#[test]
+fn lead_objects_stay_in_their_region() {
+    let regions = vec![region("small", 2), region("b", 8), region("c", 8)];
+    let mut load = load("reads", 0, 250 * MS, 180.0);
+    load.objects = 120;
+    let new = mean(&plan(regions, 5, vec![load]), "reads", |tally| tally.first_sights);
+    assert!(new <= 0.0138, "{new:.4} new");
+}
