--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -21,7 +21,7 @@
     state: rc::Rc<state::State>,
     /// The upstream.
     pub upstream: sync::Arc<discovery::Entry>,
-    object: Option<(u64, seen_objects::Sight)>,
+    object: Option<seen_objects::Object>,
     began: Instant,
     crowding: f64,
     deadline: Instant,
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -73,7 +73,7 @@
     let bound = state.store_bound();
     match brought {
         _ if backoff.has_failed() => Duration::ZERO,
-        Brought::Changes => store_call::watch_after_change(bound, place),
+        Brought::Changes => store_call::watch_after_change(bound, place.part_of_watch()),
         Brought::Nothing => store_call::watch(bound),
     }
 }
--- a/crates/steer/src/dispatch/candidate.rs
+++ b/crates/steer/src/dispatch/candidate.rs
@@ -19,8 +19,8 @@
 pub struct Candidate {
     /// The upstream's entry.
     pub entry: sync::Arc<discovery::Entry>,
-    /// What it is expected to know of the request's object.
-    pub sight: seen_objects::Sight,
+    /// The request's object, with what the upstream is expected to know of it; none when it has none.
+    pub object: Option<seen_objects::Object>,
     /// Time the request would wait there.
     pub wait: seconds::Seconds,
     /// Longest time that it may wait.
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -6,7 +6,9 @@
 use model::load;
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::expected_work;
 use crate::dispatch::outcome;
+use crate::dispatch::region::distance;
 use crate::dispatch::retry_budget;
 use crate::dispatch::seconds;
 use crate::dispatch::seen_objects;
@@ -52,24 +54,18 @@
         now: Instant,
     ) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
-        let service = self.work.entry(upstream.entry.service.clone()).or_default();
         upstream.load.ended();
         let in_flight = upstream.load.in_flight();
+        let work = self.work.entry(upstream.entry.service.clone()).or_default();
         match outcome {
             outcome::Outcome::Answered { latency, crowding, object, load } => {
-                let work = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
-                let sight = object.map_or(seen_objects::Sight::Preferred, |(_, sight)| sight);
-                upstream.health.answered(work, service.of(sight), in_flight, now);
-                service.record(work, sight);
-                if sight <= seen_objects::Sight::Preferred {
-                    let service = upstream.entry.service.clone();
-                    self.distances
-                        .entry(service)
-                        .or_default()
-                        .record_answer(&upstream.region, work);
-                }
-                if let Some((object, _)) = object {
-                    upstream.objects.record(object);
+                let time = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
+                let sight = object.map_or(seen_objects::Sight::Preferred, |object| object.sight);
+                upstream.health.answered(time, work.of(sight), in_flight, now);
+                let distance = self.distances.entry(upstream.entry.service.clone()).or_default();
+                record_time(work, distance, &upstream.region, sight, time);
+                if let Some(object) = object {
+                    upstream.objects.record(object.key);
                 }
                 apply_report(upstream, load, now);
             }
@@ -81,7 +77,7 @@
             outcome::Outcome::Replaced => upstream.is_replaced = true,
             outcome::Outcome::NotSent => upstream.health.unreachable(now),
             outcome::Outcome::Broken => upstream.health.broken(now),
-            outcome::Outcome::TimedOut => upstream.health.timed_out(waited, service.mean(), now),
+            outcome::Outcome::TimedOut => upstream.health.timed_out(waited, work.mean(), now),
             outcome::Outcome::Abandoned => {}
         }
         upstream.health.ended(in_flight);
@@ -103,3 +99,17 @@
         upstream.load.report(report, now);
     }
 }
+
+/// Records how long a request took without waiting, where its upstream knew as much as `sight` says.
+fn record_time(
+    work: &mut expected_work::Work,
+    distance: &mut distance::Distance,
+    region: &id::Region,
+    sight: seen_objects::Sight,
+    time: seconds::Seconds,
+) {
+    work.record(time, sight);
+    if sight <= seen_objects::Sight::Preferred {
+        distance.record_answer(region, time);
+    }
+}
--- a/crates/steer/src/dispatch/expected_work.rs
+++ b/crates/steer/src/dispatch/expected_work.rs
@@ -1,7 +1,7 @@
 //! Expected work: how long upstreams of a service work on a request, without waiting.
 //!
 //! Owns the estimates of one service: mean and mean deviation, exponentially weighted, over all answers and for
-//! each [`seen_objects::Sight`]. Relies on answers, whose time is divided by the crowding at the send.
+//! each [`Sight`]. Relies on answers, whose time is divided by the crowding at the send.
 //! [`work_time`] refines it for one upstream.
 //!
 //! [`work_time`]: crate::dispatch::work_time
--- a/crates/steer/src/dispatch/fleet/store_call.rs
+++ b/crates/steer/src/dispatch/fleet/store_call.rs
@@ -13,8 +13,6 @@
 
 use model::bounds;
 
-use crate::dispatch::fleet::watchers;
-
 /// Longest time of these waits, as a multiple of `Bounds::drain`.
 ///
 /// Not measured; with it the sum of waits in [`longest_takeover`] stays below bounds on leaving upstreams of 2 s and
@@ -79,10 +77,11 @@
     contact.mul_f64(WATCH_SHARE).max(SHORTEST_WATCH)
 }
 
-/// Returns the longest time for which the first watch after a change may wait.
+/// Returns the longest time for which the first watch after a change may wait, where the watcher waits for
+/// `part` of the usual time, from 0 to 1.
 #[must_use]
-pub fn watch_after_change(contact: Duration, place: watchers::Place) -> Duration {
-    watch(contact).mul_f64(place.part_of_watch())
+pub fn watch_after_change(contact: Duration, part: f64) -> Duration {
+    watch(contact).mul_f64(part)
 }
 
 /// Returns the time for the answer of a watch beyond its wait.
@@ -117,10 +116,11 @@
 
 /// Returns the longest time until a node that does not watch begins to, once nobody answers the watchers.
 ///
-/// A change arrives just after one that all watchers wait to gather; the last watcher's next watch is unanswered.
+/// A change arrives just after one that all watchers wait to gather; then the next watch of the last watcher, which waits
+/// for `part` of the usual time, is not answered.
 #[must_use]
-pub fn longest_takeover(contact: Duration, last: watchers::Place) -> Duration {
-    GATHER + watch_after_change(contact, last) + watch_answer(contact) + CHECK_PERIOD
+pub fn longest_takeover(contact: Duration, part: f64) -> Duration {
+    GATHER + watch_after_change(contact, part) + watch_answer(contact) + CHECK_PERIOD
 }
 
 /// Whether a node is among the first to watch the store, of the living nodes of its region.
--- a/crates/steer/src/dispatch/health.rs
+++ b/crates/steer/src/dispatch/health.rs
@@ -98,12 +98,6 @@
         seconds::Seconds(service.0 * self.work.get(now))
     }
 
-    /// Returns how long it works, as a multiple of what its service needs.
-    #[must_use]
-    pub fn slowness(&self, now: Instant) -> f64 {
-        self.work.get(now)
-    }
-
     /// Returns the share of its tries that broke, from 0 to 1, weighted to the latest.
     #[must_use]
     pub fn failure_rate(&self, now: Instant) -> f64 {
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -47,5 +47,6 @@
 pub mod slow_start;
 pub mod slow_start_owner;
 pub mod stop;
+pub mod tried;
 pub mod upstream;
 pub mod work_time;
--- a/crates/steer/src/dispatch/outcome.rs
+++ b/crates/steer/src/dispatch/outcome.rs
@@ -20,8 +20,8 @@
         latency: Duration,
         /// How many times the work of one request passed until it was done, as far as known.
         crowding: f64,
-        /// The request's object and what the upstream was expected to know of it; none when it has none.
-        object: Option<(u64, seen_objects::Sight)>,
+        /// The request's object; none when it has none.
+        object: Option<seen_objects::Object>,
         /// Load that it reported.
         load: Option<load::Report>,
     },
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -1,13 +1,13 @@
 //! Retry: whether a request is sent to another upstream after a try ended.
 //!
-//! Owns the progress of one request: upstreams chosen, how each try ended, whether it may have run.
+//! Owns the progress of one request: upstreams chosen, how each try ended ([`tried`]), whether it may have run.
 //! Relies on [`dispatcher`] for the upstream of each try, on [`retry_budget`] through the caller's
 //! `take_retry`, and on [`give_up`] for the reasons. The gateway's `proxy::tries` performs the I/O and
 //! reports how each try ended.
 //!
 //! [`retry_budget`]: crate::dispatch::retry_budget
+//! [`tried`]: crate::dispatch::tried
 
-use std::fmt;
 use std::sync;
 use std::time::Instant;
 
@@ -21,63 +21,14 @@
 use crate::dispatch::request;
 use crate::dispatch::seen_objects;
 
+pub use crate::dispatch::tried::{End, Outcome, Try};
+
 /// Failed connections, in upstreams, after which a request is given up.
 ///
 /// Measured: docs/incidents/diagne.md, inc-c429. Three gave requests up while other upstreams were
 /// idle, because several had crashed together; six was not compared with other limits.
 const MAX_UNREACHABLE: usize = 6;
 
-/// What came of a try before the request's deadline.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The upstream answered with this status.
-    Answered(u16),
-    /// The upstream refused the request and has not run it.
-    TurnedAway,
-    /// Another upstream answers at its address; the request has not run.
-    Replaced,
-    /// Nothing was sent, with the cause.
-    NotSent(String),
-    /// The request was sent and may have run, with the cause.
-    Broken(String),
-}
-
-/// How a try ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum End {
-    /// With this outcome, before the deadline.
-    Outcome(Outcome),
-    /// The deadline passed while the connection was opened.
-    NoConnection,
-    /// The deadline passed while the answer was awaited.
-    NoAnswer,
-}
-
-impl fmt::Display for End {
-    /// Writes the end as the log key `tries` holds it.
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Outcome(Outcome::Answered(status)) => write!(formatter, "{status}"),
-            Self::Outcome(Outcome::TurnedAway) => formatter.write_str("turned-away"),
-            Self::Outcome(Outcome::Replaced) => formatter.write_str("replaced"),
-            Self::Outcome(Outcome::NotSent(cause) | Outcome::Broken(cause)) => {
-                formatter.write_str(cause)
-            }
-            Self::NoConnection => formatter.write_str("no-connection"),
-            Self::NoAnswer => formatter.write_str("no-answer"),
-        }
-    }
-}
-
-/// A try that ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Try {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// How it ended.
-    pub end: End,
-}
-
 /// What follows a try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -111,8 +62,8 @@
     pub upstream: sync::Arc<discovery::Entry>,
     /// Whether it is the first one of the request.
     pub is_first: bool,
-    /// The request's object and what the upstream is expected to know of it; none when it has none.
-    pub object: Option<(u64, seen_objects::Sight)>,
+    /// The request's object; none when it has none.
+    pub object: Option<seen_objects::Object>,
 }
 
 /// What the current try waits for.
@@ -198,9 +149,7 @@
                 let is_first = self.chosen.is_empty();
                 self.chosen.push(candidate.entry.id.clone());
                 self.stage = Stage::Connection;
-                let is_sticky = request.route.is_sticky;
-                let object = is_sticky.then_some((request.key, candidate.sight));
-                Ok(Choice { upstream: candidate.entry, is_first, object })
+                Ok(Choice { upstream: candidate.entry, is_first, object: candidate.object })
             }
             Err(refusal) => {
                 let reason = refusal.reason();
--- a/crates/steer/src/dispatch/seen_objects.rs
+++ b/crates/steer/src/dispatch/seen_objects.rs
@@ -29,6 +29,15 @@
     Further,
 }
 
+/// A request's object, with what the chosen upstream is expected to know of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Hash of the object.
+    pub key: u64,
+    /// What the upstream is expected to know.
+    pub sight: Sight,
+}
+
 impl Sight {
     /// Returns the case of an upstream at `rank` of the object's preferences; 0 is first.
     #[must_use]
--- a/crates/steer/src/dispatch/selection.rs
+++ b/crates/steer/src/dispatch/selection.rs
@@ -52,9 +52,10 @@
         true => idle_second(&rated).unwrap_or(cheapest),
         false => cheapest,
     };
+    let is_sticky = request.route.is_sticky;
     Some(candidate::Candidate {
         entry: sync::Arc::clone(&chosen.upstream.entry),
-        sight: chosen.sight,
+        object: is_sticky.then_some(seen_objects::Object { key: request.key, sight: chosen.sight }),
         wait: chosen.wait,
         max_wait,
         work: work.mean(),
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -124,7 +124,7 @@
     object: u64,
     sent: Instant,
     crowding: f64,
-    sight: seen_objects::Sight,
+    known: Option<seen_objects::Object>,
     is_first_sight: bool,
 }
 
@@ -260,7 +260,7 @@
             object,
             sent: now,
             crowding: 1.0,
-            sight: seen_objects::Sight::Seen,
+            known: None,
             is_first_sight: false,
         };
         let Ok(chosen) = chosen else {
@@ -268,7 +268,7 @@
             return;
         };
         job.crowding = self.gateways[gateway].0.sent(&chosen.entry.id, true, now);
-        job.sight = chosen.sight;
+        job.known = chosen.object;
         let of_id = |u: &Upstream| u.entry.id == chosen.entry.id;
         let upstream = self.upstreams.iter().position(of_id).expect("it is one of the upstreams");
         let way = self.way(gateway, upstream);
@@ -325,8 +325,7 @@
 
     fn answered(&mut self, upstream: usize, job: &Job, load: model::load::Report, now: Instant) {
         let latency = now - job.sent;
-        let object = Some((job.object, job.sight));
-        let (crowding, load) = (job.crowding, Some(load));
+        let (crowding, object, load) = (job.crowding, job.known, Some(load));
         let outcome = outcome::Outcome::Answered { latency, crowding, object, load };
         let id = self.upstreams[upstream].entry.id.clone();
         self.gateways[job.gateway].0.ended(&id, outcome, latency, now);
--- a/crates/steer/tests/store_calls.rs
+++ b/crates/steer/tests/store_calls.rs
@@ -44,7 +44,7 @@
     for contact in CONTACTS {
         for drain in DRAINS {
             let bound = store_call::bound(&Bounds { contact, drain, ..Bounds::default() });
-            let takeover = store_call::longest_takeover(bound, last) + ANSWER;
+            let takeover = store_call::longest_takeover(bound, last.part_of_watch()) + ANSWER;
             assert!(takeover < drain, "{takeover:?} of {drain:?}, contact {contact:?}");
         }
     }
