--- a/crates/steer/src/dispatch/admission.rs
+++ b/crates/steer/src/dispatch/admission.rs
@@ -19,8 +19,9 @@
 
 /// As [`MAX_WAIT`], for requests that are more urgent than others of their service.
 ///
-/// A late answer is better than none, and less urgent requests make room. Measured: docs/measurements/worst-load.md,
-/// row "urgent requests wait longer" (0.6 and 1.2 compared).
+/// A late answer is better than none, and less urgent requests make room. Measured: 2.7 % to 0 % refused with a
+/// service short by a quarter (`steer/tests/load`), and docs/measurements/worst-load.md, row "urgent requests wait
+/// longer" (0.6 and 1.2 compared).
 const MAX_URGENT_WAIT: f64 = 1.2;
 
 /// Longest `Retry-After` of an overloaded service.
--- a/crates/steer/src/dispatch/affinity.rs
+++ b/crates/steer/src/dispatch/affinity.rs
@@ -1,7 +1,8 @@
 //! Affinity: which region and which upstreams an object prefers, since they have it warm.
 //!
-//! Owns nothing. Relies on [`expected_work`] for what a run takes where the object was seen. Rendezvous hashing: every node ranks alike without agreement, and a share or an upstream
-//! that changes moves the fewest objects. Called by the order of regions and by [`selection`].
+//! Owns nothing. Rendezvous hashing: every node ranks alike without agreement, and a share or an upstream
+//! that changes moves the fewest objects. Called by the order of regions and by [`selection`]; relies on
+//! [`expected_work`] for what a run takes where the object was seen.
 //!
 //! [`expected_work`]: crate::dispatch::expected_work
 //! [`selection`]: crate::dispatch::selection
@@ -27,7 +28,8 @@
 ///
 /// Above one, so that objects return to their first upstream and do not fill what others remember. Multiplied by
 /// what such runs take longer, as observed, so that it counts for nothing where upstreams forget soon.
-/// Measured: docs/measurements/worst-load.md, row "upstreams that have seen the object".
+/// Measured: 78.8 % to 82 % of the requests in time at upstreams with one slot (`steer/tests/load`), and
+/// docs/measurements/worst-load.md, row "upstreams that have seen the object" (1.2, 1.5 and 2 compared).
 const SEEN_COST: f64 = 1.5;
 
 /// Returns regions in the order in which an object prefers them.
--- a/crates/steer/src/dispatch/overflow.rs
+++ b/crates/steer/src/dispatch/overflow.rs
@@ -25,7 +25,9 @@
 
 /// Time until the answer, in seconds, that another region must save.
 ///
-/// Measured: docs/measurements/worst-load.md, row "overflow by the time until the answer"; other times were not measured.
+/// Measured: 88.6 % to 92.4 % in time near what upstreams bear, against a comparison of waits alone
+/// (`steer/tests/load`), and docs/measurements/worst-load.md, row "overflow by the time until the answer"; other
+/// times were not measured.
 const MIN_SAVED_TIME: f64 = 0.1;
 
 /// The requests that may still leave their region.
--- a/crates/steer/src/dispatch/priority.rs
+++ b/crates/steer/src/dispatch/priority.rs
@@ -19,7 +19,8 @@
 
 /// Longest wait of a less urgent request, as a part of the shortest target latency of more urgent routes.
 ///
-/// Measured: docs/measurements/worst-load.md, row "urgent requests first" (0.1, 0.25, 0.4 and 0.6 compared).
+/// Measured: with a service short by a quarter 13.6 % to 0 % of the urgent requests refused, and 67.1 % to 82.4 % in time
+/// (`steer/tests/load`); docs/measurements/worst-load.md, row "urgent requests first" (0.1, 0.25, 0.4 and 0.6 compared).
 const MAX_WAIT: f64 = 0.4;
 
 /// Part of the share admitted of all requests below which a less urgent route may wait as long as urgent ones.
--- a/crates/steer/src/dispatch/region/distance.rs
+++ b/crates/steer/src/dispatch/region/distance.rs
@@ -20,7 +20,8 @@
 
 /// Requests a slot to which the own region is filled where all others answer late.
 ///
-/// Measured: docs/measurements/worst-load.md, row "a far region keeps more" (0.85 and 1.1 compared).
+/// Measured: 34.3 % to 60 % of a small region's requests in time with regions 90 ms apart (`steer/tests/load`), and
+/// docs/measurements/worst-load.md, row "a far region keeps more" (0.85 and 1.1 compared).
 const FILLED: f64 = 1.1;
 
 /// Largest factor by which the kept share is to grow or shrink from where it stands.
--- a/crates/steer/src/dispatch/region/order.rs
+++ b/crates/steer/src/dispatch/region/order.rs
@@ -18,7 +18,8 @@
 /// Requests by which a region may exceed its share, so that requests for one object go there together.
 ///
 /// Measured: docs/measurements/platform.md, row "objects keep their region" (0.776 to 0.943 and 0.869 to
-/// 0.970), and docs/measurements/worst-load.md, row "a longer lead" (5, 20 and 60 compared).
+/// 0.970), and docs/measurements/worst-load.md, row "a longer lead" (5, 20 and 60 compared; with 5,
+/// 1.42 % of the runs are of objects new to their upstream, with 20 1.33 %, `steer/tests/load`).
 const MAX_LEAD: f64 = 20.0;
 
 /// Requests that share a split: those for a service that the same regions may serve.
