Soak: traced and mended; organisations, alien entries, upstreams started again

One soak's callers were answered by upstreams of the other (MIXED: did not run), whose upstreams ran requests nobody there had sent (UNASKED). A killed gateway frees its ports on the shared loopback address, another soak's gateway takes one, and the first one's callers go on there; all soaks named their requests alike, so that a foreign calm-4-11 passed for the own one (LOST).

Now each process of tests listens on a loopback address of its own, and its requests carry its process id.

The soak also plays organisations: callers carry keys, one key is taken away and given back, an organisation has a limit, another a home; entries are overwritten by what is none, and upstreams start again under their names. It checks that no key is seen by an upstream or in a log, that a revoked key is not served in calm, that upstreams are told the right organisation, and the limit in every 5 s. These events are drawn apart, so that the old seeds stay as they were.

--- a/crates/node/tests/soak/fault.rs
+++ b/crates/node/tests/soak/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::{RngExt as _, rngs};
+use rand::{RngExt as _, SeedableRng as _, rngs};
 use standin::platform::listener;
 use standin::platform::upstream;
 
@@ -20,6 +20,12 @@
 /// Manners that even a short soak reaches, so that three seeds in a row reach all.
 const MANNERS_A_SOAK: usize = 4;
 
+/// Mean time between the beginnings of two faults of organisations and entries.
+const ORGANISATIONS_GAP: Duration = Duration::from_millis(900);
+
+/// Makes their draw another one than that of the other faults.
+const ORGANISATIONS: u64 = 0x6f72_6761;
+
 /// Something that goes wrong, or that operators do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -51,6 +57,12 @@
     Evacuate,
     /// An upstream says that it leaves, and is back later.
     Drain(usize),
+    /// Operators take a key away, and give it back.
+    Revoke,
+    /// An upstream's entry is overwritten with what is no entry, and later with the right one.
+    Alien(usize),
+    /// An upstream starts again under its name.
+    Again(usize),
 }
 
 /// A fault with its times from the start.
@@ -92,6 +104,28 @@
     }
 }
 
+/// Draws what happens to organisations and to entries of upstreams; apart from the rest, whose seeds stay as they were.
+pub fn draw_organisations(seed: u64, length: Duration, upstreams: usize) -> Vec<Event> {
+    let mut random = rngs::StdRng::seed_from_u64(seed ^ ORGANISATIONS);
+    let mut events = Vec::new();
+    let mut from = Duration::ZERO;
+    loop {
+        from += ORGANISATIONS_GAP.mul_f64(random.random_range(0.1..1.9));
+        if from >= length {
+            return events;
+        }
+        let (shortest, longest) = LENGTHS;
+        let to = from + random.random_range(shortest..longest);
+        let upstream = random.random_range(0..upstreams);
+        let fault = match random.random_range(0..3) {
+            0 => Fault::Revoke,
+            1 => Fault::Alien(upstream),
+            _ => Fault::Again(upstream),
+        };
+        events.push(Event { from, to, fault });
+    }
+}
+
 fn one(random: &mut rngs::StdRng, gateways: usize, upstreams: usize) -> Fault {
     let gateway = random.random_range(0..gateways);
     let upstream = random.random_range(0..upstreams);
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod fault;
 mod link;
 mod oracle;
+mod organisations;
 mod record;
 #[path = "../gateway/rig.rs"]
 #[expect(dead_code, reason = "shared with the tests of single rules")]
--- a/crates/node/tests/soak/oracle.rs
+++ b/crates/node/tests/soak/oracle.rs
@@ -1,10 +1,12 @@
 //! The oracle: what callers were told, against what upstreams did.
 
 use std::collections;
+use std::time::{Duration, SystemTime};
 
 use standin::platform::upstream;
 
 use crate::callers;
+use crate::organisations;
 
 /// Statuses that promise that the request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -13,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct Truth {
     ran: collections::HashMap<String, u32>,
+    told: collections::HashMap<String, String>,
     bodies: collections::HashMap<String, Vec<u8>>,
 }
 
@@ -25,6 +28,7 @@
                 *truth.ran.entry(id).or_default() += times;
             }
             truth.bodies.extend(record.bodies);
+            truth.told.extend(record.heads.into_iter().map(|(id, head)| (id, organisation(&head))));
         }
         truth
     }
@@ -51,6 +55,9 @@
         match () {
             () if !outcome.is_repeatable && ran > 1 => Some(format!("TWICE: {id} ran {ran} times")),
             () if is_promise && ran > 0 => Some(format!("REFUSED: {id} got {status:?} and ran")),
+            () if ran > 0 && self.told.get(id).is_some_and(|told| told != outcome.organisation) => {
+                Some(format!("UNASKED: {id} ran for {:?}", self.told[id]))
+            }
             () if is_success && !answer.ends_with(&format!(" to {id}")) => {
                 Some(format!("MIXED: {id} got {answer:?}"))
             }
@@ -64,6 +71,8 @@
             () if *status == Some(503) && !outcome.has_retry_after => {
                 Some(format!("{id} was not told when to come back"))
             }
+            () if *status == Some(401) && ran > 0 => Some(format!("DENIED: {id} got 401 and ran")),
+            () if *status == Some(401) && outcome.key == organisations::REVOCABLE => None,
             () => match status {
                 Some(400..=407 | 409..=420 | 422..=428 | 430..=499) => {
                     Some(format!("DENIED: {id} got {status:?}"))
@@ -73,3 +82,23 @@
         }
     }
 }
+
+/// Returns the organisation that an upstream was told of.
+fn organisation(head: &str) -> String {
+    let told = head.lines().find_map(|line| line.strip_prefix("yokespoke-tenant: "));
+    told.unwrap_or_default().to_owned()
+}
+
+/// Returns whether the organisation with a limit was served more than its limit in any window.
+pub fn over_limit(outcomes: &[callers::Outcome]) -> Option<String> {
+    let is_counted =
+        |o: &&callers::Outcome| o.organisation == organisations::LIMITED && o.status == Some(200);
+    let mut sent: Vec<_> = outcomes.iter().filter(is_counted).map(|o| o.sent.0).collect();
+    sent.sort();
+    let window = Duration::from_secs(organisations::WINDOW_SECONDS);
+    let within = |first: SystemTime| {
+        sent.iter().filter(|sent| (first..first + window).contains(*sent)).count()
+    };
+    let most = sent.iter().map(|first| within(*first)).max().unwrap_or(0);
+    (most > organisations::MOST_IN_WINDOW).then(|| format!("QUOTA: {most} in {window:?}"))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod client;
 pub mod control;
+pub mod loopback;
 pub mod pattern;
 pub mod platform;
 pub mod record;
 pub mod server;
+pub mod split;
 pub mod store;
 pub mod upstream;
 pub mod vms;
