Demo: the cap is checked by the splits that nodes have in force

Now every node is asked for its splits every 100 ms, and two that were certainly in force within a window must not differ by more than the cap: exact but for rounding. The count of arrivals stays, with its error.

--- a/crates/cli/src/demo/owners/mod.rs
+++ b/crates/cli/src/demo/owners/mod.rs
@@ -9,6 +9,7 @@
 mod phase;
 mod phases;
 mod report;
+mod sampler;
 mod traffic;
 
 use std::sync;
--- a/crates/cli/src/demo/owners/phases.rs
+++ b/crates/cli/src/demo/owners/phases.rs
@@ -19,6 +19,7 @@
 use crate::demo::owners::fleet;
 use crate::demo::owners::phase::{Measured, Phase};
 use crate::demo::owners::report;
+use crate::demo::owners::sampler;
 use crate::demo::owners::traffic;
 use crate::printer;
 
@@ -41,6 +42,7 @@
     let (stop, stopped) = watch::channel(false);
     let began = Instant::now();
     let mut streams = start_traffic(fleet, example, seed, &phase, &log, &stopped).await;
+    let sampled = tokio::spawn(sampler::run(sync::Arc::clone(fleet), stopped.clone()));
     let mut measured = Vec::new();
     for (index, current) in Phase::ALL.into_iter().enumerate() {
         phase.store(index, atomic::Ordering::Relaxed);
@@ -52,8 +54,10 @@
     let load = (began, Instant::now());
     let _ = stop.send(true);
     while streams.join_next().await.is_some() {}
+    let samples = sampled.await?;
     let mut fleet = fleet.lock().await;
-    let report = report::Report::new(example, &fleet.record, &log.records(), measured, load)?;
+    let seen = report::Seen { record: &fleet.record, samples: &samples, load };
+    let report = report::Report::new(example, &seen, &log.records(), measured)?;
     fleet.stop().await;
     Ok(report)
 }
--- a/crates/cli/src/demo/owners/report.rs
+++ b/crates/cli/src/demo/owners/report.rs
@@ -7,7 +7,7 @@
 
 use hdrhistogram::Histogram;
 use serde_json::json;
-use standin::record;
+use standin::{record, split};
 
 use crate::demo::owners::example;
 use crate::demo::owners::phase;
@@ -24,6 +24,9 @@
 /// three nodes, each right within one request at both ends.
 const GRAIN: f64 = 6.0;
 
+/// Rounding of shares in the nodes' state, which has them in hundred-thousandths of a per cent.
+const ROUNDING: f64 = 1e-6;
+
 /// Longest time in which a leaving upstream may still get new work.
 const LEAVING_TIME: Duration = Duration::from_secs(5);
 
@@ -52,9 +55,22 @@
     greatest_use: f64,
     shift: record::Shift,
     cap: f64,
+    moved: record::Shift,
+    moved_cap: f64,
     broken: Vec<String>,
 }
 
+/// What upstreams and nodes show of where requests went.
+#[derive(Debug)]
+pub struct Seen<'a> {
+    /// What upstreams saw.
+    pub record: &'a record::Record,
+    /// The splits that nodes had in force.
+    pub samples: &'a split::Samples,
+    /// From when until when callers sent.
+    pub load: (Instant, Instant),
+}
+
 /// The requests of one phase.
 #[derive(Debug, Default)]
 struct Row {
@@ -79,11 +95,11 @@
     /// Never in practice: the histogram's bounds are constants.
     pub fn new(
         example: &example::Example,
-        record: &record::Record,
+        seen: &Seen<'_>,
         records: &[traffic::Record],
         measured: Vec<phase::Measured>,
-        load: (Instant, Instant),
     ) -> anyhow::Result<Self> {
+        let record = seen.record;
         let mut rows = Vec::new();
         for (index, phase) in phase::Phase::ALL.into_iter().enumerate() {
             let of_phase = records.iter().filter(|r| r.phase == index);
@@ -96,7 +112,8 @@
         let ran_twice = once.filter(|r| record.runs(&r.id) > 1).count();
         let refused = records.iter().filter(|r| r.end == traffic::End::NotRun);
         let not_run_but_ran = refused.filter(|r| record.runs(&r.id) > 0).count();
-        let (shift, cap) = greatest_shift(example, record, load);
+        let (shift, cap) = greatest_shift(example, seen);
+        let (moved, moved_cap) = greatest_move(example, seen.samples);
         let mut report = Self {
             rows,
             total,
@@ -106,6 +123,8 @@
             greatest_use: record.greatest_use(),
             shift,
             cap,
+            moved,
+            moved_cap,
             broken: measured.iter().flat_map(|m| m.broken.clone()).collect(),
         };
         report.judge(&measured);
@@ -134,6 +153,7 @@
             "over_cap": self.is_over_cap(),
             "greatest_shift": self.shift.share,
             "cap": self.cap,
+            "greatest_move": self.moved.share,
             "broken": self.broken,
             "phases": self.rows.iter().map(Row::as_json).collect::<Vec<_>>(),
         })
@@ -153,9 +173,14 @@
             self.greatest_use * 100.0
         ));
         lines.push(format!(
-            "greatest shift in a window: {:.1} %, cap {:.0} % (counted to within {:.1} %)",
+            "greatest shift of a split in a window: {:.1} %, cap {:.0} % (as nodes had it in force)",
+            self.moved.share * 100.0,
+            self.moved_cap * 100.0
+        ));
+        lines.push(format!("  {}", self.moved.detail));
+        lines.push(format!(
+            "greatest shift of arrivals in a window: {:.1} % (counted to within {:.1} %)",
             self.shift.share * 100.0,
-            self.cap * 100.0,
             self.grain() * 100.0
         ));
         lines.push(format!("  {}", self.shift.detail));
@@ -194,6 +219,10 @@
             drain_time.is_none_or(|time| time <= LEAVING_TIME),
             format!("a leaving upstream got new work after {drain_time:?}"),
         );
+        if self.moved.share > self.moved_cap + ROUNDING {
+            let share = self.moved.share * 100.0;
+            self.broken.push(format!("a node moved {share:.1} % of a place's split in one window"));
+        }
         if self.is_over_cap() {
             let share = self.shift.share * 100.0;
             self.broken.push(format!("{share:.1} % of a place's traffic moved in one window"));
@@ -279,21 +308,26 @@
 ///
 /// Only what arrives while callers send counts: afterwards only what was queued at full owners
 /// arrives, and its shares are those of the queues.
-fn greatest_shift(
-    example: &example::Example,
-    record: &record::Record,
-    load: (Instant, Instant),
-) -> (record::Shift, f64) {
+fn greatest_shift(example: &example::Example, seen: &Seen<'_>) -> (record::Shift, f64) {
     let shifts = example.caps().map(|cap| {
         let window = cap.window.saturating_sub(SPAN);
         let name = cap.service.as_str();
-        let shift = record.greatest_shift(name, load, window, SPAN, LEAST_IN_SPAN);
+        let shift = seen.record.greatest_shift(name, seen.load, window, SPAN, LEAST_IN_SPAN);
         (shift, cap.share.as_f64())
     });
     let over = |(shift, cap): &(record::Shift, f64)| shift.share - cap;
     shifts.max_by(|a, b| over(a).total_cmp(&over(b))).unwrap_or_default()
 }
 
+/// Returns the greatest move of a node's split over its service's cap, and that cap.
+fn greatest_move(example: &example::Example, samples: &split::Samples) -> (record::Shift, f64) {
+    let moves = example
+        .caps()
+        .map(|cap| (samples.greatest_shift(cap.service.as_str(), cap.window), cap.share.as_f64()));
+    let over = |(shift, cap): &(record::Shift, f64)| shift.share - cap;
+    moves.max_by(|a, b| over(a).total_cmp(&over(b))).unwrap_or_default()
+}
+
 /// Returns an empty histogram of times in microseconds.
 ///
 /// # Errors
