--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -35,6 +35,8 @@
     Delete(Delete),
     /// Check settings or declarations without a fleet.
     Check(Check),
+    /// Make a key of an organisation, or print the digest that declarations hold.
+    Key(Key),
     /// Show a node's state.
     Dump(Dump),
     /// Ask a node which nodes to use for a service.
@@ -159,6 +161,23 @@
     pub paths: Vec<path::PathBuf>,
 }
 
+/// Arguments of `key`.
+#[derive(Clone, Copy, Debug, clap::Args)]
+pub struct Key {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: KeyCommand,
+}
+
+/// What to do with a key.
+#[derive(Clone, Copy, Debug, clap::Subcommand)]
+pub enum KeyCommand {
+    /// Print a new key, once, and its digest below it.
+    New,
+    /// Read a key from standard input and print its digest.
+    Digest,
+}
+
 /// Arguments of `dump`.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Dump {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod delete;
 pub mod dump;
 pub mod get;
+pub mod key;
 pub mod lookup;
 pub mod outcome;
 pub mod watch;
--- a/crates/cli/src/controller.rs
+++ b/crates/cli/src/controller.rs
@@ -26,6 +26,7 @@
         args::Command::Watch(args) => commands::watch::run(&args).await,
         args::Command::Delete(args) => commands::delete::run(&args).await,
         args::Command::Check(args) => commands::check::run(&args),
+        args::Command::Key(args) => commands::key::run(&args),
         args::Command::Dump(args) => commands::dump::run(&args).await,
         args::Command::Lookup(args) => commands::lookup::run(&args).await,
         args::Command::Load(args) => load::command(&args).await,
--- a/crates/cli/tests/forms/main.rs
+++ b/crates/cli/tests/forms/main.rs
@@ -10,13 +10,14 @@
 use assert_cmd::Command;
 use predicates::str::contains;
 
-const COMMANDS: [&str; 11] = [
+const COMMANDS: [&str; 12] = [
     "apply",
     "diff",
     "get",
     "watch",
     "delete",
     "check",
+    "key",
     "dump",
     "lookup",
     "load",
@@ -282,3 +283,30 @@
     ];
     same("changes.txt", &all.concat());
 }
+
+#[test]
+fn a_new_key_comes_with_the_digest_that_is_printed_for_it() {
+    let output = yokespoke().args(["key", "new"]).output().expect("the command runs");
+    let printed = text(&output.stdout);
+    let (key, digest) = printed.trim_end().split_once('\n').expect("two lines");
+    assert!(key.len() == 32 && digest.starts_with("sha256:"), "{printed}");
+    for input in [format!("{key}\n"), key.to_owned(), format!("{key}\r\n")] {
+        let mut command = yokespoke();
+        command.args(["key", "digest"]).write_stdin(input);
+        command.assert().success().stdout(format!("{digest}\n"));
+    }
+    // RFC 6234's test vector.
+    let known = "sha256:ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    yokespoke().args(["key", "digest"]).write_stdin("abc").assert().success().stdout(known);
+}
+
+#[test]
+fn what_is_no_key_is_refused_and_not_repeated() {
+    for input in ["", "\n", "marked key", "marked-1\nmarked-2", &"marked".repeat(50)] {
+        let mut command = yokespoke();
+        command.args(["key", "digest"]).write_stdin(input);
+        let output = command.output().expect("the command runs");
+        assert_eq!(output.status.code(), Some(1), "{input:?}");
+        assert!(output.stdout.is_empty() && !text(&output.stderr).contains("marked"), "{input:?}");
+    }
+}
--- a/crates/model/src/verdict.rs
+++ b/crates/model/src/verdict.rs
@@ -38,6 +38,8 @@
 pub enum Reason {
     /// No service has the request's host.
     UnknownHost,
+    /// Requests must carry keys of organisations, which only gateways check.
+    KeysNotChecked,
     /// The request itself is malformed or too large.
     BadRequest,
     /// The node has no configuration yet, or is stopping.
@@ -72,6 +74,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::UnknownHost => "unknown-host",
+            Self::KeysNotChecked => "keys-not-checked",
             Self::BadRequest => "bad-request",
             Self::NotReady => "not-ready",
             Self::NoRegion => "no-region",
@@ -91,8 +94,9 @@
     /// Returns the reason named `text`, or [`Reason::Broken`] for a name that a newer node sent.
     #[must_use]
     pub fn parse(text: &str) -> Self {
-        const ALL: [Reason; 14] = [
+        const ALL: [Reason; 15] = [
             Reason::UnknownHost,
+            Reason::KeysNotChecked,
             Reason::BadRequest,
             Reason::NotReady,
             Reason::NoRegion,
--- a/crates/model/tests/declarations.rs
+++ b/crates/model/tests/declarations.rs
@@ -159,3 +159,59 @@
     let nowhere = put(Kind::Evacuation, "name: works\nhall: nowhere\n");
     assert!(problems(&standing, &nowhere, &now).contains("hall: expected a hall that holds"));
 }
+
+const DIGEST: &str = "sha256:ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+
+fn organisation(more: &str) -> String {
+    format!("name: mairie\nkeys: [\"{DIGEST}\"]\n{more}")
+}
+
+#[test]
+fn an_organisation_is_accepted_and_found_again() {
+    let now = Facts::at(SystemTime::now());
+    let text = organisation("priority: 1\nquota: { rate: 2.5 }\nhome_regions: [dakar]\n");
+    let first = example("diagne");
+    let second =
+        acceptance::apply(&first, &put(Kind::Organisation, &text), &now).expect("accepted");
+    assert!(second.resource(Kind::Organisation, "mairie").is_some());
+    let steps = vec![Step::Delete { kind: Kind::Organisation, name: "mairie".to_owned() }];
+    let delete = Change { operation: "back".to_owned(), expected: None, steps };
+    let third = acceptance::apply(&second, &delete, &now).expect("accepted");
+    assert!(third.resource(Kind::Organisation, "mairie").is_none());
+}
+
+#[test]
+fn wrong_organisations_are_refused_by_field() {
+    let now = Facts::at(SystemTime::now());
+    let standing = put(Kind::Organisation, &organisation(""));
+    let standing = acceptance::apply(&example("diagne"), &standing, &now).expect("accepted");
+    let wrong = [
+        (organisation("quota: { rate: 0 }\n"), "quota.rate: expected more than 0; leave out"),
+        (organisation("quota: { rate: -1 }\n"), "quota.rate: expected more than 0"),
+        (organisation("quota: { rate: 1, burst: -1 }\n"), "quota.burst: expected 0 or more"),
+        (organisation("home_regions: [mars]\n"), "home_regions[0]: expected a region that holds"),
+        (organisation("").replace("mairie", "twin"), "keys[0]: organisation mairie has the same"),
+        (organisation("").replace("mairie", "a b"), "name: expected 1 to 63 letters"),
+    ];
+    for (text, message) in wrong {
+        let found = problems(&standing, &put(Kind::Organisation, &text), &now);
+        assert!(found.contains(message), "{found}");
+    }
+}
+
+#[test]
+fn malformed_organisations_are_refused_by_line_and_no_key_is_repeated() {
+    let wrong = [
+        (organisation("colour: 1\n"), "unknown field `colour`"),
+        (organisation("quota: { burst: 5 }\n"), "missing field `rate`"),
+        (organisation("").replace(DIGEST, "marked-plain-key"), "expected the digest of a key"),
+        (organisation("").replace("ba7816", "marked"), "expected the digest of a key"),
+    ];
+    for (text, message) in wrong {
+        let text = format!("kind: organisation\n{text}");
+        let fault = document::read_resources("o.yaml", &text).expect_err("it is malformed");
+        let fault = fault.to_string();
+        assert!(fault.starts_with("o.yaml:") && fault.contains(message), "{fault}");
+        assert!(!fault.contains("marked"), "{fault}");
+    }
+}
--- a/crates/model/tests/forms.rs
+++ b/crates/model/tests/forms.rs
@@ -173,6 +173,7 @@
     assert_eq!(verdicts.map(verdict::Verdict::as_str), ["not-run", "may-have-run"]);
     let words = [
         "unknown-host",
+        "keys-not-checked",
         "bad-request",
         "not-ready",
         "no-region",
--- a/crates/node/src/owner/callers/respond.rs
+++ b/crates/node/src/owner/callers/respond.rs
@@ -37,7 +37,7 @@
 fn status(failure: verdict::Failure) -> StatusCode {
     use verdict::{Reason, Verdict};
     match (failure.reason, failure.verdict) {
-        (Reason::UnknownHost, _) => StatusCode::MISDIRECTED_REQUEST,
+        (Reason::UnknownHost | Reason::KeysNotChecked, _) => StatusCode::MISDIRECTED_REQUEST,
         (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
         (Reason::Running | Reason::Ticket, _) => StatusCode::CONFLICT,
         (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
@@ -50,6 +50,7 @@
     use verdict::Reason;
     match reason {
         Reason::UnknownHost => "no service has this host",
+        Reason::KeysNotChecked => "organisations are declared, whose keys only gateways check",
         Reason::BadRequest => "the request is malformed or too large",
         Reason::NotReady => "the node is not ready",
         Reason::NoRegion => "no region can take the request now",
--- a/crates/node/src/owner/callers/server.rs
+++ b/crates/node/src/owner/callers/server.rs
@@ -166,6 +166,10 @@
             let failure = verdict::Failure::not_run(verdict::Reason::NotReady);
             return Err(failure.after(NOT_READY_RETRY));
         }
+        // Serving them without a look at their keys would let anybody in.
+        if !view.config.snapshot.organisations.is_empty() {
+            return Err(verdict::Failure::not_run(verdict::Reason::KeysNotChecked));
+        }
         let service = host.as_deref().and_then(|host| view.config.service_of(host));
         let Some(service) = service.map(sync::Arc::clone) else {
             return Err(verdict::Failure::not_run(verdict::Reason::UnknownHost));
--- a/crates/node/tests/process/api.rs
+++ b/crates/node/tests/process/api.rs
@@ -4,6 +4,7 @@
 use http_body_util::{BodyExt as _, Full};
 use serde_json::{Value, json};
 
+use crate::calls;
 use crate::rig;
 
 const PLACE: &str = r#"{"name": "quai", "blocks": ["192.0.2.0/24"],
@@ -17,6 +18,7 @@
     races_have_one_winner(&rig).await;
     wrong_declarations_are_refused_by_field(&rig).await;
     a_watch_tells_changes(&rig).await;
+    organisations_are_declared_and_close_this_role(&rig).await;
     a_lost_answer_is_found_again(&rig).await;
     an_outage_is_told_as_such(&rig).await;
 }
@@ -81,6 +83,27 @@
     assert!(message.contains("12 slots, 12 would be drained"), "{message}");
 }
 
+async fn organisations_are_declared_and_close_this_role(rig: &rig::Rig) {
+    let digest = "sha256:ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    let plain = r#"{"name": "mairie", "keys": ["marked-key"]}"#;
+    let (status, error) = rig.operate("PUT", "/v1/organisations/mairie", plain).await;
+    assert_eq!((status, error.to_string().contains("marked")), (400, false), "{error}");
+    let organisation = json!({ "name": "mairie", "keys": [digest], "quota": { "rate": 5 } });
+    let text = organisation.to_string();
+    let (status, put) = rig.operate("PUT", "/v1/organisations/mairie", &text).await;
+    assert_eq!(status, 200, "{put}");
+    let (status, got) = rig.operate("GET", "/v1/organisations/mairie", "").await;
+    assert_eq!((status, &got["resource"]["keys"][0]), (200, &json!(digest)));
+    let began = std::time::Instant::now();
+    while rig.operate("GET", "/v1/organisations/mairie", "").await.1["in_force"] != json!(true) {
+        assert!(began.elapsed() < std::time::Duration::from_secs(20), "it is not in force");
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    calls::organisations_are_refused(rig).await;
+    let (status, _) = rig.operate("DELETE", "/v1/organisations/mairie", "").await;
+    assert_eq!(status, 200);
+}
+
 async fn a_watch_tells_changes(rig: &rig::Rig) {
     let node = rig.nodes.values().next().expect("a node");
     let request = Request::get(format!("http://{}/v1/places?watch=true", node.operators))
--- a/crates/node/tests/process/calls.rs
+++ b/crates/node/tests/process/calls.rs
@@ -50,6 +50,22 @@
     assert_eq!(response.headers()["yokespoke-reason"], "unknown-host");
 }
 
+/// Nodes that own upstreams check no keys, so none of them serves once organisations are declared.
+pub async fn organisations_are_refused(rig: &rig::Rig) {
+    let node = rig.nodes.values().next().expect("a node");
+    for host in [rig::HOST, "nobody.example"] {
+        let request = Request::get(format!("http://{}/", node.callers))
+            .header("host", host)
+            .header("x-api-key", "any")
+            .body(Full::default())
+            .expect("the request is valid");
+        let response = rig.http.send(request).await.expect("the node answers");
+        assert_eq!(response.status(), 421);
+        assert_eq!(response.headers()["yokespoke-verdict"], "not-run");
+        assert_eq!(response.headers()["yokespoke-reason"], "keys-not-checked");
+    }
+}
+
 async fn bodies_pass_whole_both_ways(rig: &rig::Rig) {
     let node = rig.nodes.values().next().expect("a node");
     for bytes in [10, 60_000, 2_000_000] {
