--- a/crates/bench/src/choice.rs
+++ b/crates/bench/src/choice.rs
@@ -12,7 +12,7 @@
 use model::{bounds, discovery, id, route};
 use rand::RngExt as _;
 use rand::SeedableRng as _;
-use steer::dispatch::{dispatcher, outcome, peer_load, position, priority, request};
+use steer::dispatch::{dispatcher, outcome, peer_load, position, request, urgency};
 
 use crate::output;
 
@@ -127,7 +127,7 @@
             tried: &[],
             time_left: self.route.timeout,
             homes: &self.route.home_regions,
-            urgency: priority::Urgency::of(&self.route, None),
+            urgency: urgency::Urgency::of(&self.route, None),
         };
         let chosen = self
             .dispatcher
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,10 +2,12 @@
 //!
 //! The users' bench measures gateways only: what a request costs through one, and how a fleet of them
 //! grows. It has no nodes that own upstreams, so [`cost`] and [`scale`] measure those here; and it charges a
-//! process as a whole, so [`choice`] measures a gateway's decisions alone. This file owns the arguments; it relies on [`output`] for the forms of a result.
+//! process as a whole, so [`choice`] and [`organisations`]
+//! measure a gateway's decisions alone. This file owns the arguments; it relies on [`output`] for the forms of a result.
 
 mod choice;
 mod cost;
+mod organisations;
 mod output;
 mod scale;
 
@@ -39,6 +41,8 @@
 enum Command {
     /// Decisions of a gateway beside 10 to 10,000 upstreams.
     Choice,
+    /// Keys and quotas beside 10 to 10,000 organisations.
+    Organisations,
     /// Requests and look-ups through real nodes against the upstream itself.
     Cost,
     /// How state, messages and time grow with the fleet, by a virtual clock.
@@ -49,6 +53,7 @@
     let args = Args::parse();
     let result = match args.command {
         Command::Choice => choice::run(args.seed)?,
+        Command::Organisations => organisations::run()?,
         Command::Cost => cost::run()?,
         Command::Scale => scale::run(args.seed)?,
     };
--- a/crates/cli/src/demo/owners/mod.rs
+++ b/crates/cli/src/demo/owners/mod.rs
@@ -10,6 +10,7 @@
 mod phases;
 mod report;
 mod sampler;
+mod shift;
 mod traffic;
 
 use std::sync;
--- a/crates/cli/src/demo/owners/phases.rs
+++ b/crates/cli/src/demo/owners/phases.rs
@@ -20,6 +20,7 @@
 use crate::demo::owners::phase::{Measured, Phase};
 use crate::demo::owners::report;
 use crate::demo::owners::sampler;
+use crate::demo::owners::shift;
 use crate::demo::owners::traffic;
 use crate::printer;
 
@@ -56,7 +57,7 @@
     while streams.join_next().await.is_some() {}
     let samples = sampled.await?;
     let mut fleet = fleet.lock().await;
-    let seen = report::Seen { record: &fleet.record, samples: &samples, load };
+    let seen = shift::Seen { record: &fleet.record, samples: &samples, load };
     let report = report::Report::new(example, &seen, &log.records(), measured)?;
     fleet.stop().await;
     Ok(report)
--- a/crates/cli/src/demo/owners/report.rs
+++ b/crates/cli/src/demo/owners/report.rs
@@ -3,23 +3,18 @@
 //! It owns the counts, the verdict on each promise and both forms of the report; it relies on the
 //! callers' log and the upstreams' record.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde_json::json;
-use standin::{record, split};
+use standin::record;
 
 use crate::demo::owners::example;
 use crate::demo::owners::phase;
+use crate::demo::owners::shift;
 use crate::demo::owners::traffic;
 use crate::printer;
 
-/// Length of the spans in which shares are counted.
-const SPAN: Duration = Duration::from_millis(250);
-
-/// Requests from which a span's shares mean something.
-const LEAST_IN_SPAN: usize = 20;
-
 /// Requests that the grain of each node's turn may misplace in a span: a place's callers use up to
 /// three nodes, each right within one request at both ends.
 const GRAIN: f64 = 6.0;
@@ -60,17 +55,6 @@
     broken: Vec<String>,
 }
 
-/// What upstreams and nodes show of where requests went.
-#[derive(Debug)]
-pub struct Seen<'a> {
-    /// What upstreams saw.
-    pub record: &'a record::Record,
-    /// The splits that nodes had in force.
-    pub samples: &'a split::Samples,
-    /// From when until when callers sent.
-    pub load: (Instant, Instant),
-}
-
 /// The requests of one phase.
 #[derive(Debug, Default)]
 struct Row {
@@ -95,7 +79,7 @@
     /// Never in practice: the histogram's bounds are constants.
     pub fn new(
         example: &example::Example,
-        seen: &Seen<'_>,
+        seen: &shift::Seen<'_>,
         records: &[traffic::Record],
         measured: Vec<phase::Measured>,
     ) -> anyhow::Result<Self> {
@@ -112,8 +96,8 @@
         let ran_twice = once.filter(|r| record.runs(&r.id) > 1).count();
         let refused = records.iter().filter(|r| r.end == traffic::End::NotRun);
         let not_run_but_ran = refused.filter(|r| record.runs(&r.id) > 0).count();
-        let (shift, cap) = greatest_shift(example, seen);
-        let (moved, moved_cap) = greatest_move(example, seen.samples);
+        let (shift, cap) = shift::of_arrivals(example, seen);
+        let (moved, moved_cap) = shift::of_splits(example, seen.samples);
         let mut report = Self {
             rows,
             total,
@@ -304,30 +288,6 @@
     }
 }
 
-/// Returns the greatest shift over its service's cap, and that cap.
-///
-/// Only what arrives while callers send counts: afterwards only what was queued at full owners
-/// arrives, and its shares are those of the queues.
-fn greatest_shift(example: &example::Example, seen: &Seen<'_>) -> (record::Shift, f64) {
-    let shifts = example.caps().map(|cap| {
-        let window = cap.window.saturating_sub(SPAN);
-        let name = cap.service.as_str();
-        let shift = seen.record.greatest_shift(name, seen.load, window, SPAN, LEAST_IN_SPAN);
-        (shift, cap.share.as_f64())
-    });
-    let over = |(shift, cap): &(record::Shift, f64)| shift.share - cap;
-    shifts.max_by(|a, b| over(a).total_cmp(&over(b))).unwrap_or_default()
-}
-
-/// Returns the greatest move of a node's split over its service's cap, and that cap.
-fn greatest_move(example: &example::Example, samples: &split::Samples) -> (record::Shift, f64) {
-    let moves = example
-        .caps()
-        .map(|cap| (samples.greatest_shift(cap.service.as_str(), cap.window), cap.share.as_f64()));
-    let over = |(shift, cap): &(record::Shift, f64)| shift.share - cap;
-    moves.max_by(|a, b| over(a).total_cmp(&over(b))).unwrap_or_default()
-}
-
 /// Returns an empty histogram of times in microseconds.
 ///
 /// # Errors
--- a/crates/model/src/organisation/mod.rs
+++ b/crates/model/src/organisation/mod.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
-    /// Its name, which upstreams are told.
+    /// Its name, which upstreams receive with its requests.
     pub name: id::Organisation,
     /// Digests of its keys; without one it sends nothing.
     #[serde(default)]
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -20,6 +20,9 @@
 /// Path of the metrics.
 pub const METRICS: &str = "/metrics";
 
+/// Organisations that the state dump names at most. Not measured.
+const MOST_NAMED: usize = 50;
+
 /// Path of the state dump.
 pub const DUMP: &str = "/dump";
 
@@ -66,6 +69,7 @@
         "revision": replica.at(),
         "config_version": state.routing().map(|r| r.version),
         "peers_alive": alive,
+        "organisations_near_limit": near_limit(state),
         "splits": splits(&dispatcher),
         "upstreams": upstreams(&dispatcher, now),
     });
@@ -75,6 +79,12 @@
     })
 }
 
+/// Returns organisations that are near their limits by what is asked of this node.
+fn near_limit(state: &state::State) -> Vec<String> {
+    let quotas = state.quotas.borrow();
+    quotas.near().take(MOST_NAMED).map(ToString::to_string).collect()
+}
+
 /// Returns what this node waits for at the store, and when it last got an answer.
 fn store_calls(state: &state::State, now: Instant) -> serde_json::Value {
     let waited = |kind| state.calls.waiting(kind, now).map(field::whole_millis);
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -134,7 +134,7 @@
     match organisation::Index::new(declared) {
         Ok(organisations) => routing.with_organisations(organisations),
         Err((first, second)) => {
-            // Checks refuse such declarations, so that this would be a bug; nobody is let in by a shared key.
+            // Checks refuse such declarations, so this would be a bug; no key is accepted then.
             let (first, second) = (first.as_str(), second.as_str());
             log::error!(first, second; "organisations-share-a-key");
             routing.with_organisations(organisation::Index::default())
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -12,7 +12,7 @@
 use model::id;
 use steer::dispatch::fleet::gossip;
 use steer::dispatch::fleet::representatives;
-use steer::dispatch::quota::{teller, usage};
+use steer::dispatch::quota::{reporter, usage};
 use tokio::net::UdpSocket;
 
 use crate::gateway::load_report;
@@ -34,7 +34,7 @@
         tokio::time::sleep(gossip::load_report(active.saturating_sub(1))).await;
         let _timer = metrics::Timer::start(&state.metrics.control_micros);
         let has_any = !state.dispatcher.borrow().in_flight().is_empty();
-        let usages = state.quotas.borrow_mut().tell(Instant::now());
+        let usages = state.quotas.borrow_mut().report(Instant::now());
         // One empty report follows the last one that was not, so that the others stop counting it.
         if has_any || had_any || !usages.is_empty() {
             report_own(&state, &socket, &usages);
@@ -44,11 +44,11 @@
     }
 }
 
-/// What this node told last of the organisations' requests at other nodes.
+/// What this node reported last of the organisations' requests at other nodes.
 #[derive(Debug, Default)]
 struct Sums {
-    for_far: teller::Teller,
-    for_rest: teller::Teller,
+    for_far: reporter::Reporter,
+    for_rest: reporter::Reporter,
 }
 
 /// Reports this node's load to those of its region that callers use, and to its representatives; a representative
@@ -91,8 +91,8 @@
     let rest_load = dispatcher.peer_load(of_rest, now);
     let far_load = dispatcher.peer_load(of_far, now);
     let quotas = state.quotas.borrow();
-    let rest_usages = quotas.tell_sum(of_rest, &mut sums.for_far, now);
-    let far_usages = quotas.tell_sum(of_far, &mut sums.for_rest, now);
+    let rest_usages = quotas.report_sum(of_rest, &mut sums.for_far, now);
+    let far_usages = quotas.report_sum(of_far, &mut sums.for_rest, now);
     let region = me.region.as_str();
     let for_far = id::Node::new(&format!("{SUM_MARK}{region}"));
     let for_far = encode(&for_far, &rest_load, &rest_usages);
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -82,10 +82,7 @@
         organisation,
         homes: &homes,
     };
-    let mut tries = tries::Tries::new(server, request);
-    let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
-    let outcome = outcome.unwrap_or_else(|_| Err(tries.expire()));
-    trace.set_tries(tries.ended(), tries.refusal());
+    let outcome = send(server, request, trace).await;
     if let (Err(reason), Some(organisation)) = (&outcome, organisation)
         && reason.is_proved_not_run()
     {
@@ -94,6 +91,20 @@
     outcome.map_err(answer::Reason::GivenUp)
 }
 
+/// Sends a request to upstreams until one answers or its deadline passes.
+async fn send(
+    server: &server::Server,
+    request: tries::Request<'_>,
+    trace: &mut trace::Trace,
+) -> Result<Response<body::Body>, give_up::Reason> {
+    let deadline = request.deadline;
+    let mut tries = tries::Tries::new(server, request);
+    let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
+    let outcome = outcome.unwrap_or_else(|_| Err(tries.expire()));
+    trace.set_tries(tries.ended(), tries.refusal());
+    outcome
+}
+
 /// Returns the organisation that sends a request; none where its route or the whole configuration wants none.
 ///
 /// A public route takes any key, or none, and does not look at it: its requests are of no organisation.
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -16,9 +16,9 @@
 use steer::dispatch::execution;
 use steer::dispatch::give_up;
 use steer::dispatch::outcome;
-use steer::dispatch::priority;
 use steer::dispatch::refusal;
 use steer::dispatch::retry;
+use steer::dispatch::urgency;
 
 use crate::common::body;
 use crate::gateway::proxy::attempt;
@@ -124,7 +124,7 @@
             key: self.request.head.object.unwrap_or_else(|| self.request.head.spread()),
             deadline: self.request.deadline,
             homes: self.request.homes,
-            urgency: priority::Urgency::of(self.request.route, self.request.organisation),
+            urgency: urgency::Urgency::of(self.request.route, self.request.organisation),
         };
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         self.progress.choose(request, &mut dispatcher, Instant::now())
--- a/crates/node/src/owner/callers/server.rs
+++ b/crates/node/src/owner/callers/server.rs
@@ -32,6 +32,7 @@
 use crate::owner::runner;
 use crate::owner::settings;
 use crate::owner::stats;
+use crate::owner::view;
 
 /// Requests that one HTTP/2 connection may have open. Not measured.
 const STREAMS: u32 = 256;
@@ -162,18 +163,7 @@
         let host = parts.uri.authority().map(|a| a.as_str().to_owned());
         let host = host.or_else(|| text(&parts.headers, &header::HOST));
         let view = self.handle.view();
-        if !view.is_ready {
-            let failure = verdict::Failure::not_run(verdict::Reason::NotReady);
-            return Err(failure.after(NOT_READY_RETRY));
-        }
-        // Serving them without a look at their keys would let anybody in.
-        if !view.config.snapshot.organisations.is_empty() {
-            return Err(verdict::Failure::not_run(verdict::Reason::KeysNotChecked));
-        }
-        let service = host.as_deref().and_then(|host| view.config.service_of(host));
-        let Some(service) = service.map(sync::Arc::clone) else {
-            return Err(verdict::Failure::not_run(verdict::Reason::UnknownHost));
-        };
+        let service = service(&view, host.as_deref())?;
         let allowed = match head::number(&parts.headers, &head::TIMEOUT) {
             head::Number::Absent => service.deadline,
             head::Number::Given(millis) => Duration::from_millis(millis).min(service.deadline),
@@ -238,6 +228,24 @@
     }
 }
 
+/// Returns the service of a host, as far as this node may serve it now.
+fn service(
+    view: &view::View,
+    host: Option<&str>,
+) -> Result<sync::Arc<service::Service>, verdict::Failure> {
+    if !view.is_ready {
+        let failure = verdict::Failure::not_run(verdict::Reason::NotReady);
+        return Err(failure.after(NOT_READY_RETRY));
+    }
+    // Serving callers without a look at their keys would let anybody in.
+    if !view.config.snapshot.organisations.is_empty() {
+        return Err(verdict::Failure::not_run(verdict::Reason::KeysNotChecked));
+    }
+    let service = host.and_then(|host| view.config.service_of(host));
+    let unknown = verdict::Failure::not_run(verdict::Reason::UnknownHost);
+    service.map(sync::Arc::clone).ok_or(unknown)
+}
+
 fn text(headers: &http::HeaderMap, name: &http::HeaderName) -> Option<String> {
     headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned)
 }
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -5,7 +5,8 @@
 //! that is not overloaded. [`dispatcher`] owns the state, with the upstreams in an [`index`]; each rule stands in a module
 //! of its own.
 //!
-//! In the order in which a request meets them: [`route`] (which service), [`region`] (which region),
+//! In the order in which a request meets them: [`homes`] (which regions may serve it), [`quota`] (whether its
+//! organisation may send it), [`route`] (which service), [`region`] (which region),
 //! [`eligibility`] (which upstreams may take it), [`preference`], [`selection`] and [`affinity`] (which one is best),
 //! [`overflow`] (whether it leaves its region), [`admission`] (whether it may wait), [`retry`] and
 //! [`retry_budget`] (whether it is sent again), [`give_up`] (what its caller is answered).
@@ -54,4 +55,5 @@
 pub mod stop;
 pub mod tried;
 pub mod upstream;
+pub mod urgency;
 pub mod work_time;
--- a/crates/steer/src/dispatch/priority.rs
+++ b/crates/steer/src/dispatch/priority.rs
@@ -13,11 +13,11 @@
 
 use model::id;
 use model::organisation;
-use model::route;
 use model::routing;
 
 use crate::dispatch::request;
 use crate::dispatch::seconds;
+use crate::dispatch::urgency;
 
 /// Longest wait of a less urgent request, as a part of the shortest target latency of more urgent routes.
 ///
@@ -41,21 +41,6 @@
 /// Weight of one request in the shares that were admitted. Not measured; fifty requests make up most of a share.
 const REQUEST_WEIGHT: f64 = 0.02;
 
-/// How urgent a request is by its organisation, and among those of equal ones by its route; 0 is the most urgent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Urgency {
-    organisation: u32,
-    route: u32,
-}
-
-impl Urgency {
-    /// Returns the urgency of a request of `route`; requests of no organisation count as of the most urgent one.
-    #[must_use]
-    pub fn of(route: &route::Route, organisation: Option<&organisation::Organisation>) -> Self {
-        Self { organisation: organisation.map_or(0, |o| o.priority), route: route.priority }
-    }
-}
-
 /// How urgent a request is among those of its service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Rank {
@@ -70,18 +55,18 @@
     },
 }
 
-/// Urgency of the requests of one service.
+/// urgency::Urgency of the requests of one service.
 #[derive(Clone, Debug, Default)]
 struct Service {
     /// Shortest target latency by urgency.
-    targets: collections::BTreeMap<Urgency, f64>,
+    targets: collections::BTreeMap<urgency::Urgency, f64>,
     /// Share of requests that was admitted lately, by urgency.
-    admitted: collections::BTreeMap<Urgency, f64>,
+    admitted: collections::BTreeMap<urgency::Urgency, f64>,
     /// The same of all requests.
     admitted_of_all: Option<f64>,
 }
 
-/// Urgency of the requests of each service that requests of several urgencies use.
+/// urgency::Urgency of the requests of each service that requests of several urgencies use.
 #[derive(Clone, Debug, Default)]
 pub struct Priorities {
     services: collections::BTreeMap<id::Service, Service>,
@@ -97,7 +82,8 @@
             for part in route.parts.iter().filter(|part| part.weight > 0) {
                 let service = self.services.entry(part.service.clone()).or_default();
                 for organisation in &ranks {
-                    let urgency = Urgency { organisation: *organisation, route: route.priority };
+                    let urgency =
+                        urgency::Urgency { organisation: *organisation, route: route.priority };
                     let shortest = service.targets.entry(urgency).or_insert(f64::INFINITY);
                     *shortest = shortest.min(target);
                 }
@@ -113,7 +99,7 @@
     }
 
     /// Records whether a request was admitted.
-    pub fn record(&mut self, service: &id::Service, urgency: Urgency, is_admitted: bool) {
+    pub fn record(&mut self, service: &id::Service, urgency: urgency::Urgency, is_admitted: bool) {
         let Some(service) = self.services.get_mut(service) else { return };
         let value = f64::from(u8::from(is_admitted));
         let of_urgency = service.admitted.entry(urgency).or_insert(value);
@@ -138,9 +124,9 @@
 impl Service {
     /// Returns the shortest target latency of the requests for which those of `urgency` leave room; none when they need
     /// not.
-    fn urgent_target(&self, urgency: Urgency) -> Option<f64> {
+    fn urgent_target(&self, urgency: urgency::Urgency) -> Option<f64> {
         let urgent = self.targets.range(..urgency);
-        let waits = |other: &Urgency| {
+        let waits = |other: &urgency::Urgency| {
             other.organisation == urgency.organisation || self.is_contended(*other)
         };
         urgent.filter(|(other, _)| waits(other)).map(|(_, target)| *target).reduce(f64::min)
@@ -148,18 +134,18 @@
 
     /// Returns whether requests of the same organisations on less urgent routes use the service too, or those of less
     /// urgent organisations leave room.
-    fn has_less_urgent(&self, urgency: Urgency) -> bool {
+    fn has_less_urgent(&self, urgency: urgency::Urgency) -> bool {
         let mut less_urgent = self.targets.keys().filter(|other| **other > urgency);
         let is_contended = self.is_contended(urgency);
         less_urgent.any(|other| other.organisation == urgency.organisation || is_contended)
     }
 
     /// Returns whether requests of `urgency` were refused lately, so that those of less urgent organisations leave room.
-    fn is_contended(&self, urgency: Urgency) -> bool {
+    fn is_contended(&self, urgency: urgency::Urgency) -> bool {
         self.admitted.get(&urgency).is_some_and(|admitted| *admitted < CONTENDED_SHARE)
     }
 
-    fn is_starved(&self, urgency: Urgency) -> bool {
+    fn is_starved(&self, urgency: urgency::Urgency) -> bool {
         match (self.admitted.get(&urgency), self.admitted_of_all) {
             (Some(own), Some(all)) => *own < all * LEAST_SHARE,
             _ => false,
--- a/crates/steer/src/dispatch/quota/bucket.rs
+++ b/crates/steer/src/dispatch/quota/bucket.rs
@@ -1,7 +1,7 @@
 //! Bucket: what a node may still admit of an organisation.
 //!
 //! Goes below zero by what is admitted while the organisation seems to stay below its limit, so that what a burst gets
-//! before the nodes have heard of it is taken from what it gets afterwards. A node's part may be far less than one request
+//! before the nodes know of it is taken from what it gets afterwards. A node's part may be far less than one request
 //! a second; a request is then admitted by chance, so that many such parts still sum to the limit.
 
 use std::time::{Duration, Instant};
--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -1,10 +1,10 @@
 //! Quota: how many requests of an organisation a node admits, so that the fleet stays within the organisation's limit.
 //!
-//! Nodes share no counter. Each tells the others, with its loads, how many requests each organisation near its limit
+//! Nodes share no counter. Each reports to the others, with its loads, how many requests each organisation near its limit
 //! asks of it ([`usage`]). An organisation whose requests together stay below its limit is never refused. Above it, each
 //! node admits the part of its requests by which the whole exceeds the limit, and keeps a [`bucket`] that fills at the
 //! node's [`part`] of the limit, so that the parts sum to the limit however late reports are. What was admitted before the
-//! others were heard is a debt of the bucket. A node that cannot hear others keeps to the part of the limit that its part of all admitted requests makes,
+//! others were reached is a debt of the bucket. A node that cannot reach others keeps to the part of the limit that its part of all admitted requests makes,
 //! and the others leave that to it.
 //!
 //! Owns the accounts of the organisations that have a limit. Reads no clock; the present is passed in.
@@ -12,8 +12,8 @@
 pub mod bucket;
 pub mod part;
 pub mod rate;
+pub mod reporter;
 pub mod reports;
-pub mod teller;
 pub mod usage;
 
 use std::collections;
@@ -28,7 +28,7 @@
 
 /// Time for which an organisation counts as near its limit after a node said so.
 ///
-/// Not measured; some times the memory of [`rate::Rate`], so that one that hovers there is told all the while.
+/// Not measured; some times the memory of [`rate::Rate`], so that one that hovers there is reported all the while.
 const NEAR_TIME: Duration = Duration::from_secs(3);
 
 /// Part of its share of a limit that a node is asked for from which it says that the organisation is near its limit.
@@ -41,8 +41,9 @@
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
 /// One organisation with a limit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Account {
+    name: id::Organisation,
     quota: organisation::Quota,
     asked: rate::Rate,
     bucket: bucket::Bucket,
@@ -56,7 +57,7 @@
     all: rate::Rate,
     reports: reports::Reports,
     near: collections::BTreeMap<Key, Instant>,
-    teller: teller::Teller,
+    reporter: reporter::Reporter,
     slack: f64,
     seed: u64,
     others: usize,
@@ -73,7 +74,7 @@
             all: rate::Rate::new(now),
             reports: reports::Reports::default(),
             near: collections::BTreeMap::new(),
-            teller: teller::Teller::default(),
+            reporter: reporter::Reporter::default(),
             slack,
             seed: xxh3::xxh3_64(node.as_str().as_bytes()),
             others: 0,
@@ -91,6 +92,7 @@
             let account = match before.remove(&key) {
                 Some(known) => Account { quota, ..known },
                 None => Account {
+                    name: organisation.name.clone(),
                     quota,
                     asked: rate::Rate::new(now),
                     bucket: bucket::Bucket::new(self.seed ^ u64::from(key.0), now),
@@ -154,10 +156,10 @@
     /// Fills the bucket of an organisation up to `now`; returns this node's part of its limit.
     fn advance(&mut self, key: Key, standing: part::Standing, now: Instant) -> Option<part::Part> {
         let account = self.accounts.get_mut(&key)?;
-        let told = self.teller.told(key).unwrap_or_else(|| account.asked.get(now));
+        let reported = self.reporter.reported(key).unwrap_or_else(|| account.asked.get(now));
         let others = self.reports.sum(key, now);
         let part = part::Part {
-            share: others.map_or(standing.own_part(), |others| part::share(told, others)),
+            share: others.map_or(standing.own_part(), |others| part::share(reported, others)),
             limit: account.quota.rate * standing.limit_part(),
             burst: account.quota.burst * standing.limit_part(),
             slack: self.slack * standing.own_part(),
@@ -173,55 +175,55 @@
         }
     }
 
-    /// Returns what this node has to tell the others now; none of it is told again before it changes or ages.
-    pub fn tell(&mut self, now: Instant) -> Vec<Usage> {
+    /// Returns what this node has to report to the others now; none of it is reported again before it changes or ages.
+    pub fn report(&mut self, now: Instant) -> Vec<Usage> {
         self.near.retain(|_, at| now.saturating_duration_since(*at) < NEAR_TIME);
         let mut usages = Vec::new();
         if !self.is_used() {
             return usages;
         }
         let all = Usage { key: Key::ALL, rate: self.all.get(now), is_near: false };
-        usages.extend(self.teller.tell(all, f64::INFINITY, now));
-        let heard = self.reports.near(now, NEAR_TIME);
-        let keys: collections::BTreeSet<Key> = self.near.keys().copied().chain(heard).collect();
+        usages.extend(self.reporter.report(all, f64::INFINITY, now));
+        let reached = self.reports.near(now, NEAR_TIME);
+        let keys: collections::BTreeSet<Key> = self.near.keys().copied().chain(reached).collect();
         let standing = self.standing(now);
         for key in keys {
-            // Up to here the bucket filled by what was told before.
+            // Up to here the bucket filled by what was reported before.
             self.advance(key, standing, now);
             let Some(account) = self.accounts.get(&key) else { continue };
             let is_near = self.near.contains_key(&key);
             let usage = Usage { key, rate: account.asked.get(now), is_near };
-            usages.extend(self.teller.tell(usage, account.quota.rate, now));
+            usages.extend(self.reporter.report(usage, account.quota.rate, now));
         }
         usages
     }
 
-    /// Returns what the `wanted` nodes told together, as far as `teller` has not told it yet.
-    pub fn tell_sum(
+    /// Returns what the `wanted` nodes reported together, as far as `reporter` has not reported it yet.
+    pub fn report_sum(
         &self,
         wanted: impl Fn(&id::Node) -> bool,
-        teller: &mut teller::Teller,
+        reporter: &mut reporter::Reporter,
         now: Instant,
     ) -> Vec<Usage> {
         let limit = |key| self.accounts.get(&key).map_or(f64::INFINITY, |a| a.quota.rate);
         let sums = self.reports.sums(wanted, now).into_iter();
-        sums.filter_map(|usage| teller.tell(usage, limit(usage.key), now)).collect()
+        sums.filter_map(|usage| reporter.report(usage, limit(usage.key), now)).collect()
     }
 
-    /// Records what another node told.
+    /// Records what another node reported.
     pub fn receive(&mut self, node: &id::Node, usages: &[Usage], now: Instant) {
         self.reports.record(node, usages, now);
     }
 
-    /// Drops reports that no longer count, and forgets what was told before them.
+    /// Drops reports that no longer count, and forgets what was reported before them.
     pub fn tick(&mut self, now: Instant) {
         self.reports.expire(now);
-        self.teller.expire(reports::FRESH, now);
+        self.reporter.expire(reports::FRESH, now);
     }
 
-    /// Returns the organisations that are near their limits, by their short names, for the dump.
-    pub fn near(&self) -> impl Iterator<Item = Key> {
-        self.near.keys().copied()
+    /// Returns the organisations that are near their limits by what is asked of this node, for the dump.
+    pub fn near(&self) -> impl Iterator<Item = &id::Organisation> {
+        self.near.keys().filter_map(|key| self.accounts.get(key)).map(|account| &account.name)
     }
 
     fn standing(&self, now: Instant) -> part::Standing {
@@ -232,7 +234,7 @@
             true => part::Standing::alone(self.others),
             false => part::Standing {
                 own: self.all.get(now),
-                heard: self.reports.sum(Key::ALL, now).unwrap_or_default(),
+                reached: self.reports.sum(Key::ALL, now).unwrap_or_default(),
                 silent: self.reports.silent(Key::ALL, now),
             },
         }
--- a/crates/steer/src/dispatch/quota/part.rs
+++ b/crates/steer/src/dispatch/quota/part.rs
@@ -1,6 +1,6 @@
 //! Part: how much of an organisation's limit is a node's.
 //!
-//! Owns nothing. Two questions: which part of the limit belongs to the nodes that hear each other ([`Standing`]), and
+//! Owns nothing. Two questions: which part of the limit belongs to the nodes that reach each other ([`Standing`]), and
 //! which part of that is this node's ([`share`]).
 
 /// Part of its part of a limit at which a node's bucket fills.
@@ -18,42 +18,42 @@
 pub struct Standing {
     /// Its own.
     pub own: f64,
-    /// Those of the nodes that it hears.
-    pub heard: f64,
-    /// Those that nodes last told which it hears no more.
+    /// Those of the nodes that it reaches.
+    pub reached: f64,
+    /// Those that nodes last reported which it no longer reaches.
     pub silent: f64,
 }
 
 impl Standing {
-    /// Returns the standing of a node that never heard any of `others`, which are listed.
+    /// Returns the standing of a node that never reached any of `others`, which are listed.
     #[must_use]
     pub fn alone(others: usize) -> Self {
         #[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
         let silent = others as f64;
-        Self { own: 1.0, heard: 0.0, silent }
+        Self { own: 1.0, reached: 0.0, silent }
     }
 
-    /// Returns the part of a limit that belongs to this node and those that it hears.
+    /// Returns the part of a limit that belongs to this node and those that it reaches.
     ///
     /// A silent node may be cut off and go on, so its part is left to it. Where it is dead, its callers come to the others,
     /// whose part grows with their requests.
     #[must_use]
     pub fn limit_part(&self) -> f64 {
-        let all = (self.own + self.heard + self.silent).max(LEAST);
+        let all = (self.own + self.reached + self.silent).max(LEAST);
         (1.0 - self.silent / all).max(LEAST)
     }
 
-    /// Returns this node's part among itself and those that it hears; the whole where nobody has requests.
+    /// Returns this node's part among itself and those that it reaches; the whole where nobody has requests.
     #[must_use]
     pub fn own_part(&self) -> f64 {
-        match self.own + self.heard {
+        match self.own + self.reached {
             reached if reached > LEAST => (self.own / reached).max(LEAST),
             _ => 1.0,
         }
     }
 }
 
-/// Returns the part of a limit whose organisation asks `own` of this node and `others` of those that it hears.
+/// Returns the part of a limit whose organisation asks `own` of this node and `others` of those that it reaches.
 #[must_use]
 pub fn share(own: f64, others: f64) -> f64 {
     match own + others {
@@ -67,7 +67,7 @@
 pub struct Part {
     /// Its share of what the organisation asks.
     pub share: f64,
-    /// Requests a second that the nodes which hear each other may admit.
+    /// Requests a second that the nodes which reach each other may admit.
     pub limit: f64,
     /// Requests beside those after a pause.
     pub burst: f64,
--- a/crates/steer/src/dispatch/quota/reports.rs
+++ b/crates/steer/src/dispatch/quota/reports.rs
@@ -1,7 +1,7 @@
-//! Reports: what other nodes told of the organisations' requests.
+//! Reports: what other nodes reported of the organisations' requests.
 //!
-//! Owns the latest usage of each node and organisation. One that was not told again counts no more after [`FRESH`]; of the
-//! requests of all organisations it is remembered for [`REMEMBERED`], since a node that fell silent may go on.
+//! Owns the latest usage of each node and organisation. One that was not reported again counts no more after [`FRESH`]; of the
+//! requests of all organisations it is remembered for some seconds more, since a node that fell silent may go on.
 
 use std::collections;
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 /// Not measured; longer than a node that is cut off keeps its lease and its callers their look-ups.
 const REMEMBERED: Duration = Duration::from_secs(15);
 
-/// A usage with when it was told.
+/// A usage with when it was reported.
 #[derive(Clone, Copy, Debug)]
 struct Report {
     usage: Usage,
@@ -31,14 +31,14 @@
     }
 }
 
-/// The latest usages that other nodes told.
+/// The latest usages that other nodes reported.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
     by_key: collections::HashMap<Key, collections::BTreeMap<id::Node, Report>>,
 }
 
 impl Reports {
-    /// Records what a node told.
+    /// Records what a node reported.
     pub fn record(&mut self, node: &id::Node, usages: &[Usage], now: Instant) {
         for usage in usages {
             let of_key = self.by_key.entry(usage.key).or_default();
@@ -46,20 +46,20 @@
         }
     }
 
-    /// Returns whether no node told anything lately.
+    /// Returns whether no node reported anything lately.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.by_key.is_empty()
     }
 
-    /// Returns what is asked of the nodes that are heard; none when none of them told.
+    /// Returns what is asked of the nodes that are reached; none when none of them reported.
     #[must_use]
     pub fn sum(&self, key: Key, now: Instant) -> Option<f64> {
         let fresh = self.of(key).filter(|report| report.is_fresh(now));
         fresh.map(|report| report.usage.rate).reduce(|sum, rate| sum + rate)
     }
 
-    /// Returns what was asked last of the nodes that are heard no more.
+    /// Returns what was asked last of the nodes that are no longer reached.
     #[must_use]
     pub fn silent(&self, key: Key, now: Instant) -> f64 {
         self.of(key).filter(|report| !report.is_fresh(now)).map(|report| report.usage.rate).sum()
@@ -75,7 +75,7 @@
         near.map(|(key, _)| *key).collect()
     }
 
-    /// Returns what the `wanted` nodes told together.
+    /// Returns what the `wanted` nodes reported together.
     pub fn sums(&self, wanted: impl Fn(&id::Node) -> bool, now: Instant) -> Vec<Usage> {
         let sum = |(key, of_key): (&Key, &collections::BTreeMap<id::Node, Report>)| {
             let reports = of_key.iter().filter(|(node, r)| r.is_fresh(now) && wanted(node));
--- a/crates/steer/src/dispatch/quota/usage.rs
+++ b/crates/steer/src/dispatch/quota/usage.rs
@@ -1,4 +1,4 @@
-//! Usage: how many requests an organisation asks of a node, as nodes tell it to each other.
+//! Usage: how many requests an organisation asks of a node, as nodes report it to each other.
 
 use model::id;
 use xxhash_rust::xxh3;
@@ -28,6 +28,6 @@
     pub key: Key,
     /// Requests a second.
     pub rate: f64,
-    /// Whether that is so much that the others should tell theirs.
+    /// Whether that is so much that the others should report theirs.
     pub is_near: bool,
 }
--- a/crates/steer/src/dispatch/request.rs
+++ b/crates/steer/src/dispatch/request.rs
@@ -7,7 +7,7 @@
 use model::id;
 use model::route;
 
-use crate::dispatch::priority;
+use crate::dispatch::urgency;
 
 /// A request that needs an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -25,7 +25,7 @@
     /// Regions that may serve it; all when empty.
     pub homes: &'a [id::Region],
     /// How urgent it is.
-    pub urgency: priority::Urgency,
+    pub urgency: urgency::Urgency,
 }
 
 impl Request<'_> {
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -17,10 +17,10 @@
 
 use crate::dispatch::dispatcher;
 use crate::dispatch::give_up;
-use crate::dispatch::priority;
 use crate::dispatch::refusal;
 use crate::dispatch::request;
 use crate::dispatch::seen_objects;
+use crate::dispatch::urgency;
 
 pub use crate::dispatch::tried::{End, Outcome, Try};
 
@@ -57,7 +57,7 @@
     /// Regions that may serve it; all when empty.
     pub homes: &'a [id::Region],
     /// How urgent it is.
-    pub urgency: priority::Urgency,
+    pub urgency: urgency::Urgency,
 }
 
 /// The upstream chosen for a try.
