--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -1,8 +1,9 @@
 //! Load reports: datagrams by which nodes report their requests in flight, and what organisations ask, to each other.
 //!
-//! Owns the datagram's parts. Relies on [`steer::dispatch::fleet`] for the period and for who reports
-//! to whom, on the dispatcher for the counts, and on the quotas for what organisations ask. Reports go to the nodes that callers use and to representatives only:
-//! in a region of a hundred the others would read over a hundred of them a second for nothing.
+//! Owns what is reported, and to whom; the datagram's form stands in [`load_report`]. Relies on [`steer::dispatch::fleet`]
+//! for the period and for who reports to whom, on the dispatcher for the counts, and on the quotas for what organisations
+//! ask. Reports go to the nodes that callers use and to representatives only: in a region of a hundred the others would
+//! read over a hundred of them a second for nothing.
 
 use std::collections;
 use std::net;
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -1,7 +1,7 @@
 //! Trace of one request: what is logged and counted when it ends.
 //!
 //! Owns the text of the lines `request-failed`, `request-retried` and `request-abandoned`, whose keys
-//! docs/OPERATIONS.md lists. Relies on the handler to record each step as it is known.
+//! docs/OPERATING-GATEWAYS.md lists. Relies on the handler to record each step as it is known.
 
 use std::fmt::Write as _;
 use std::rc;
--- a/crates/steer/src/dispatch/priority.rs
+++ b/crates/steer/src/dispatch/priority.rs
@@ -34,8 +34,8 @@
 /// Share admitted of an organisation's requests below which less urgent organisations leave room for them.
 ///
 /// Where nobody urgent is refused, a bound on the others' wait refuses them for nothing: with the bound in force always,
-/// organisations of several priorities were refused 7.9 % of their requests in place of 5.5 %, and earned 0.60 of their
-/// credit in place of 0.65 (docs/design/shifted-work.md, row "organisations wait by contention").
+/// organisations of several priorities were refused 7.9 % of their requests in place of 6.3 %, and earned 0.60 of their
+/// credit in place of 0.63 (docs/design/shifted-work.md, row "organisations wait by contention").
 const CONTENDED_SHARE: f64 = 0.9;
 
 /// Weight of one request in the shares that were admitted. Not measured; fifty requests make up most of a share.
--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -1,11 +1,11 @@
 //! Quota: how many requests of an organisation a node admits, so that the fleet stays within the organisation's limit.
 //!
 //! Nodes share no counter. Each reports to the others, with its loads, how many requests each organisation near its limit
-//! asks of it ([`usage`]). An organisation whose requests together stay below its limit is never refused. Above it, each
-//! node admits the part of its requests by which the whole exceeds the limit, and keeps a [`bucket`] that fills at the
-//! node's [`part`] of the limit, so that the parts sum to the limit however late reports are. What was admitted before the
-//! others were reached is a debt of the bucket. A node that cannot reach others keeps to the part of the limit that its part of all admitted requests makes,
-//! and the others leave that to it.
+//! asks of it ([`usage`]). An organisation whose requests together stay below its limit is never refused. Above it, a node
+//! admits the same part of its requests as all others do, and keeps a [`bucket`] that fills at the node's [`part`] of the
+//! limit, so that the parts sum to the limit however late reports are. What was admitted before the reports of a sudden load
+//! arrived is a debt of the bucket. A node that cannot reach others keeps to the part of the limit that its part of all
+//! admitted requests makes, and the others leave that to it.
 //!
 //! Owns the accounts of the organisations that have a limit. Reads no clock; the present is passed in.
 
--- a/crates/steer/src/dispatch/quota/part.rs
+++ b/crates/steer/src/dispatch/quota/part.rs
@@ -5,8 +5,8 @@
 
 /// Part of its part of a limit at which a node's bucket fills.
 ///
-/// What is asked of the others is known late, so that the parts sum to a little more than the limit now and then.
-/// With 0.97, 75 nodes of which 22 start again every second admitted 681 requests in a window where a limit of 100 a second
+/// What is asked of the others is known late, so that the parts sum to a little more than the limit now and then. With
+/// 0.97, 75 nodes of which 22 start again every second admitted 681 requests in a window where a limit of 100 a second
 /// grants 680 (`steer/tests/quota`).
 const FILLED: f64 = 0.95;
 
--- a/crates/steer/src/dispatch/quota/usage.rs
+++ b/crates/steer/src/dispatch/quota/usage.rs
@@ -4,6 +4,9 @@
 use xxhash_rust::xxh3;
 
 /// Short name of an organisation in the gossip between nodes.
+///
+/// Of 10,000 organisations two share one with a probability of about 1 %, by the length of the hash; both are then held
+/// to the limit of one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(pub u32);
 
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -1,6 +1,6 @@
 //! Refusal: why the dispatcher finds no upstream for a request, with what decided that.
 //!
-//! Owns the text of the log key `inputs`, which docs/OPERATIONS.md explains. Made by [`eligibility`] and
+//! Owns the text of the log key `inputs`, which docs/OPERATING-GATEWAYS.md explains. Made by [`eligibility`] and
 //! [`admission`].
 //!
 //! [`admission`]: crate::dispatch::admission
