--- a/crates/steer/tests/dispatch.rs
+++ b/crates/steer/tests/dispatch.rs
@@ -546,3 +546,26 @@
     let refused = choose(&mut dispatcher, &route(&[]), 1, over);
     assert!(matches!(refused, Err(refusal::Refusal::NoUpstream(_))), "{refused:?}");
 }
+
+#[test]
+fn an_upstream_that_starts_again_under_its_name_has_nothing_of_before() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher("n");
+    let first = discovery::Entry { born: 1, ..entry("i-0", "n-1") };
+    let again = discovery::Entry { born: 2, ..first.clone() };
+    set(&mut dispatcher, std::slice::from_ref(&first), now);
+    dispatcher.sent(&first.id, true, now);
+    dispatcher.sent(&first.id, true, now);
+    dispatcher.ended(&first, outcome::Outcome::NotSent, Duration::ZERO, now);
+    assert!(dispatcher.upstreams().all(|u| u.health.is_ejected(now)));
+    set(&mut dispatcher, std::slice::from_ref(&again), now);
+    assert!(dispatcher.in_flight().is_empty());
+    assert!(dispatcher.upstreams().all(|u| !u.health.is_ejected(now)));
+    // What was in flight there ends afterwards, and is not taken for a request of the new one.
+    dispatcher.sent(&again.id, true, now);
+    dispatcher.ended(&first, outcome::Outcome::NotSent, Duration::ZERO, now);
+    assert_eq!(dispatcher.in_flight().len(), 1);
+    assert!(dispatcher.upstreams().all(|u| !u.health.is_ejected(now)));
+    dispatcher.ended(&again, answered(), Duration::from_millis(1), now);
+    assert!(dispatcher.in_flight().is_empty());
+}
