--- a/crates/steer/tests/quota/main.rs
+++ b/crates/steer/tests/quota/main.rs
@@ -148,7 +148,7 @@
     quickcheck::QuickCheck::new().tests(CASES).quickcheck(holds as fn(u8, u8, u8, u8, u64) -> bool);
 }
 
-/// A drawn fleet that failed: five nodes, a limit of 198 a second, 2.7 times as hot, one node cut off.
+/// A drawn fleet that failed: five nodes, a limit of 198 a second, 2.7 times as hot, two nodes cut off.
 #[test]
 fn the_limit_holds_in_a_fleet_that_failed_once() {
     assert!(holds(27, 98, 17, 247, 4_258_930_670_838_585_197));
