Quota: a node that reaches nobody takes its part of the slack, not all of it

Cause of the known red the_limit_holds (27 98 17 247 : five nodes, limit 198 a second, 2.7 times as hot, two nodes cut off): the slack, which a deployment grants once over the fleet, was divided by a node's part among the nodes that it reaches. A node that reaches nobody is the whole of those, so each of the two took all 20 requests, and the other three 20 together.

Ruled out: the load alone (without the cut 1,228 of the 1,326 granted in 5 s), and the limit and the burst, which were already taken by the part of the nodes that reach each other.

--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -162,7 +162,7 @@
             share: others.map_or(standing.own_part(), |others| part::share(reported, others)),
             limit: account.quota.rate * standing.limit_part(),
             burst: account.quota.burst * standing.limit_part(),
-            slack: self.slack * standing.own_part(),
+            slack: self.slack * standing.limit_part() * standing.own_part(),
         };
         account.bucket.advance(part.refill(), part.capacity(), now);
         Some(part)
