Quota: the part of a node that is cut off does not grow with a sudden load

Cause: a node that reaches nobody divided its own present requests by those that the others reported last. A sudden load of one organisation raised its own, so its part of the limit.

Now a node that knows no way to the store keeps the part that it had when all were reached. The others' part still grows by the callers of nodes that died.

--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -80,6 +80,10 @@
         }
         let others = members.count();
         self.dispatcher.borrow_mut().set_nodes(owners, others + 1, now);
-        self.quotas.borrow_mut().set_others(others);
+        drop(members);
+        let is_store_known = self.is_store_known();
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.set_others(others);
+        quotas.set_store_known(is_store_known);
     }
 }
--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -61,6 +61,9 @@
     slack: f64,
     seed: u64,
     others: usize,
+    is_store_known: bool,
+    /// Requests of the whole fleet when all of its nodes were reached last.
+    whole: Option<f64>,
     started: Instant,
 }
 
@@ -78,6 +81,8 @@
             slack,
             seed: xxh3::xxh3_64(node.as_str().as_bytes()),
             others: 0,
+            is_store_known: true,
+            whole: None,
             started: now,
         }
     }
@@ -114,6 +119,11 @@
         self.others = others;
     }
 
+    /// Sets whether this node, or one that it reaches, reaches the store; one that does not is cut off itself.
+    pub fn set_store_known(&mut self, is_known: bool) {
+        self.is_store_known = is_known;
+    }
+
     /// Takes a request of an organisation.
     ///
     /// # Errors
@@ -219,6 +229,10 @@
     pub fn tick(&mut self, now: Instant) {
         self.reports.expire(now);
         self.reporter.expire(reports::FRESH, now);
+        if self.reports.silent(Key::ALL, now) <= 0.0 {
+            let reached = self.reports.sum(Key::ALL, now);
+            self.whole = reached.map(|reached| reached + self.all.get(now));
+        }
     }
 
     /// Returns the organisations that are near their limits by what is asked of this node, for the dump.
@@ -236,6 +250,7 @@
                 own: self.all.get(now),
                 reached: self.reports.sum(Key::ALL, now).unwrap_or_default(),
                 silent: self.reports.silent(Key::ALL, now),
+                whole: self.whole.filter(|_| !self.is_store_known),
             },
         }
     }
--- a/crates/steer/src/dispatch/quota/part.rs
+++ b/crates/steer/src/dispatch/quota/part.rs
@@ -22,6 +22,8 @@
     pub reached: f64,
     /// Those that nodes last reported which it no longer reaches.
     pub silent: f64,
+    /// Those of the whole fleet when all were reached last, where the node is the one that is cut off.
+    pub whole: Option<f64>,
 }
 
 impl Standing {
@@ -30,16 +32,18 @@
     pub fn alone(others: usize) -> Self {
         #[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
         let silent = others as f64;
-        Self { own: 1.0, reached: 0.0, silent }
+        Self { own: 1.0, reached: 0.0, silent, whole: None }
     }
 
     /// Returns the part of a limit that belongs to this node and those that it reaches.
     ///
     /// A silent node may be cut off and go on, so its part is left to it. Where it is dead, its callers come to the others,
-    /// whose part grows with their requests.
+    /// whose part grows with their requests. A node that is cut off itself gets no callers of others, so what comes more is
+    /// a load that the others see too, and its part stays.
     #[must_use]
     pub fn limit_part(&self) -> f64 {
-        let all = (self.own + self.reached + self.silent).max(LEAST);
+        let now = self.own + self.reached + self.silent;
+        let all = self.whole.unwrap_or(now).max(LEAST);
         (1.0 - self.silent / all).max(LEAST)
     }
 
--- a/crates/steer/tests/quota/fleet.rs
+++ b/crates/steer/tests/quota/fleet.rs
@@ -282,6 +282,7 @@
                 continue;
             }
             let is_cut = trouble.is_cut(from, self.nodes, time);
+            accounts[from].set_store_known(!is_cut);
             accounts[from].tick(now);
             let usages = sync::Arc::new(accounts[from].report(now));
             for to in (0..self.nodes).filter(|to| *to != from && !usages.is_empty()) {
