--- /dev/null
+++ b/crates/steer/tests/dispatch/main.rs
@@ -0,0 +1,8 @@
+//! Dispatch: which upstream takes a request, and what a node may never do.
+
+mod choice;
+mod entries;
+mod health;
+mod regions;
+mod setup;
+mod slow_start;
