--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -31,7 +31,7 @@
 /// Seeds of the long soak when nothing else is asked for.
 const LONG_SEEDS: u64 = 50;
 
-/// Seeds that failed once, each with its cause.
+/// Seeds that failed once, each with the soak that it failed in and its cause.
 const REGRESSIONS: &str = include_str!("seeds.txt");
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -43,12 +43,24 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn seeds_that_failed_once_keep_every_promise() {
-    let seeds = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
-    for seed in seeds.filter_map(|line| line.split_whitespace().next()?.parse().ok()) {
-        world::play(seed, SHORT).await;
+    for (seed, length) in regressions() {
+        world::play(seed, length).await;
     }
 }
 
+fn regressions() -> impl Iterator<Item = (u64, Duration)> {
+    let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
+    lines.map(|line| {
+        let mut words = line.split_whitespace();
+        let seed = words.next().and_then(|word| word.parse().ok()).expect("a seed");
+        match words.next() {
+            Some("short") => (seed, SHORT),
+            Some("long") => (seed, LONG),
+            _ => panic!("neither short nor long: {line}"),
+        }
+    })
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "takes ten minutes; run by hand with fresh seeds"]
 async fn a_long_soak_keeps_every_promise() {
--- a/crates/steer/tests/quota/main.rs
+++ b/crates/steer/tests/quota/main.rs
@@ -3,6 +3,7 @@
 //! Nodes are the real accounts; what they report to each other arrives late, and some of it not at all. The ways that were
 //! not taken stand beside them in [`ways`], so that a replay compares them on the same requests.
 
+mod drawn;
 mod fleet;
 mod ways;
 
@@ -79,7 +80,9 @@
 #[test]
 fn a_limit_that_falls_binds_within_a_window() {
     let mut fleet = Fleet::new(27, RATE, RATE);
-    fleet.lower_to = Some((Duration::from_secs(10), RATE / 4.0));
+    let (rate, burst) = (RATE / 4.0, RATE / 4.0);
+    let at = Duration::from_secs(10);
+    fleet.change = Some(fleet::Change { at, spread: Duration::ZERO, rate, burst });
     let played = fleet.play(&Load::steady(RATE / 1.6), &Trouble::none());
     let most = played.most_between(Duration::from_secs(12), Duration::from_secs(25), WINDOW);
     assert!(most <= bound(RATE / 4.0, RATE / 4.0), "{most}");
