--- a/crates/cli/tests/forms/main.rs
+++ b/crates/cli/tests/forms/main.rs
@@ -310,3 +310,27 @@
         assert!(output.stdout.is_empty() && !text(&output.stderr).contains("marked"), "{input:?}");
     }
 }
+
+/// `apply` ended with 0 when the change was accepted and not in force within `--wait`, so a script that went on did so too early.
+/// Seen by reading `wait_in_force`; no log shows it.
+#[test]
+fn a_change_that_is_not_in_force_in_time_ends_with_4() {
+    let files = Files::new();
+    let server = node_with(200, ACCEPTED);
+    let apply = ["apply", "-f", "place.yaml", "--operation", "op-1", "--wait", "1"];
+    let late = "warning: accepted, but not yet in force on: n-2, n-3\n";
+    files.run(server, &apply).code(4).stderr(late);
+    // Who does not wait does not ask.
+    let apply = ["apply", "-f", "place.yaml", "--operation", "op-1", "--wait", "0"];
+    files.run(server, &apply).code(0).stderr("");
+}
+
+/// `diff` took `--wait` and `--operation` and ignored both. Seen by reading `commands::apply::show`; no log shows it.
+#[test]
+fn diff_takes_no_arguments_that_only_a_change_has() {
+    let files = Files::new();
+    for more in [["--wait", "1"], ["--operation", "op-1"]] {
+        let diff = [&["diff", "-f", "place.yaml"], &more[..]].concat();
+        files.run(unreachable_address(), &diff).code(2).stderr(contains("unexpected argument"));
+    }
+}
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -135,3 +135,20 @@
         again != Some(false) && (bytes.first() == Some(&heartbeat::MARK) || datagram::read(&bytes).is_none())
     }
 }
+
+/// Sums of a region's loads went to a node of another region that was stopping, since a leaving node still counted as one of its
+/// representatives there, but not in its own region. Seen by reading `far_representatives`; no log shows it.
+#[test]
+fn a_leaving_node_represents_its_region_for_nobody() {
+    let now = Instant::now();
+    let mut members = members::Members::new(id::Region::new("north"));
+    let of_south: Vec<String> =
+        (0..=representatives::PER_REGION).map(|index| format!("s-{index}")).collect();
+    for (port, node) in (1_u16..).zip(&of_south) {
+        let member = far(node, "south", port);
+        members.record(member::Member { is_leaving: node == "s-0", ..member }, now);
+    }
+    let named: Vec<&str> =
+        members.far_representatives(now).iter().map(|member| member.node.as_str()).collect();
+    assert_eq!(named, &of_south[1..]);
+}
