Load reports: one of a node of an earlier version is read, as admitting all that is asked

Cause: a report without the three new lists counted as malformed, so while a fleet is rolled its nodes would not know each other's loads. Ruled out: counting it as admitting nothing, which lets new nodes admit what old ones take already.

--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -113,20 +113,31 @@
     }
 }
 
+/// Reads what organisations ask.
+///
+/// A node of an earlier version, as there are some while a fleet is rolled, does not say what it admits: it counts as admitting
+/// all that is asked, which errs toward refusals.
 fn read_usages(loads: &message::Loads) -> Result<Vec<usage::Usage>, Malformed> {
     let names = loads.organisations.len();
-    for figures in [&loads.asked, &loads.admitted, &loads.excess, &loads.debts] {
-        if figures.len() != names {
-            return Err(Malformed::Uneven(names, figures.len()));
-        }
+    let is_earlier = [&loads.admitted, &loads.excess, &loads.debts].iter().all(|l| l.is_empty());
+    let added = [&loads.admitted, &loads.excess, &loads.debts].into_iter().filter(|_| !is_earlier);
+    if let Some(uneven) = added.chain([&loads.asked]).find(|figures| figures.len() != names) {
+        return Err(Malformed::Uneven(names, uneven.len()));
     }
-    let usage = |index: usize| usage::Usage {
-        key: usage::Key(loads.organisations[index]),
-        asked: f64::from(loads.asked[index] / 2) / SCALE,
-        admitted: f64::from(loads.admitted[index]) / SCALE,
-        excess: f64::from(loads.excess[index]) / SCALE,
-        debt: f64::from(loads.debts[index]) / SCALE,
-        is_near: loads.asked[index] % 2 == 1,
+    let figure = |figures: &[u32], index: usize| f64::from(figures[index]) / SCALE;
+    let usage = |index: usize| {
+        let asked = f64::from(loads.asked[index] / 2) / SCALE;
+        let none = usage::Usage::none(usage::Key(loads.organisations[index]));
+        let usage = usage::Usage { asked, is_near: loads.asked[index] % 2 == 1, ..none };
+        match is_earlier {
+            true => usage::Usage { admitted: asked, ..usage },
+            false => usage::Usage {
+                admitted: figure(&loads.admitted, index),
+                excess: figure(&loads.excess, index),
+                debt: figure(&loads.debts, index),
+                ..usage
+            },
+        }
     };
     Ok((0..names).map(usage).collect())
 }
--- a/crates/node/tests/load_reports.rs
+++ b/crates/node/tests/load_reports.rs
@@ -1,9 +1,10 @@
 //! Load reports: long ones go into several datagrams, and nothing malformed is applied.
 
 use model::id;
-use node::gateway::loads;
+use node::gateway::{load_report, loads};
 use prost::Message as _;
 use steer::dispatch::peer_load;
+use steer::dispatch::quota::usage;
 use wire::gateway::loads as message;
 
 fn in_flight(count: u32) -> Vec<(peer_load::Key, u32)> {
@@ -35,3 +36,34 @@
         assert!(names[1..].iter().enumerate().all(|(n, name)| *name == format!("n-1#{}", n + 1)));
     }
 }
+
+fn usage(key: u32) -> usage::Usage {
+    usage::Usage {
+        asked: 12.5,
+        admitted: 7.25,
+        excess: 3.0,
+        debt: 40.5,
+        is_near: true,
+        ..usage::Usage::none(usage::Key(key))
+    }
+}
+
+#[test]
+fn what_organisations_ask_is_read_as_it_was_written() {
+    let sent = vec![usage(1), usage(7)];
+    let datagrams = loads::encode(&id::Node::new("n-1"), &[], &sent);
+    let report = load_report::Report::read(&datagrams[0][1..]).expect("a report");
+    assert_eq!(report.usages, sent);
+}
+
+#[test]
+fn a_node_of_an_earlier_version_counts_as_admitting_what_is_asked() {
+    let datagrams = loads::encode(&id::Node::new("n-1"), &[], &[usage(1)]);
+    let mut loads = message::Loads::decode(&datagrams[0][1..]).expect("a report");
+    (loads.admitted, loads.excess, loads.debts) = (Vec::new(), Vec::new(), Vec::new());
+    let report = load_report::Report::read(&loads.encode_to_vec()).expect("a report");
+    let expected = usage::Usage { admitted: 12.5, excess: 0.0, debt: 0.0, ..usage(1) };
+    assert_eq!(report.usages, [expected]);
+    loads.excess = vec![1];
+    assert!(load_report::Report::read(&loads.encode_to_vec()).is_err(), "lists of other lengths");
+}
