Three faults that were seen by reading: headers of one hop, representatives that leave, apply's exit code

Headers: two lists had grown apart. One list now, for both roles; a connection cannot name what each hop needs (length, host, cookie, the request's name, an answer's proof), and what an upstream's answer names goes no further. Representatives: a leaving node counted as one of another region's six, not in its own; sums went to a node that stops. It is left out. Command line: `apply` ends with 4, not 0, when an accepted change is not in force within `--wait`; `diff` no longer takes `--wait`, `--operation` and `--dry-run`, which it ignored.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -12,7 +12,7 @@
     version,
     max_term_width = 100,
     after_help = "Exit codes: 0 done, 1 failed, 2 wrong use or wrong declarations, 3 refused, \
-                  4 unknown (ask again by the operation's id), 5 a promise was broken (demo)."
+                  4 unknown or not yet in force (ask again by the operation's id), 5 a promise was broken (demo)."
 )]
 pub struct Args {
     /// What to do.
@@ -26,7 +26,7 @@
     /// Make the fleet's configuration equal to a folder of declarations.
     Apply(Apply),
     /// Show what `apply` would change.
-    Diff(Apply),
+    Diff(Diff),
     /// List resources, or show one.
     Get(Get),
     /// Follow the resources of a kind and their standing.
@@ -64,13 +64,21 @@
     pub token_file: path::PathBuf,
 }
 
-/// Arguments of `apply` and `diff`.
+/// Arguments of `diff`.
 #[derive(Clone, Debug, clap::Args)]
-pub struct Apply {
+pub struct Diff {
     /// Where the fleet is.
     #[command(flatten)]
     pub server: Server,
 
+    /// What is declared.
+    #[command(flatten)]
+    pub wanted: Wanted,
+}
+
+/// What a fleet's configuration is compared with.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Wanted {
     /// A file or folder of declarations; folders are read whole.
     #[arg(long, short, value_name = "PATH")]
     pub file: path::PathBuf,
@@ -78,6 +86,18 @@
     /// Delete resources that the declarations do not name.
     #[arg(long)]
     pub prune: bool,
+}
+
+/// Arguments of `apply`.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Apply {
+    /// Where the fleet is.
+    #[command(flatten)]
+    pub server: Server,
+
+    /// What is declared.
+    #[command(flatten)]
+    pub wanted: Wanted,
 
     /// Show the changes and make none.
     #[arg(long)]
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -20,7 +20,7 @@
 /// Fails when the declarations are malformed or the node does not answer.
 pub async fn run(args: &args::Apply) -> anyhow::Result<exit::Code> {
     let client = client::Client::new(&args.server)?;
-    let (revision, diff) = compare(&client, args).await?;
+    let (revision, diff) = compare(&client, &args.wanted).await?;
     printer::raw(&diff.text);
     if diff.steps.is_empty() {
         printer::line(&format!("nothing to change at revision {revision}"));
@@ -35,7 +35,7 @@
     let result = client.apply(&change).await?;
     if let accept::Outcome::Refused { refusal: model::refusal::Refusal::Conflict { .. } } = &result
     {
-        let (now, diff) = compare(&client, args).await?;
+        let (now, diff) = compare(&client, &args.wanted).await?;
         printer::warning(&format!("another change came first; against revision {now} remains:"));
         printer::raw(&diff.text);
     }
@@ -47,9 +47,9 @@
 /// # Errors
 ///
 /// Fails when the declarations are malformed or the node does not answer.
-pub async fn show(args: &args::Apply) -> anyhow::Result<exit::Code> {
+pub async fn show(args: &args::Diff) -> anyhow::Result<exit::Code> {
     let client = client::Client::new(&args.server)?;
-    let (revision, diff) = compare(&client, args).await?;
+    let (revision, diff) = compare(&client, &args.wanted).await?;
     printer::raw(&diff.text);
     printer::note(&format!("{} steps against revision {revision}", diff.steps.len()));
     Ok(exit::Code::Done)
@@ -57,7 +57,7 @@
 
 async fn compare(
     client: &client::Client,
-    args: &args::Apply,
+    args: &args::Wanted,
 ) -> anyhow::Result<(model::revision::Revision, diff::Diff)> {
     let wanted = declarations::read(std::slice::from_ref(&args.file))?;
     let (revision, standing) = client.list_all().await?;
--- a/crates/cli/src/commands/outcome.rs
+++ b/crates/cli/src/commands/outcome.rs
@@ -61,10 +61,11 @@
             _ => tokio::time::sleep(ASK_EVERY).await,
         }
     }
-    if !wait.is_zero() {
-        let found = client.operation(operation).await?;
-        let lagging = found.map_or_else(String::new, |f| client::names(&f.lagging));
-        printer::warning(&format!("accepted, but not yet in force on: {lagging}"));
+    if wait.is_zero() {
+        return Ok(exit::Code::Done);
     }
-    Ok(exit::Code::Done)
+    let found = client.operation(operation).await?;
+    let lagging = found.map_or_else(String::new, |f| client::names(&f.lagging));
+    printer::warning(&format!("accepted, but not yet in force on: {lagging}"));
+    Ok(exit::Code::Unknown)
 }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -11,7 +11,7 @@
     Wrong,
     /// The fleet refused the change.
     Refused,
-    /// Nobody can say yet whether the change took effect.
+    /// Nobody can say yet whether the change took effect, or it is not in force everywhere yet.
     Unknown,
     /// A promise was broken.
     Broken,
--- a/crates/node/src/common/head.rs
+++ b/crates/node/src/common/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and answers: what is passed on, and what is not.
 //!
-//! Owns the names of yokespoke's own headers that both roles use, and an owner's rules of hops.
+//! Owns the names of yokespoke's own headers that both roles use, and the rules of hops.
 
 use std::net;
 use std::time::Duration;
@@ -26,13 +26,12 @@
 /// Header that carries the caller's address to an upstream.
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
-/// Headers that an owner removes as concerning one connection only (RFC 9110, section 7.6.1).
-///
-/// A gateway's list differs: it removes `Expect` and `Proxy-Connection`, and passes
-/// `Proxy-Authenticate` on.
-const HOP_BY_HOP: [HeaderName; 8] = [
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), with an expectation that this hop has met itself.
+pub const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
+    header::EXPECT,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -41,6 +40,13 @@
     header::UPGRADE,
 ];
 
+/// Identifies a request, where the deployment has no header of its own for that.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Headers that no connection option may remove: without them a request is another one.
+const PROTECTED: [HeaderName; 4] =
+    [header::CONTENT_LENGTH, header::HOST, header::COOKIE, REQUEST_ID];
+
 /// Headers that only yokespoke itself may set.
 const OURS: [HeaderName; 5] = [TIMEOUT, TICKET, VERDICT, REASON, DEADLINE];
 
@@ -64,9 +70,17 @@
 
 /// Removes what concerns the caller's connection only and what only yokespoke may say.
 pub fn clean(headers: &mut HeaderMap) {
+    remove_hop(headers, |name| PROTECTED.contains(name));
+    for name in &OURS {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers of one hop and those that its connection names, but for the ones that `is_protected` says to keep.
+pub fn remove_hop(headers: &mut HeaderMap, is_protected: impl Fn(&HeaderName) -> bool) {
     let mut options = connection_options(headers);
-    options.retain(|name| *name != header::CONTENT_LENGTH && *name != header::HOST);
-    for name in options.iter().chain(&HOP_BY_HOP).chain(&OURS) {
+    options.retain(|name| !is_protected(name));
+    for name in options.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
 }
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -33,6 +33,18 @@
 }
 
 impl Dialect {
+    /// Both of them.
+    pub const ALL: [Self; 2] = [Self::Platform, Self::Own];
+
+    /// Returns whether a header of an answer proves which request it answers, or that an upstream made it.
+    #[must_use]
+    pub fn is_proof(self, name: &HeaderName) -> bool {
+        match self {
+            Self::Platform => platform::answer::is_proof(name),
+            Self::Own => own_headers::is_id(name),
+        }
+    }
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -162,10 +162,10 @@
         self.staying(now).take(representatives::PER_REGION)
     }
 
-    /// Returns the living representatives of other regions.
+    /// Returns the living representatives of other regions; one that leaves is none in its own region either.
     #[must_use]
     pub fn far_representatives(&self, now: Instant) -> Vec<&member::Member> {
-        let far = self.alive(now).filter(|m| m.region != self.region);
+        let far = self.alive(now).filter(|m| m.region != self.region && !m.is_leaving);
         representatives::of_regions(far.map(|m| (&m.region, m)))
     }
 
--- a/crates/node/src/gateway/own_headers.rs
+++ b/crates/node/src/gateway/own_headers.rs
@@ -13,9 +13,6 @@
 
 use crate::common::head as names;
 
-/// Identifies a request.
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-
 /// An upstream's load: requests that it runs, requests queued at it, and slots.
 const LOAD: HeaderName = HeaderName::from_static("yokespoke-load");
 
@@ -43,7 +40,7 @@
 /// Fails when the request's id stands more than once or is no text.
 pub fn request(headers: &HeaderMap) -> Result<head::Request<'_>, field::Ambiguous> {
     Ok(head::Request {
-        id: field::single(headers, &REQUEST_ID)?,
+        id: field::single(headers, &names::REQUEST_ID)?,
         wait: field::millis(headers, &names::TIMEOUT),
         object: field::cookie(headers, AFFINITY_COOKIE),
         key: field::key(headers, &KEY),
@@ -53,7 +50,7 @@
 /// Returns whether `name` is the header of the request's id, which every hop passes on.
 #[must_use]
 pub fn is_id(name: &HeaderName) -> bool {
-    *name == REQUEST_ID
+    *name == names::REQUEST_ID
 }
 
 /// Removes what only a gateway says to callers, and an upstream to a gateway.
@@ -104,7 +101,7 @@
     let status = status.as_u16();
     head::Answer {
         status,
-        request_id: field::text(headers, &REQUEST_ID),
+        request_id: field::text(headers, &names::REQUEST_ID),
         is_sealed: false,
         states_not_run: rules.is_some_and(|rules| rules.shed.contains(&status)),
         load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
--- a/crates/node/src/gateway/proxy/head.rs
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -13,20 +13,6 @@
 use crate::gateway::dialect;
 use crate::gateway::own_headers;
 
-/// Headers that a gateway removes as concerning one connection only (RFC 9110, section 7.6.1), with an
-/// expectation that it has met itself. An owner's list differs, as it says.
-const HOP_BY_HOP: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::EXPECT,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Why a request with this head is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -167,11 +153,8 @@
 
 /// Removes what concerns one connection only, and what only this system may say.
 pub fn clean(headers: &mut HeaderMap, dialect: dialect::Dialect) {
-    let mut options = names::connection_options(headers);
-    options.retain(|name| !PROTECTED.contains(name) && !dialect.is_request_id(name));
-    for name in options.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
+    let is_protected = |name: &HeaderName| PROTECTED.contains(name) || dialect.is_request_id(name);
+    names::remove_hop(headers, is_protected);
     dialect.strip(headers);
 }
 
@@ -180,10 +163,10 @@
 
 /// Removes from an answer what concerns the upstream's connection only, and what only yokespoke may say.
 ///
-/// A caller goes by the verdict on whether its request has run, so an upstream must not write it.
+/// A caller goes by the verdict on whether its request has run, so an upstream must not write it. It also goes by what names its
+/// request and what proves the answer, so these stay whatever the upstream's connection names.
 pub fn clean_answer(headers: &mut HeaderMap) {
-    for name in &HOP_BY_HOP {
-        headers.remove(name);
-    }
+    let is_proof = |name: &HeaderName| dialect::Dialect::ALL.iter().any(|d| d.is_proof(name));
+    names::remove_hop(headers, |name| PROTECTED.contains(name) || is_proof(name));
     own_headers::strip(headers);
 }
