Quota: a node that starts goes by the silent nodes that it remembers itself

Cause: a node that has just started took over the requests of silent nodes as others told them. A representative's sum that falls silent counts as a whole region there, though its nodes go on; any node that saw that told all new ones. Ruled out: the store, which is down then as well: the refusals end with the 15 s after the start, not with the store's return.

--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -249,8 +249,7 @@
             return usages;
         }
         let standing = self.standing(now);
-        let (asked, silent) = (self.all.get(now), self.reports.silent());
-        let all = Usage { asked, debt: silent, ..Usage::none(Key::ALL) };
+        let all = Usage { asked: self.all.get(now), ..Usage::none(Key::ALL) };
         usages.extend(self.reporter.report(all, f64::INFINITY, now));
         let reached = self.reports.near(now, NEAR_TIME);
         let keys: collections::BTreeSet<Key> = self.near.keys().copied().chain(reached).collect();
@@ -326,10 +325,7 @@
             Reach::Others => part::Standing {
                 own: self.all.get(now),
                 reached: self.reports.reached(),
-                silent: match self.is_new(now) {
-                    true => self.reports.silent().max(self.reports.told_silent()),
-                    false => self.reports.silent(),
-                },
+                silent: self.reports.silent(),
                 whole: self.whole.filter(|_| !self.is_store_known),
                 reaches_others: true,
                 spare: 0.0,
@@ -345,12 +341,6 @@
         }
     }
 
-    /// Returns whether this node may not remember nodes that fell silent, since it started lately.
-    fn is_new(&self, now: Instant) -> bool {
-        let since = self.heard_since.map(|since| now.saturating_duration_since(since));
-        since.is_none_or(|time| time < reports::REMEMBERED)
-    }
-
     fn reach(&self, now: Instant) -> Reach {
         let since = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
         let heard = self.reports.heard();
--- a/crates/steer/src/dispatch/quota/reports.rs
+++ b/crates/steer/src/dispatch/quota/reports.rs
@@ -23,7 +23,7 @@
 /// Time for which the requests of a node that fell silent are remembered.
 ///
 /// Not measured; longer than a node that is cut off keeps its lease and its callers their look-ups.
-pub const REMEMBERED: Duration = Duration::from_secs(15);
+const REMEMBERED: Duration = Duration::from_secs(15);
 
 /// A usage with when it was reported.
 #[derive(Clone, Debug)]
@@ -96,8 +96,6 @@
     sum: Sum,
     /// Requests a second of the nodes that are no longer reached.
     silent: f64,
-    /// The largest debt that was reported.
-    debt: f64,
     /// When a node said last that the organisation is near its limit.
     near_at: Option<Instant>,
 }
@@ -107,7 +105,6 @@
         if usage.is_near {
             self.near_at = Some(now);
         }
-        self.debt = self.debt.max(usage.debt);
         let Some(report) = self.by_node.get_mut(node) else {
             let mut report = Report::new(usage, now);
             report.not_forwarded.add(usage.excess, now);
@@ -128,21 +125,18 @@
 
     /// Drops what is older than `kept`, and works the sums out anew, so that no rounding remains in them.
     fn expire(&mut self, kept: Duration, now: Instant) {
-        let (mut sum, mut silent, mut debt) = (Sum::default(), 0.0, 0.0_f64);
+        let (mut sum, mut silent) = (Sum::default(), 0.0);
         self.by_node.retain(|_, report| {
             let age = report.age(now);
             (report.counts, report.is_expected) = (age < FRESH, age < EXPECTED);
             match report.counts {
-                true => {
-                    sum.add(&report.usage, report.is_expected, 1.0);
-                    debt = debt.max(report.usage.debt);
-                }
+                true => sum.add(&report.usage, report.is_expected, 1.0),
                 false if age < kept => silent += report.usage.asked,
                 false => {}
             }
             age < kept
         });
-        (self.sum, self.silent, self.debt) = (sum, silent, debt);
+        (self.sum, self.silent) = (sum, silent);
     }
 
     /// Returns what the `wanted` nodes ask together, and how many admitted requests of theirs were not forwarded yet.
@@ -202,12 +196,6 @@
         self.all.silent
     }
 
-    /// Returns what was asked last of the nodes that no longer reach the others, as those tell it.
-    #[must_use]
-    pub fn told_silent(&self) -> f64 {
-        self.all.debt
-    }
-
     /// Returns what the nodes that are reached reported together of an organisation.
     #[must_use]
     pub fn sum(&self, key: Key) -> Sum {
--- a/crates/steer/src/dispatch/quota/usage.rs
+++ b/crates/steer/src/dispatch/quota/usage.rs
@@ -54,8 +54,7 @@
     pub admitted: f64,
     /// Requests that the node admitted beyond its part of the limit in the last moments.
     pub excess: f64,
-    /// Requests that the fleet admitted beyond the limit and did not pay back yet, as the node knows it; of all organisations
-    /// together, the requests a second of nodes that it no longer reaches.
+    /// Requests that the fleet admitted beyond the limit and did not pay back yet, as the node knows it.
     pub debt: f64,
     /// Whether that is so much that the others should report theirs.
     pub is_near: bool,
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -27,8 +27,7 @@
     /// What the sender admitted of each beyond its part of the limit in the last moments, in hundredths of a request.
     #[prost(uint32, repeated, tag = "7")]
     pub excess: Vec<u32>,
-    /// What each owes the fleet, as the sender knows it, in hundredths of a request; of all of them together, what was asked
-    /// of nodes that the sender no longer reaches, in hundredths of a request a second.
+    /// What each owes the fleet, as the sender knows it, in hundredths of a request.
     #[prost(uint32, repeated, tag = "8")]
     pub debts: Vec<u32>,
 }
