--- a/crates/node/tests/gateway/requests.rs
+++ b/crates/node/tests/gateway/requests.rs
@@ -216,6 +216,19 @@
     assert_eq!((answer.status, misdirected), (503, 2));
 }
 
+/// A gateway that ends frees its address, and one of another fleet may take it while callers still go there.
+#[tokio::test]
+async fn a_request_for_another_fleet_runs_nowhere_and_is_told_so() {
+    let (_rig, upstreams, gateway) = desk(1).await;
+    let mut caller = gateway.caller().await;
+    let head = "POST /write/a HTTP/1.1\r\nHost: another-fleet.example\r\n\
+                Yokespoke-Request-Id: id-1\r\nContent-Length: 1\r\n\r\nx";
+    caller.write(head.as_bytes()).await;
+    assert_eq!((caller.read().await.status, ran(&upstreams, "id-1")), (404, 0));
+    // Its connection stays whole for requests that this fleet has a route for.
+    assert_eq!(caller.post("/write/a", "id-2", "x").await.status, 200);
+}
+
 #[tokio::test]
 async fn upstreams_that_cannot_be_reached_cost_no_request() {
     // Whichever of six is left, the object prefers the others to it in one of the rounds.
