--- a/crates/steer/src/dispatch/quota/part.rs
+++ b/crates/steer/src/dispatch/quota/part.rs
@@ -1,7 +1,7 @@
 //! Part: how much of an organisation's limit is a node's.
 //!
-//! Owns nothing. Two questions: which part of the limit belongs to the nodes that reach each other ([`Standing`]), and
-//! which part of that is this node's ([`share`]).
+//! Owns nothing: how a node stands among the others ([`Standing`]) says which part of a limit belongs to the nodes that reach
+//! each other, and which part of all requests is this node's.
 
 /// Smallest part, so that no division fails.
 const LEAST: f64 = 1e-6;
