Quota: the account and the contact with other nodes stand in modules of their own

Cause: quota::mod had grown to 355 lines and held three jobs: admission, one organisation's figures, whom a node reaches.

--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -11,7 +11,9 @@
 //!
 //! Owns the accounts of the organisations that have a limit. Reads no clock; the present is passed in.
 
+pub mod account;
 pub mod bucket;
+pub mod contact;
 pub mod excess;
 pub mod forwarder;
 pub mod part;
@@ -27,6 +29,7 @@
 use model::organisation;
 use model::routing;
 
+use account::Account;
 use usage::{Key, Usage};
 use xxhash_rust::xxh3;
 
@@ -46,60 +49,10 @@
 /// Part of the slack that a deployment grants which buckets hold; the rest is for what nodes know late. Not measured alone.
 const SLACK_PART: f64 = 0.5;
 
-/// Time for which reports come until a node knows what the others admit; a little more than the time between two. Not measured
-/// alone.
-const KNOWN_AFTER: Duration = Duration::from_millis(500);
-
-/// Time after its start in which a node takes over debts that others report; later it knows them itself. Not measured alone.
-const LEARNS_DEBTS: Duration = Duration::from_secs(1);
-
-/// Time without any report after which a node counts as cut off itself; each other one reports more often.
-///
-/// Until then it takes the others' tokens for its own: ten nodes, 452 a second, two cut off just before a sudden load admitted
-/// 4,490 of 3,998 in 5 s where it was [`reports::FRESH`].
-const CUT_OFF_AFTER: Duration = Duration::from_millis(650);
-
-/// One of so many other nodes has reported when a node knows sooner what they admit. Not measured alone.
-const KNOWN_FROM: usize = 3;
-
-/// Smallest rate of a fleet, in requests a second, so that no division fails.
-const LEAST_RATE: f64 = 1e-6;
-
 /// Shortest and longest time after which a refused caller may come back. Not measured; the longest is the window in which
 /// quotas are counted by default.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
-/// Whom a node reaches.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reach {
-    /// It has not heard yet what the others admit.
-    Unknown,
-    /// It is cut off.
-    Nobody,
-    /// At least some of them, or there are no others.
-    Others,
-}
-
-/// One organisation with a limit.
-#[derive(Clone, Debug)]
-struct Account {
-    name: id::Organisation,
-    quota: organisation::Quota,
-    asked: rate::Rate,
-    admitted: rate::Rate,
-    excess: excess::Excess,
-    bucket: bucket::Bucket,
-}
-
-impl Account {
-    /// Records admitted requests; takes them back where `requests` is negative.
-    fn admit(&mut self, requests: f64, fair: f64, now: Instant) {
-        self.bucket.take(requests);
-        self.admitted.add(requests, now);
-        self.excess.add(requests, fair, now);
-    }
-}
-
 /// The accounts of all organisations that have a limit.
 #[derive(Clone, Debug)]
 pub struct Quotas {
@@ -109,17 +62,9 @@
     reports: reports::Reports,
     near: collections::BTreeMap<Key, Instant>,
     reporter: reporter::Reporter,
+    contact: contact::Contact,
     slack: f64,
     seed: u64,
-    others: usize,
-    is_store_known: bool,
-    /// Requests of the whole fleet when this node was not cut off last.
-    whole: Option<f64>,
-    /// This node's part of them then.
-    own_part: f64,
-    /// When another node reported first, and last.
-    heard_since: Option<Instant>,
-    heard_at: Option<Instant>,
 }
 
 impl Quotas {
@@ -133,14 +78,9 @@
             reports: reports::Reports::default(),
             near: collections::BTreeMap::new(),
             reporter: reporter::Reporter::default(),
+            contact: contact::Contact::default(),
             slack,
             seed: xxh3::xxh3_64(node.as_str().as_bytes()),
-            others: 0,
-            is_store_known: true,
-            whole: None,
-            own_part: 0.0,
-            heard_since: None,
-            heard_at: None,
         }
     }
 
@@ -153,14 +93,10 @@
             let key = Key::of(&organisation.name);
             let account = match before.remove(&key) {
                 Some(known) => Account { quota, ..known },
-                None => Account {
-                    name: organisation.name.clone(),
-                    quota,
-                    asked: rate::Rate::new(usage::MEMORY, now),
-                    admitted: rate::Rate::new(usage::MEMORY, now),
-                    excess: excess::Excess::new(now),
-                    bucket: bucket::Bucket::new(self.seed ^ u64::from(key.0), now),
-                },
+                None => {
+                    let seed = self.seed ^ u64::from(key.0);
+                    Account::new(organisation.name.clone(), quota, seed, now)
+                }
             };
             self.accounts.insert(key, account);
         }
@@ -175,12 +111,12 @@
 
     /// Sets how many other nodes are known or listed.
     pub fn set_others(&mut self, others: usize) {
-        self.others = others;
+        self.contact.set_others(others);
     }
 
     /// Sets whether this node, or one that it reaches, reaches the store; one that does not is cut off itself.
     pub fn set_store_known(&mut self, is_known: bool) {
-        self.is_store_known = is_known;
+        self.contact.set_store_known(is_known);
     }
 
     /// Takes a request of an organisation.
@@ -280,9 +216,7 @@
 
     /// Records what another node reported.
     pub fn receive(&mut self, node: &id::Node, usages: &[Usage], now: Instant) {
-        let heard_since = *self.heard_since.get_or_insert(now);
-        let has_just_started = now.saturating_duration_since(heard_since) < LEARNS_DEBTS;
-        self.heard_at = Some(now);
+        self.contact.hear(now);
         let standing = self.standing(now);
         for usage in usages {
             // Up to here the bucket filled by what was reported before.
@@ -293,7 +227,7 @@
                 reports::News::Surplus(requests) => account.bucket.take(requests),
                 reports::News::First => {
                     account.bucket.take(usage.excess);
-                    if has_just_started {
+                    if self.contact.has_just_started(now) {
                         account.bucket.owe(usage.debt);
                     }
                 }
@@ -305,12 +239,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.reports.expire(now);
         self.reporter.expire(reports::FRESH, now);
-        if self.is_store_known && self.reach(now) == Reach::Others {
-            let others = self.reports.reached() + self.reports.silent();
-            let own = self.all.get(now);
-            (self.whole, self.own_part) =
-                (Some(others + own), own / (others + own).max(LEAST_RATE));
-        }
+        self.contact.remember(self.all.get(now), &self.reports, now);
     }
 
     /// Returns the organisations that are near their limits by what is asked of this node, for the dump.
@@ -319,18 +248,7 @@
     }
 
     fn standing(&self, now: Instant) -> part::Standing {
-        match self.reach(now) {
-            Reach::Unknown => part::Standing::alone(self.others),
-            Reach::Nobody => part::Standing::cut_off(self.own_part),
-            Reach::Others => part::Standing {
-                own: self.all.get(now),
-                reached: self.reports.reached(),
-                silent: self.reports.silent(),
-                whole: self.whole.filter(|_| !self.is_store_known),
-                reaches_others: true,
-                spare: 0.0,
-            },
-        }
+        self.contact.standing(self.all.get(now), &self.reports, now)
     }
 
     /// Returns what is asked of the nodes that this one reaches, and what they admit.
@@ -340,16 +258,4 @@
             false => reports::Sum::default(),
         }
     }
-
-    fn reach(&self, now: Instant) -> Reach {
-        let since = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
-        let heard = self.reports.heard();
-        let is_known = since(self.heard_since).is_some_and(|time| time >= KNOWN_AFTER);
-        match () {
-            () if self.others == 0 => Reach::Others,
-            () if heard == 0 || !is_known && heard * KNOWN_FROM < self.others => Reach::Unknown,
-            () if since(self.heard_at).is_some_and(|time| time >= CUT_OFF_AFTER) => Reach::Nobody,
-            () => Reach::Others,
-        }
-    }
 }
