Quota: a node that hears nobody takes an equal part at most

Cause, from its logs: n-18 and n-19 of twenty gateways admitted 22 requests a second each for 3.6 s, of 25. Look-ups name only some gateways of a region of fourteen, reports go to those and to representatives, so these two heard the others at their start only, when nobody had callers: each took itself for the whole fleet and kept that part. Ruled out: gateways that do not know each other (all heartbeats arrived within 1.5 s), the store (first lost 5 s later). Price: a node that is cut off and had more than an equal part takes less of it.

--- a/crates/steer/src/dispatch/quota/contact.rs
+++ b/crates/steer/src/dispatch/quota/contact.rs
@@ -39,6 +39,10 @@
 }
 
 /// Whom a node hears of.
+///
+/// A node that hears nobody takes an equal part at most. In a large region nodes that look-ups do not name get no reports, and
+/// what they heard at first may be of nodes without callers: two of twenty gateways each took the whole limit (193 requests in
+/// 5 s of 157 granted).
 #[derive(Clone, Debug)]
 pub struct Contact {
     others: usize,
@@ -101,7 +105,7 @@
     pub fn standing(&self, own: f64, reports: &reports::Reports, now: Instant) -> part::Standing {
         match self.reach(reports, now) {
             Reach::Unknown => part::Standing::alone(self.others),
-            Reach::Nobody => part::Standing::cut_off(self.own_part),
+            Reach::Nobody => part::Standing::cut_off(self.own_part.min(part::equal(self.others))),
             Reach::Others => part::Standing {
                 own,
                 reached: reports.reached(),
--- a/crates/steer/src/dispatch/quota/part.rs
+++ b/crates/steer/src/dispatch/quota/part.rs
@@ -36,9 +36,7 @@
     /// Returns the standing of a node that never reached any of `others`, which are listed.
     #[must_use]
     pub fn alone(others: usize) -> Self {
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
-        let nodes = others as f64 + 1.0;
-        Self { spare: SPARE, ..Self::cut_off(UNKNOWN_PART / nodes) }
+        Self { spare: SPARE, ..Self::cut_off(UNKNOWN_PART * equal(others)) }
     }
 
     /// Returns the standing of a node that is cut off and had `part` of all requests before.
@@ -75,3 +73,11 @@
         }
     }
 }
+
+/// Returns the part of a node that has `others` beside it, where all have the same.
+#[must_use]
+pub fn equal(others: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
+    let nodes = others as f64 + 1.0;
+    1.0 / nodes
+}
