--- a/crates/steer/src/dispatch/quota/contact.rs
+++ b/crates/steer/src/dispatch/quota/contact.rs
@@ -1,7 +1,7 @@
 //! Contact: whom a node reaches, and so which part of the limits belongs to those that it reaches.
 //!
 //! Owns when others reported, and what is remembered of the fleet for the time when nobody does. Relies on
-//! [`reports`](super::reports) for what they asked, and on [`part`](super::part) for the parts.
+//! [`reports`] for what they asked, and on [`part`] for the parts.
 
 use std::time::{Duration, Instant};
 
