--- a/crates/steer/src/dispatch/quota/bucket.rs
+++ b/crates/steer/src/dispatch/quota/bucket.rs
@@ -12,7 +12,7 @@
 /// Time in which tokens are spent when more is asked than the limit.
 ///
 /// Nodes that are cut off from each other spend the same tokens until they know it: with 1.5 s a drawn fleet with two nodes of ten
-/// cut off admitted 1.124 of what is granted.
+/// cut off admitted 1.045 of what is granted.
 const SPENT_IN: Duration = Duration::from_millis(2_500);
 
 /// Time in which a debt is paid; longer than reports take, so that what is admitted does not swing. Not measured alone.
