Sight: what upstreams say of leaving and rest, and headers that nobody reads

No logic changes: answers are decoded as before, and nothing that is chosen, refused or told to others depends on the new words. All that an upstream says of itself stands in one type (model::statement), decoded in platform/, and the dispatcher keeps leavings and rests by process. Lines upstream-leaving, upstream-resting, leaving-malformed, rest-malformed; /dump shows both for each upstream; a header with the platform's mark that this version does not know is counted by name and logged once.

An answer that is encoded, or a refusal that proves nothing, now says something of its upstream too: both come from it, for the request that was sent. Limits were read from neither before.

The fleet of the tests of limits moves to a file of its own.

--- a/crates/model/src/head.rs
+++ b/crates/model/src/head.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use crate::key;
-use crate::limit;
-use crate::load;
+use crate::statement;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +32,6 @@
     pub is_sealed: bool,
     /// Whether the upstream states that it did not run the request.
     pub states_not_run: bool,
-    /// The upstream's load when it answered.
-    pub load: Option<load::Report>,
-    /// The limit that the upstream names.
-    pub limit: limit::Field,
+    /// What the upstream says of itself.
+    pub statement: statement::Statement,
 }
--- a/crates/model/src/limit.rs
+++ b/crates/model/src/limit.rs
@@ -11,9 +11,10 @@
 pub struct Rate(f64);
 
 /// The field of an answer in which its upstream names a limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Field {
     /// It names none, so none is in force.
+    #[default]
     Absent,
     /// It names one that cannot be read, which changes nothing.
     Malformed,
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -12,6 +12,7 @@
 use model::id;
 use platform::field;
 use steer::dispatch::dispatcher;
+use steer::dispatch::incarnation;
 use steer::dispatch::quarantine::ruling::Ruling;
 use steer::dispatch::upstream;
 
@@ -149,6 +150,8 @@
             "requests": u.load.requests(now),
             "failures": u.health.failure_rate(now),
             "limit": limit(dispatcher, u, now),
+            "leaving": leaving(dispatcher, u, now),
+            "rests_ms": u.rests_until.map(|until| field::whole_millis(until.saturating_duration_since(now))),
         })
     };
     dispatcher.upstreams().map(upstream).collect()
@@ -178,6 +181,21 @@
     })
 }
 
+/// Returns when an upstream was heard to leave, and who told it; null where it was not.
+fn leaving(
+    dispatcher: &dispatcher::Dispatcher,
+    upstream: &upstream::Upstream,
+    now: Instant,
+) -> serde_json::Value {
+    let heard = dispatcher.leavings().get(&incarnation::Incarnation::of(&upstream.entry));
+    heard.map_or(serde_json::Value::Null, |heard| {
+        serde_json::json!({
+            "heard_ms_ago": field::whole_millis(now.saturating_duration_since(heard.at)),
+            "reported_by": heard.by.as_ref().map(id::Node::as_str),
+        })
+    })
+}
+
 fn splits(dispatcher: &dispatcher::Dispatcher) -> Vec<serde_json::Value> {
     let part = |(region, part): (&id::Region, u32)| (region.as_str().to_owned(), part.into());
     let splits = dispatcher.splits().map(|(service, split)| {
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Returns the headers of an answer that bear the mark of these headers, and that nobody reads.
+    pub fn unknown(self, headers: &HeaderMap) -> Vec<&str> {
+        match self {
+            Self::Platform => platform::answer::unknown(headers).collect(),
+            Self::Own => Vec::new(),
+        }
+    }
+
     /// Writes the time after which a refused caller may retry, for `Retry-After`.
     #[must_use]
     pub fn retry_after(self, after: Duration) -> HeaderValue {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 
 use crate::common::logging;
 use crate::gateway::organisation_metrics;
+use crate::gateway::unknown_headers;
 
 /// Largest latency that the histogram distinguishes, in microseconds: a minute. Not measured.
 const LONGEST_MICROS: u64 = 60_000_000;
@@ -142,6 +143,12 @@
     pub limited: Counter,
     /// Answers that name a limit which cannot be read.
     pub malformed_limits: Counter,
+    /// Answers that say what cannot be read of whether their upstream leaves.
+    pub malformed_leavings: Counter,
+    /// Refusals that ask for a rest which cannot be read.
+    pub malformed_rests: Counter,
+    /// Headers of answers that nobody reads.
+    pub unknown_headers: unknown_headers::Counts,
     /// New connections to upstreams.
     pub connections: Counter,
     /// Look-ups.
@@ -199,7 +206,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 37] {
+    fn counters(&self) -> [(&'static str, &Counter); 39] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -219,6 +226,8 @@
             ("diverted", &self.diverted),
             ("limited", &self.limited),
             ("malformed_limits", &self.malformed_limits),
+            ("malformed_leavings", &self.malformed_leavings),
+            ("malformed_rests", &self.malformed_rests),
             ("connections", &self.connections),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
@@ -267,6 +276,7 @@
                 writeln!(text, "# TYPE yokespoke_{name} gauge\nyokespoke_{name} {}", gauge.0.get());
         }
         self.organisations.write(&mut text);
+        self.unknown_headers.write(&mut text);
         self.latency.write(&mut text);
         text
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -34,3 +34,4 @@
 pub mod store_calls;
 pub mod sync;
 pub mod thread;
+pub mod unknown_headers;
--- a/crates/node/src/gateway/own_headers.rs
+++ b/crates/node/src/gateway/own_headers.rs
@@ -8,8 +8,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use model::head;
 use model::id;
+use model::leaving;
 use model::limit;
 use model::routing;
+use model::statement;
+use platform::answer;
 use platform::field;
 
 use crate::common::head as names;
@@ -20,6 +23,9 @@
 /// The requests a second that an upstream takes from all nodes together.
 const LIMIT: HeaderName = HeaderName::from_static("yokespoke-limit");
 
+/// Says that the upstream leaves.
+const LEAVING: HeaderName = HeaderName::from_static("yokespoke-leaving");
+
 /// Proves which organisation sends a request. Upstreams never see it.
 const KEY: HeaderName = HeaderName::from_static("x-api-key");
 
@@ -30,7 +36,8 @@
 const AFFINITY_COOKIE: &str = "yokespoke-object";
 
 /// Headers by which a caller could pass itself off as a gateway or an upstream, and an upstream as a gateway.
-static OURS: [HeaderName; 6] = [names::VERDICT, names::REASON, LOAD, LIMIT, KEY, ORGANISATION];
+static OURS: [HeaderName; 7] =
+    [names::VERDICT, names::REASON, LOAD, LIMIT, LEAVING, KEY, ORGANISATION];
 
 /// Shortest time left that is sent to an upstream, in milliseconds, so that the deadline lies ahead.
 const SHORTEST_LEFT_MILLIS: u64 = 1;
@@ -102,14 +109,17 @@
     status: StatusCode,
     rules: Option<&routing::ServiceRules>,
 ) -> head::Answer<'a> {
-    let status = status.as_u16();
     head::Answer {
-        status,
+        status: status.as_u16(),
         request_id: field::text(headers, &names::REQUEST_ID),
         is_sealed: false,
-        states_not_run: rules.is_some_and(|rules| rules.shed.contains(&status)),
-        load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
-        limit: limit::Field::read(field::all(headers, &LIMIT)),
+        states_not_run: rules.is_some_and(|rules| rules.shed.contains(&status.as_u16())),
+        statement: statement::Statement {
+            load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
+            limit: limit::Field::read(field::all(headers, &LIMIT)),
+            leaving: leaving::Field::read(field::all(headers, &LEAVING)),
+            rest: answer::rest(headers, status),
+        },
     }
 }
 
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -8,9 +8,9 @@
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use model::limit;
 use model::load;
 use model::routing;
+use model::statement;
 use platform::field;
 use steer::dispatch::execution;
 
@@ -64,7 +64,7 @@
     pub load: Option<load::Report>,
 }
 
-/// Sends a request on `connection` and reads the answer; `observe` gets what its head names as the upstream's limit.
+/// Sends a request on `connection` and reads the answer; `observe` gets what the upstream says of itself in its head.
 ///
 /// # Errors
 ///
@@ -75,7 +75,7 @@
     request_id: &str,
     dialect: dialect::Dialect,
     rules: Option<&routing::ServiceRules>,
-    observe: impl FnOnce(limit::Field),
+    observe: impl FnOnce(&statement::Statement, &HeaderMap),
 ) -> Result<Answer, Failure> {
     let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
         let is_sent = error.take_message().is_none();
@@ -87,8 +87,12 @@
     })?;
     let (parts, incoming) = response.into_parts();
     let said = dialect.answer(&parts.headers, parts.status, rules);
-    let (load, execution) = (said.load, execution::execution(&said));
+    let (load, execution) = (said.statement.load, execution::execution(&said));
     let fault = execution::fault(&said, dialect.requirements(), request_id);
+    // Before the body, which may take long. A refusal counts even where it does not prove that nothing ran.
+    if fault.is_none() && execution != execution::Execution::Replaced {
+        observe(&said.statement, &parts.headers);
+    }
     let is_encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
     match (fault, execution) {
         (Some(fault), _) => return Err(broken(fault.as_str())),
@@ -98,10 +102,6 @@
         (None, _) if is_encoded => return Err(broken("encoded answer")),
         (None, _) => {}
     }
-    // Before the body, which may take long: from here on the upstream counts as one that named its limit.
-    if execution != execution::Execution::Replaced {
-        observe(said.limit);
-    }
     connection.rest = rest(&parts.headers);
     let bytes = read(incoming).await?;
     Ok(Answer { head: Response::from_parts(parts, ()), bytes, execution, load })
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -227,7 +227,7 @@
                 &self.request.head.request_id,
                 self.server.state.dialect,
                 self.request.rules,
-                |field| self.server.state.observe_limit(upstream, field),
+                |statement, headers| self.server.state.observe(upstream, statement, headers),
             )
             .await;
             if let Some(doubt) = doubt {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -3,9 +3,9 @@
 //! Owns the configuration in force, the copy of the store, the members and the dispatcher, and applies each change to
 //! them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
 
-mod limits;
 mod nodes;
 mod quarantine;
+mod statements;
 mod store;
 pub mod update;
 
--- a/crates/node/tests/forms/headers.rs
+++ b/crates/node/tests/forms/headers.rs
@@ -287,7 +287,7 @@
     for (dialect, name) in
         [(Dialect::Platform, "yokespoke-server-load"), (Dialect::Own, "yokespoke-load")]
     {
-        let of = |headers: &HeaderMap| dialect.answer(headers, StatusCode::OK, None).load;
+        let of = |headers: &HeaderMap| dialect.answer(headers, StatusCode::OK, None).statement.load;
         assert_eq!(of(&map(&[(name, "3,1,8")])), Some(load));
         assert_eq!(of(&map(&[])), None);
         assert_eq!(field::text(&map(&[(name, "3")]), &HeaderName::from_static(name)), Some("3"));
--- a/crates/node/tests/gateway/limits.rs
+++ b/crates/node/tests/gateway/limits.rs
@@ -2,14 +2,13 @@
 //! that: each went on to choose upstreams by load, health and objects alone, so an upstream that an object prefers got all that
 //! was asked for the object, and one of many that named limits got as much as any other.
 
-use std::sync;
 use std::time::{Duration, Instant};
 
-use standin::platform::listener::Listener;
 use standin::platform::upstream::{Behavior, Upstream};
 
 use crate::client;
 use crate::rig::{self, Gateway, Rig};
+use crate::traffic::{Fleet, HALLS, PATH, count};
 
 /// Bound on contact of the deployment under test, as the settings' default.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -29,96 +28,11 @@
 /// Longest time until a request is refused that nobody can take.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-/// What callers ask for.
-const PATH: &str = "/read/object";
-
-/// Where the gateways and the upstreams stand.
-const HALLS: [&str; 3] = ["north-1", "north-2", "north-1"];
-
-/// Gateways of one region, and upstreams that may name limits.
-struct Fleet {
-    rig: Rig,
-    door: sync::Arc<Listener>,
-    upstreams: Vec<Upstream>,
-    gateways: Vec<Gateway>,
-}
-
-/// What became of one request.
-#[derive(Clone, Debug)]
-struct Asked {
-    at: Instant,
-    took: Duration,
-    answer: client::Answer,
-}
-
-impl Fleet {
-    async fn start(upstreams: usize) -> Self {
-        let rig = Rig::start(&rig::routes()).await;
-        let mut started = Vec::new();
-        for index in 0..upstreams {
-            started.push(rig.upstream(&format!("i-{index}"), "desk", HALLS[index % 3]).await);
-        }
-        let door = rig.store.open().await.expect("the store opens");
-        let mut fleet = Self { rig, door, upstreams: started, gateways: Vec::new() };
-        for (index, hall) in HALLS.iter().enumerate() {
-            fleet.start_gateway(&format!("n-{index}"), hall).await;
-        }
-        fleet
-    }
-
-    async fn start_gateway(&mut self, name: &str, hall: &str) {
-        let seeds: Vec<_> = self.gateways.iter().map(|gateway| gateway.peers).collect();
-        let gateway = self.rig.gateway_at(name, hall, self.door.address, &seeds).await;
-        gateway.wait_ready().await;
-        self.gateways.push(gateway);
-    }
-
-    /// Asks each gateway so many times a second together, for `time`; returns what became of the requests.
-    async fn ask(&self, per_second: f64, time: Duration) -> Vec<Asked> {
-        let pause = Duration::from_secs_f64(count(self.gateways.len()) / per_second);
-        let started = Instant::now();
-        let callers = self.gateways.iter().enumerate().map(|(number, gateway)| {
-            let address = gateway.callers;
-            tokio::spawn(async move {
-                let mut asked = tokio::task::JoinSet::new();
-                while started.elapsed() < time {
-                    let at = Instant::now();
-                    let id = format!("id-{number}-{}", started.elapsed().as_nanos());
-                    asked.spawn(async move {
-                        let answer = client::Client::connect(address).await.get(PATH, &id).await;
-                        Asked { at, took: at.elapsed(), answer }
-                    });
-                    tokio::time::sleep_until((at + pause).into()).await;
-                }
-                asked.join_all().await
-            })
-        });
-        let callers: Vec<_> = callers.collect();
-        let mut asked = Vec::new();
-        for caller in callers {
-            asked.extend(caller.await.expect("the caller ends"));
-        }
-        asked
-    }
-
-    /// Returns the upstream that the object prefers, which is asked for.
-    async fn preferred(&self) -> &Upstream {
-        self.ask(60.0, Duration::from_millis(500)).await;
-        let arrivals = |upstream: &&Upstream| upstream.record().arrivals;
-        self.upstreams.iter().max_by_key(arrivals).expect("there are upstreams")
-    }
-}
-
 /// Returns how many requests reached an upstream between two times.
 fn arrived(upstream: &Upstream, from: Instant, until: Instant) -> usize {
     upstream.record().arrived_at.iter().filter(|at| (from..until).contains(at)).count()
 }
 
-#[expect(clippy::cast_precision_loss, reason = "some hundreds")]
-fn count(number: usize) -> f64 {
-    number as f64
-}
-
 /// Fails where an upstream got more than the users' rule grants in a window of those after `from`.
 #[track_caller]
 fn assert_kept(upstream: &Upstream, limit: f64, from: Instant) {
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -12,3 +12,4 @@
 mod rig;
 mod silence;
 mod stop;
+mod traffic;
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use ::platform::headers;
+use http::header;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -70,6 +71,8 @@
     behavior: sync::Mutex<Behavior>,
     fragility: sync::Mutex<Option<Fragility>>,
     limits: sync::Mutex<Vec<String>>,
+    leavings: sync::Mutex<Vec<String>>,
+    rests: sync::Mutex<Vec<String>>,
     crashed: Notify,
     is_down: watch::Sender<bool>,
     record: sync::Mutex<Record>,
@@ -129,6 +132,8 @@
             behavior: sync::Mutex::new(Behavior::Sound),
             fragility: sync::Mutex::default(),
             limits: sync::Mutex::default(),
+            leavings: sync::Mutex::default(),
+            rests: sync::Mutex::default(),
             crashed: Notify::new(),
             is_down: watch::Sender::new(false),
             record: sync::Mutex::default(),
@@ -147,6 +152,16 @@
         *lock(&self.shared.limits) = limits.iter().map(|&limit| limit.to_owned()).collect();
     }
 
+    /// Lets its answers say this of its leaving from now on, one in a field; nothing where there are none.
+    pub fn say_leaving(&self, values: &[&str]) {
+        *lock(&self.shared.leavings) = values.iter().map(|&value| value.to_owned()).collect();
+    }
+
+    /// Lets all of its answers ask for this rest from now on, one in a field; for none where there are none.
+    pub fn ask_for_rest(&self, values: &[&str]) {
+        *lock(&self.shared.rests) = values.iter().map(|&value| value.to_owned()).collect();
+    }
+
     /// Lets it crash `after` it begins a request whose path begins with `path`; it is back when it was `down` that long.
     pub fn crash_on(&self, path: &str, after: Duration, down: Duration) {
         *lock(&self.shared.fragility) = Some(Fragility { path: path.to_owned(), after, down });
@@ -275,19 +290,16 @@
         let other = format!("{}: other\r\n", headers::INSTANCE_ID);
         return (plain(421, id, &other, ""), false);
     }
-    let limits: String = lock(&shared.limits)
-        .iter()
-        .map(|limit| format!("{}: {limit}\r\n", headers::LIMIT))
-        .collect();
-    let seal = format!("{}: seal-{id}\r\n{}: 1,0,4\r\n{limits}", headers::SEAL, headers::LOAD);
+    let said = statement(shared);
+    let seal = format!("{}: seal-{id}\r\n{}: 1,0,4\r\n{said}", headers::SEAL, headers::LOAD);
     let sound = plain(200, id, &seal, &whole);
     match behavior {
         Behavior::Sound | Behavior::Slow(_) => (sound, false),
         Behavior::Full => {
-            let extra = format!("{}: 1\r\n{limits}", headers::NOT_EXECUTED);
+            let extra = format!("{}: 1\r\n{said}", headers::NOT_EXECUTED);
             (plain(503, id, &extra, ""), false)
         }
-        Behavior::UnprovedRefusal => (plain(503, id, "", "no"), false),
+        Behavior::UnprovedRefusal => (plain(503, id, &said, "no"), false),
         Behavior::Lost => (Vec::new(), true),
         Behavior::Cut => (sound[..sound.len() - whole.len() / 2].to_vec(), true),
         Behavior::Surplus => ([sound, plain(200, "surplus", &seal, "surplus")].concat(), false),
@@ -301,6 +313,20 @@
     }
 }
 
+/// Returns the headers by which it says something of itself.
+fn statement(shared: &Shared) -> String {
+    let fields = [
+        (headers::LIMIT, &shared.limits),
+        (headers::LEAVING, &shared.leavings),
+        (header::RETRY_AFTER, &shared.rests),
+    ];
+    let lines = fields.iter().flat_map(|(name, values)| {
+        let line = move |value: &String| format!("{name}: {value}\r\n");
+        lock(values).iter().map(line).collect::<Vec<_>>()
+    });
+    lines.collect()
+}
+
 fn plain(status: u16, id: &str, extra: &str, body: &str) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} X\r\n{}: {id}\r\n{extra}", headers::REQUEST_ID);
     // Writing into a string does not fail.
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -6,8 +6,8 @@
 //! no clock; the present is passed in.
 
 mod choice;
-mod limits;
 mod peers;
+pub mod statements;
 mod tries;
 mod upstreams;
 
@@ -23,6 +23,7 @@
 use crate::dispatch::expected_work;
 use crate::dispatch::index;
 use crate::dispatch::lapsed;
+use crate::dispatch::leaving;
 use crate::dispatch::overflow;
 use crate::dispatch::peer_load;
 use crate::dispatch::position;
@@ -30,6 +31,7 @@
 use crate::dispatch::region::distance;
 use crate::dispatch::region::order;
 use crate::dispatch::region::shift;
+use crate::dispatch::rest;
 use crate::dispatch::retry_budget;
 use crate::dispatch::route;
 use crate::dispatch::slow_start_owner;
@@ -55,6 +57,8 @@
     owners: slow_start_owner::Owners,
     priorities: priority::Priorities,
     limits: upstream_limit::Limits,
+    leavings: leaving::Leavings,
+    rests: rest::Rests,
     max_nodes: usize,
 }
 
@@ -81,6 +85,8 @@
             owners: slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() },
             priorities: priority::Priorities::default(),
             limits,
+            leavings: leaving::Leavings::default(),
+            rests: rest::Rests::default(),
             max_nodes: 1,
         }
     }
@@ -107,6 +113,8 @@
         self.expire_peer_load(now);
         let upstreams = &self.upstreams;
         self.limits.tick(|key| upstreams.get_by_key(key).is_some(), now);
+        self.leavings.tick(|process| upstreams.get(&process.upstream).is_some(), now);
+        self.rests.tick(now);
         let limit = shift::limit(&self.bounds);
         let scopes: Vec<order::Scope> = self.regions.keys().cloned().collect();
         for scope in scopes {
--- a/crates/steer/src/dispatch/dispatcher/upstreams.rs
+++ b/crates/steer/src/dispatch/dispatcher/upstreams.rs
@@ -8,6 +8,7 @@
 use model::id;
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::incarnation;
 use crate::dispatch::index;
 use crate::dispatch::upstream;
 
@@ -45,6 +46,9 @@
         let region = self.position.region_of(&entry.hall);
         let mut upstream = upstream::Upstream::new(entry, region, now);
         upstream.load.set_peers(self.peers.total(upstream.key));
+        let incarnation = incarnation::Incarnation::of(&upstream.entry);
+        upstream.says_leaving = self.leavings.get(&incarnation).is_some();
+        upstream.rests_until = self.rests.until(&incarnation);
         upstream
     }
 
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 //!
 //! What the rules know of an upstream: [`ejection`], [`failure_rate`], [`silence`], [`work_time`] (together
 //! [`health`]), [`slow_start`] and its owner, [`expected_work`], [`reported_load`], [`peer_load`],
-//! [`lapsed`] entries.
+//! [`lapsed`] entries, and what it says of itself: [`upstream_limit`], [`leaving`], [`rest`].
 //!
 //! What nodes do for each other and for callers: [`fleet`], and [`stop`] for a planned stop.
 
@@ -30,8 +30,10 @@
 pub mod give_up;
 pub mod health;
 pub mod homes;
+pub mod incarnation;
 pub mod index;
 pub mod lapsed;
+pub mod leaving;
 pub mod outcome;
 pub mod overflow;
 pub mod peer_load;
@@ -44,6 +46,7 @@
 pub mod region;
 pub mod reported_load;
 pub mod request;
+pub mod rest;
 pub mod retry;
 pub mod retry_budget;
 pub mod route;
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -37,6 +37,10 @@
     pub is_owned: bool,
     /// Whether another entry answered at its address.
     pub is_replaced: bool,
+    /// Whether it was heard to leave.
+    pub says_leaving: bool,
+    /// When it has rested; none before it asks for rest.
+    pub rests_until: Option<Instant>,
     /// Until when it is used without an entry, which may only have lapsed.
     pub lapsed_until: Option<Instant>,
 }
@@ -58,6 +62,8 @@
             slow_start,
             is_owned: false,
             is_replaced: false,
+            says_leaving: false,
+            rests_until: None,
             lapsed_until: None,
         }
     }
@@ -69,6 +75,12 @@
         self.entry.state == discovery::State::Ready && !self.is_replaced && !is_gone
     }
 
+    /// Returns whether it wants no requests from this node for now.
+    #[must_use]
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the work times of one request that pass until one more would be done; at least 1.
     #[must_use]
     pub fn crowding(&self, now: Instant) -> f64 {
--- a/crates/steer/tests/execution.rs
+++ b/crates/steer/tests/execution.rs
@@ -1,21 +1,20 @@
 //! What an upstream's answer proves about the request.
 
 use model::head;
-use model::limit;
+use model::statement;
 use steer::dispatch::execution::{Execution, Fault, Requirements, execution, fault};
 
 const STRICT: Requirements = Requirements { request_id: true, seal: true };
 const LAX: Requirements = Requirements { request_id: false, seal: false };
 
 fn answer(status: u16) -> head::Answer<'static> {
-    let (request_id, load) = (Some("id"), None);
+    let request_id = Some("id");
     head::Answer {
         status,
         request_id,
         is_sealed: true,
         states_not_run: false,
-        load,
-        limit: limit::Field::Absent,
+        statement: statement::Statement::default(),
     }
 }
 
