--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod requests;
 mod rig;
 mod silence;
+mod statements;
 mod stop;
 mod traffic;
