Upstreams that leave or rest by their own word get no more requests

A leaving was known from the store alone, which was silent; a refusal counted as a full queue for 0.4 s. Ruled out: a later word that wipes them out, and news that come too late.

All that an upstream says of itself is one value, and one place decides what holds of it, for the process that said it. A try whose upstream says either while its connection opens is taken back. Where all rest, callers are refused at once and told the earliest end.

Why it holds: a leaving can only be ended by another process, and a rest by its time, so neither a late answer, an entry that still says ready nor a lapsed one brings requests back. The pinned text of refusals grew by resting=N.

--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -8,6 +8,8 @@
 
 use model::{id, limit};
 use prost::Message as _;
+use steer::dispatch::incarnation;
+use steer::dispatch::leaving;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
 use steer::dispatch::upstream_limit::{self, announcement};
@@ -22,6 +24,9 @@
 /// Most upstreams with limits of one datagram, beside the others; some 8 KB.
 const MOST_LIMITED: usize = 250;
 
+/// Most upstreams that leave of one datagram, beside the others; some 3 KB.
+const MOST_LEAVING: usize = 100;
+
 /// Stands for the rate of an upstream that names no limit any more.
 const NO_LIMIT: f64 = -1.0;
 
@@ -40,6 +45,8 @@
     pub usages: Vec<usage::Usage>,
     /// What upstreams name as their limits, and what is sent to those.
     pub limits: upstream_limit::Report,
+    /// Upstreams that said that they leave.
+    pub leavings: Vec<leaving::Announcement>,
 }
 
 /// What one datagram reports.
@@ -64,12 +71,15 @@
     let usages: Vec<_> = content.usages.chunks(MOST_ORGANISATIONS).collect();
     let sends: Vec<_> = content.limits.usages.chunks(MOST_LIMITED).collect();
     let announcements: Vec<_> = content.limits.announcements.chunks(MOST_LIMITED).collect();
-    let parts = [loads.len(), usages.len(), sends.len(), announcements.len(), 1].into_iter().max();
+    let leavings: Vec<_> = content.leavings.chunks(MOST_LEAVING).collect();
+    let limited = sends.len().max(announcements.len());
+    let parts = [loads.len(), usages.len(), limited, leavings.len(), 1].into_iter().max();
     let part = |number: usize| {
         let loads = message::Loads {
             node: name(number),
             sends: sends.get(number).map(|sends| encode_sends(sends)),
             limits: announcements.get(number).map(|part| encode_announcements(part)),
+            leavings: leavings.get(number).map(|leavings| encode_leavings(leavings)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -103,19 +113,30 @@
 }
 
 fn encode_announcements(announcements: &[announcement::Announcement]) -> message::Limits {
-    let age = |announced: &announcement::Announcement| {
-        u32::try_from(announced.age.as_millis()).unwrap_or(u32::MAX)
-    };
     message::Limits {
         upstreams: announcements.iter().map(|announced| announced.upstream.0).collect(),
         rates: announcements
             .iter()
             .map(|n| n.limit.map_or(NO_LIMIT, limit::Rate::per_second))
             .collect(),
-        ages: announcements.iter().map(age).collect(),
+        ages: announcements.iter().map(|announced| millis(announced.age)).collect(),
     }
 }
 
+fn encode_leavings(leavings: &[leaving::Announcement]) -> message::Leavings {
+    let name = |announced: &leaving::Announcement| announced.incarnation.upstream.to_string();
+    message::Leavings {
+        upstreams: leavings.iter().map(name).collect(),
+        born: leavings.iter().map(|announced| announced.incarnation.born).collect(),
+        ages: leavings.iter().map(|announced| millis(announced.age)).collect(),
+    }
+}
+
+/// Returns a time in milliseconds; the longest that a message holds for a longer one.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Usages as the lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -206,7 +227,8 @@
         };
         let upstreams = loads.upstreams.into_iter().map(peer_load::Key);
         let requests = upstreams.zip(loads.requests).collect();
-        let content = Content { requests, usages: figures.read()?, limits };
+        let leavings = read_leavings(&loads.leavings.unwrap_or_default())?;
+        let content = Content { requests, usages: figures.read()?, limits, leavings };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
@@ -239,6 +261,23 @@
     (0..names).map(announcement).collect()
 }
 
+fn read_leavings(leavings: &message::Leavings) -> Result<Vec<leaving::Announcement>, Malformed> {
+    let names = leavings.upstreams.len();
+    if let Some(uneven) =
+        [leavings.born.len(), leavings.ages.len()].into_iter().find(|figures| *figures != names)
+    {
+        return Err(Malformed::Uneven(names, uneven));
+    }
+    let announcement = |index: usize| leaving::Announcement {
+        incarnation: incarnation::Incarnation {
+            upstream: id::Upstream::new(&leavings.upstreams[index]),
+            born: leavings.born[index],
+        },
+        age: Duration::from_millis(leavings.ages[index].into()),
+    };
+    Ok((0..names).map(announcement).collect())
+}
+
 /// Why a load report cannot be applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Malformed {
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -13,6 +13,7 @@
 use model::id;
 use steer::dispatch::fleet::gossip;
 use steer::dispatch::fleet::representatives;
+use steer::dispatch::leaving;
 use steer::dispatch::quota::forwarder;
 use steer::dispatch::upstream_limit;
 use tokio::net::UdpSocket;
@@ -57,6 +58,7 @@
 struct Sum {
     usages: forwarder::Forwarder,
     limits: upstream_limit::Forwarder,
+    leavings: leaving::Announcer,
 }
 
 impl Sum {
@@ -72,6 +74,7 @@
             requests: dispatcher.peer_load(&wanted, now),
             usages: state.quotas.borrow_mut().report_sum(&wanted, &mut self.usages, now),
             limits: dispatcher.limits_mut().report_sum(&wanted, &mut self.limits, now),
+            leavings: dispatcher.leavings().report_sum(&wanted, &mut self.leavings, now),
         }
     }
 }
@@ -83,6 +86,7 @@
         requests: dispatcher.in_flight(),
         usages: state.quotas.borrow_mut().report(now),
         limits: dispatcher.limits_mut().report(now),
+        leavings: dispatcher.leavings_mut().report(now),
     }
 }
 
@@ -175,9 +179,10 @@
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits } = report.content;
+    let Content { requests, usages, limits, leavings } = report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
+    state.receive_leavings(&sender, &leavings, now);
     state.dispatcher.borrow_mut().set_peer_load(report.node, requests, now);
     Ok(())
 }
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -36,6 +36,8 @@
 pub enum Failure {
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent, since the upstream takes no more requests of this node meanwhile.
+    Withdrawn,
     /// It was sent, and the connection ended before the answer; it may have run.
     Closed(String),
     /// It was sent, and what came is no answer to it; it may have run.
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -34,6 +34,9 @@
 use crate::gateway::proxy::request_body;
 use crate::gateway::proxy::server;
 
+/// End of a try whose upstream takes no more requests since it was chosen, as the log shows it.
+const WITHDRAWN: &str = "withdrawn";
+
 /// What is sent, and until when.
 #[derive(Debug)]
 pub struct Request<'a> {
@@ -123,6 +126,10 @@
                     attempt.end(outcome::Outcome::NotSent);
                     self.end(retry::Outcome::NotSent(cause))?;
                 }
+                Err(exchange::Failure::Withdrawn) => {
+                    attempt.end(outcome::Outcome::Abandoned);
+                    self.end(retry::Outcome::NotSent(WITHDRAWN.to_owned()))?;
+                }
                 Err(exchange::Failure::Closed(cause)) => {
                     attempt.end(outcome::Outcome::Broken);
                     self.server.state.metrics.broken.add(1);
@@ -148,26 +155,31 @@
             self.server.state.metrics.held_back.add(1);
             return Err(self.progress.hold(hold.retry_after));
         }
-        let request = retry::Request {
-            route: self.request.route,
-            service: self.request.service,
-            key: self.identity.key(),
-            deadline: self.request.deadline,
-            homes: self.request.homes,
-            urgency: urgency::Urgency::of(self.request.route, self.request.organisation),
-        };
+        let request = self.for_choice();
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         let chosen = self.progress.choose(request, &mut dispatcher, Instant::now());
         drop(dispatcher);
         match &chosen {
-            Ok(choice) if !choice.skipped.is_empty() => self.record_diverted(choice),
+            Ok(choice) if choice.is_diverted() => self.record_diverted(choice),
             Err(give_up::Reason::Limited { .. }) => self.server.state.metrics.limited.add(1),
             _ => {}
         }
         chosen
     }
 
-    /// Records that the request goes elsewhere than it would without the limits that upstreams name.
+    /// Returns the request as the rules see it.
+    fn for_choice(&self) -> retry::Request<'a> {
+        retry::Request {
+            route: self.request.route,
+            service: self.request.service,
+            key: self.identity.key(),
+            deadline: self.request.deadline,
+            homes: self.request.homes,
+            urgency: urgency::Urgency::of(self.request.route, self.request.organisation),
+        }
+    }
+
+    /// Records that the request goes elsewhere than it would without what upstreams say of themselves.
     fn record_diverted(&self, choice: &retry::Choice) {
         self.server.state.metrics.diverted.add(1);
         let limited: Vec<&str> = choice.skipped.iter().map(id::Upstream::as_str).collect();
@@ -175,7 +187,8 @@
         log::info!(
             request = self.request.head.request_id.as_str(),
             upstream = choice.upstream.id.as_str(),
-            limited = limited.as_str();
+            limited = limited.as_str(),
+            avoided = choice.avoided.as_ref().map_or("", id::Upstream::as_str);
             "request-diverted"
         );
     }
@@ -203,10 +216,17 @@
                 state.metrics.retries.add(1);
                 Ok(())
             }
+            retry::Next::GiveUp(give_up::Reason::TurnedAway) => Err(self.turned_away()),
             retry::Next::GiveUp(reason) => Err(reason),
         }
     }
 
+    /// Returns why a request is given up that was refused at last: its caller returns in vain while all upstreams rest.
+    fn turned_away(&self) -> give_up::Reason {
+        let mut dispatcher = self.server.state.dispatcher.borrow_mut();
+        self.progress.turned_away(self.for_choice(), &mut dispatcher, Instant::now())
+    }
+
     /// Sends the request on a resting connection, or on a new one.
     async fn send(
         &mut self,
@@ -215,6 +235,10 @@
         loop {
             self.progress.connecting();
             let (mut connection, is_rested) = self.connect(upstream).await?;
+            // Opening a connection takes time, in which another answer may have said more of the upstream.
+            if !self.server.state.dispatcher.borrow().takes_work(upstream, Instant::now()) {
+                return Err(exchange::Failure::Withdrawn);
+            }
             self.progress.sending();
             let doubt = is_rested
                 .then(|| pool::Doubt::new(&self.server.pool, upstream, self.request.deadline));
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -76,6 +76,7 @@
         debts: Vec::new(),
         sends: None,
         limits: None,
+        leavings: None,
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -17,6 +17,7 @@
 #[path = "../gateway/rig.rs"]
 #[expect(dead_code, reason = "shared with the tests of single rules")]
 mod rig;
+mod statements;
 mod world;
 
 use std::time::Duration;
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -17,6 +17,7 @@
 use crate::organisations;
 use crate::record;
 use crate::rig;
+use crate::statements;
 
 /// Halls in which gateways and upstreams stand.
 const HALLS: [&str; 3] = ["north-1", "north-2", "south-1"];
@@ -112,14 +113,20 @@
     let limits = has_limits.then(|| limits::Limits::start(seed, 1, &world.standins()));
     let late = world.late_configurations().await;
     world.settle(seed).await;
+    let has_statements = seed % statements::EVERY == statements::AT;
+    let statements =
+        has_statements.then(|| statements::Statements::start(&world.standins(), count));
     let before = world.arrivals_where_none_may_come();
     let crashes_before = world.crashes();
     let callers = callers::Callers::start("calm", CALLERS, &world.addresses, seed);
-    tokio::time::sleep(CALM + limits.as_ref().map_or(Duration::ZERO, |_| limits::LONGER)).await;
+    let longer = limits.as_ref().map(|_| limits::LONGER);
+    let longer = longer.or(statements.as_ref().map(|_| statements::LONGER));
+    tokio::time::sleep(CALM + longer.unwrap_or_default()).await;
     world.stop_one().await;
     let calm = callers.finish().await;
     let mut broken = world.broken_in_calm(&calm, before);
     broken.extend(limits.iter().flat_map(|limits| limits.broken(&world.standins())));
+    broken.extend(statements.iter().flat_map(|said| said.broken(&world.standins())));
     if let Some(deadly) = deadly {
         outcomes.extend(deadly.finish().await);
         broken.extend(world.broken_by_deadly(crashes_before));
--- a/crates/steer/src/dispatch/candidate.rs
+++ b/crates/steer/src/dispatch/candidate.rs
@@ -34,6 +34,8 @@
     pub expected: seconds::Seconds,
     /// Age of the latest load that the upstream reported.
     pub load_age: Duration,
+    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    pub avoided: Option<id::Upstream>,
     /// Upstreams that came before it, and whose limits are used up.
     pub skipped: Vec<id::Upstream>,
 }
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -3,7 +3,7 @@
 //! Route, order of regions, eligibility, selection in each region, overflow, admission. Each rule stands in
 //! a module of its own; here they only get their inputs.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::fraction;
 use model::id;
@@ -33,6 +33,8 @@
     name: id::Region,
     /// Its upstreams; none before the request looks at them, since the first region is enough for most.
     ranking: Option<selection::Ranking>,
+    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    avoided: Option<id::Upstream>,
 }
 
 /// The regions that may serve a request, the preferred one first.
@@ -41,7 +43,7 @@
 
 impl Regions {
     fn of(names: Vec<id::Region>) -> Self {
-        Self(names.into_iter().map(|name| Region { name, ranking: None }).collect())
+        Self(names.into_iter().map(|name| Region { name, ranking: None, avoided: None }).collect())
     }
 }
 
@@ -87,7 +89,9 @@
             let key = peer_load::Key::of(&chosen.entry.id);
             match self.limits.admit(key, rank, now) {
                 Ok(()) => {
-                    return Ok(candidate::Candidate { skipped: skipped.upstreams, ..chosen });
+                    let avoided = regions.0.first_mut().and_then(|region| region.avoided.take());
+                    let skipped = skipped.upstreams;
+                    return Ok(candidate::Candidate { avoided, skipped, ..chosen });
                 }
                 Err(room_after) => skipped.add(&chosen, room_after),
             }
@@ -109,7 +113,7 @@
         let Some(own) = others.find_map(|region| self.best_in(region, request, skipped, now))
         else {
             return Err(match skipped.upstreams.is_empty() {
-                true => refusal::Refusal::NoUpstream(self.exclusions(request, now)),
+                true => self.refuse(request, now),
                 false => skipped.refusal(),
             });
         };
@@ -194,10 +198,11 @@
         skipped: &skipped::Skipped,
         now: Instant,
     ) -> Option<candidate::Candidate> {
-        let ranking = match &mut region.ranking {
-            Some(ranking) => ranking,
-            ranking @ None => ranking.insert(self.rank(&region.name, request, now)),
-        };
+        if region.ranking.is_none() {
+            region.ranking = Some(self.rank(&region.name, request, now));
+            region.avoided = self.avoided(&region.name, request, now);
+        }
+        let ranking = region.ranking.as_ref()?;
         let best = ranking.best(skipped)?;
         let distance = self.distances.get(request.service);
         let way = distance.map(|d| d.way(&self.position.region, &region.name));
@@ -219,6 +224,50 @@
         selection::Ranking::new(eligible, request, work, self.priorities.rank(request), now)
     }
 
+    /// Returns the upstream that the request's object prefers, where it leaves or rests by its own word.
+    fn avoided(
+        &self,
+        region: &id::Region,
+        request: &request::Request<'_>,
+        now: Instant,
+    ) -> Option<id::Upstream> {
+        let first = self.upstreams.preferred(request.service, region, request.key).next()?;
+        let is_avoided = first.says_leaving || first.is_resting(now);
+        is_avoided.then(|| first.entry.id.clone())
+    }
+
+    /// Returns the refusal of a request that no upstream may take.
+    fn refuse(&mut self, request: &request::Request<'_>, now: Instant) -> refusal::Refusal {
+        let exclusions = self.exclusions(request, now);
+        match self.rest_left(request, exclusions, now) {
+            Some(retry_after) => refusal::Refusal::Resting { retry_after, exclusions },
+            None => refusal::Refusal::NoUpstream(exclusions),
+        }
+    }
+
+    /// Returns after which time the caller of a request may return where all upstreams that would take it rest.
+    pub fn all_rest(&mut self, request: &request::Request<'_>, now: Instant) -> Option<Duration> {
+        self.rest_left(request, self.exclusions(request, now), now)
+    }
+
+    fn rest_left(
+        &mut self,
+        request: &request::Request<'_>,
+        exclusions: refusal::Exclusions,
+        now: Instant,
+    ) -> Option<Duration> {
+        if !exclusions.all_rest() {
+            return None;
+        }
+        let rules = self.eligibility(now);
+        let of_service = self.upstreams.of_service(request.service);
+        let is_resting = |upstream: &&upstream::Upstream| {
+            rules.exclusion(upstream, request) == Some(eligibility::Exclusion::Resting)
+        };
+        let earliest = of_service.filter(is_resting).filter_map(|u| u.rests_until).min()?;
+        Some(self.rests.retry_after(earliest, now))
+    }
+
     /// Counts the upstreams of the service by why they may not take the request.
     fn exclusions(&self, request: &request::Request<'_>, now: Instant) -> refusal::Exclusions {
         self.eligibility(now).count(self.upstreams.of_service(request.service), request)
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -81,6 +81,8 @@
             }
             outcome::Outcome::Replaced => upstream.is_replaced = true,
             outcome::Outcome::NotSent => upstream.health.unreachable(now),
+            // A refusal that proves nothing, with which it asked for rest.
+            outcome::Outcome::Broken if upstream.is_resting(now) => {}
             outcome::Outcome::Broken => upstream.health.broken(now),
             outcome::Outcome::TimedOut => upstream.health.timed_out(waited, work.mean(), now),
             outcome::Outcome::Abandoned => {}
--- a/crates/steer/src/dispatch/dispatcher/upstreams.rs
+++ b/crates/steer/src/dispatch/dispatcher/upstreams.rs
@@ -8,6 +8,7 @@
 use model::id;
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::eligibility;
 use crate::dispatch::incarnation;
 use crate::dispatch::index;
 use crate::dispatch::upstream;
@@ -85,7 +86,17 @@
     #[must_use]
     pub fn count_working(&self, service: &id::Service, now: Instant) -> usize {
         let of_service = self.upstreams.of_service(service);
-        of_service.filter(|u| u.is_usable(now) && !u.health.is_ejected(now)).count()
+        let takes_work = |u: &&upstream::Upstream| {
+            u.is_usable(now) && !u.is_resting(now) && !u.health.is_ejected(now)
+        };
+        of_service.filter(takes_work).count()
+    }
+
+    /// Returns whether an upstream that was chosen may still be sent a request of this node.
+    #[must_use]
+    pub fn takes_work(&self, upstream: &discovery::Entry, now: Instant) -> bool {
+        let known = self.upstreams.get(&upstream.id).filter(|u| u.entry.born == upstream.born);
+        known.is_some_and(|known| eligibility::takes_work(known, &self.evacuated, now))
     }
 
     /// Returns the upstreams that are used without an entry.
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -22,10 +22,12 @@
 pub enum Exclusion {
     /// Its region may not serve the request.
     Outside,
-    /// It drains, its entry has vanished for good, or another upstream has its address.
+    /// It drains, it said that it leaves, its entry has vanished for good, or another upstream has its address.
     Leaving,
     /// Its hall is evacuated.
     Evacuated,
+    /// It wants no requests from this node for now.
+    Resting,
     /// The request was sent to it before.
     Tried,
     /// It is cold, and this node may not send it one more request now.
@@ -57,7 +59,8 @@
                 Some(Exclusion::Outside)
             }
             () if !upstream.is_usable(self.now) => Some(Exclusion::Leaving),
-            () if !takes_work(upstream, self.evacuated, self.now) => Some(Exclusion::Evacuated),
+            () if self.evacuated.contains(&upstream.entry.hall) => Some(Exclusion::Evacuated),
+            () if upstream.is_resting(self.now) => Some(Exclusion::Resting),
             () if request.tried.contains(&upstream.entry.id) => Some(Exclusion::Tried),
             () if !self.may_warm(upstream) => Some(Exclusion::Cold),
             () => None,
@@ -77,6 +80,7 @@
                 Some(Exclusion::Outside) => counts.outside += 1,
                 Some(Exclusion::Leaving) => counts.leaving += 1,
                 Some(Exclusion::Evacuated) => counts.evacuated += 1,
+                Some(Exclusion::Resting) => counts.resting += 1,
                 Some(Exclusion::Tried) => counts.tried += 1,
                 Some(Exclusion::Cold) => counts.cold += 1,
                 None => {}
@@ -97,12 +101,14 @@
     }
 }
 
-/// Returns whether an upstream takes new work, whatever the request.
+/// Returns whether an upstream takes new work of this node now, whatever the request.
 #[must_use]
 pub fn takes_work(
     upstream: &upstream::Upstream,
     evacuated: &collections::BTreeSet<id::Hall>,
     now: Instant,
 ) -> bool {
-    upstream.is_usable(now) && !evacuated.contains(&upstream.entry.hall)
+    upstream.is_usable(now)
+        && !upstream.is_resting(now)
+        && !evacuated.contains(&upstream.entry.hall)
 }
--- a/crates/steer/src/dispatch/give_up.rs
+++ b/crates/steer/src/dispatch/give_up.rs
@@ -53,6 +53,11 @@
         /// Time after which one of them has room.
         retry_after: Duration,
     },
+    /// The upstreams that would take it want no requests for now.
+    Resting {
+        /// Time after which one of them has rested.
+        retry_after: Duration,
+    },
     /// No upstream of the service may take it.
     NoUpstream,
     /// Every upstream would answer it too late.
@@ -83,6 +88,7 @@
             Self::OverQuota { .. } => "over-quota",
             Self::Quarantined { .. } => "quarantined",
             Self::Limited { .. } => "limited",
+            Self::Resting { .. } => "resting",
             Self::NoUpstream => "no-upstream",
             Self::Overloaded { .. } => "overloaded",
             Self::Unreachable => "unreachable",
@@ -107,6 +113,7 @@
             Self::NoUpstream | Self::Unreachable | Self::TurnedAway => Some(RETRY_AFTER_REFUSALS),
             Self::Overloaded { retry_after }
             | Self::Limited { retry_after }
+            | Self::Resting { retry_after }
             | Self::OverQuota { retry_after }
             | Self::Quarantined { retry_after } => Some(retry_after),
             Self::MayHaveRun | Self::TimedOut | Self::Revoked => None,
--- a/crates/steer/src/dispatch/leaving.rs
+++ b/crates/steer/src/dispatch/leaving.rs
@@ -89,6 +89,7 @@
         announcer: &mut Announcer,
         now: Instant,
     ) -> Vec<Announcement> {
+        announcer.retain(&self.heard);
         let of_wanted = self.heard.iter().filter(|(_, h)| h.by.as_ref().is_some_and(&wanted));
         announcer.due(of_wanted, now)
     }
@@ -101,12 +102,16 @@
             }
             now.saturating_duration_since(heard.listed_at) < REMEMBERED
         });
-        let heard = &self.heard;
-        self.announcer.reports.retain(|incarnation, _| heard.contains_key(incarnation));
+        self.announcer.retain(&self.heard);
     }
 }
 
 impl Announcer {
+    /// Forgets processes that are forgotten.
+    fn retain(&mut self, heard: &collections::BTreeMap<incarnation::Incarnation, Heard>) {
+        self.reports.retain(|incarnation, _| heard.contains_key(incarnation));
+    }
+
     fn due<'a>(
         &mut self,
         heard: impl Iterator<Item = (&'a incarnation::Incarnation, &'a Heard)>,
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -25,6 +25,13 @@
         /// The upstreams.
         upstreams: Vec<id::Upstream>,
     },
+    /// Every upstream that would take it wants no requests from this node for now.
+    Resting {
+        /// Time after which one of them has rested.
+        retry_after: Duration,
+        /// Why each upstream may not take it.
+        exclusions: Exclusions,
+    },
     /// The best upstream would answer it too late.
     Overloaded {
         /// Time after which a retry may be admitted.
@@ -39,12 +46,14 @@
 pub struct Exclusions {
     /// All upstreams of the service.
     pub known: usize,
-    /// Those that drain, or whose address another one has.
+    /// Those that drain or said that they leave, or whose address another one has.
     pub leaving: usize,
     /// Those in regions that may not serve the route.
     pub outside: usize,
     /// Those in evacuated halls.
     pub evacuated: usize,
+    /// Those that want no requests from this node for now.
+    pub resting: usize,
     /// Cold ones to which this node may not send one more request now.
     pub cold: usize,
     /// Those that the request was sent to before.
@@ -66,6 +75,15 @@
     pub load_age: Duration,
 }
 
+impl Exclusions {
+    /// Returns whether all that would take the request rest, and nothing else keeps them from it.
+    #[must_use]
+    pub fn all_rest(&self) -> bool {
+        let takes_none = self.outside + self.leaving + self.evacuated;
+        self.resting > 0 && self.resting + takes_none == self.known
+    }
+}
+
 impl Refusal {
     /// Returns why the request is given up.
     #[must_use]
@@ -75,6 +93,9 @@
             Self::Limited { retry_after, .. } => {
                 give_up::Reason::Limited { retry_after: *retry_after }
             }
+            Self::Resting { retry_after, .. } => {
+                give_up::Reason::Resting { retry_after: *retry_after }
+            }
             Self::Overloaded { retry_after, .. } => {
                 give_up::Reason::Overloaded { retry_after: *retry_after }
             }
@@ -86,10 +107,12 @@
     /// Writes what decided, as the log key `inputs` holds it.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NoUpstream(Exclusions { known, outside, leaving, evacuated, cold, tried }) => {
+            Self::NoUpstream(exclusions) | Self::Resting { exclusions, .. } => {
+                let Exclusions { known, outside, leaving, evacuated, resting, cold, tried } =
+                    exclusions;
                 write!(
                     formatter,
-                    "known={known} outside={outside} leaving={leaving} evacuated={evacuated} cold={cold} tried={tried}"
+                    "known={known} outside={outside} leaving={leaving} evacuated={evacuated} resting={resting} cold={cold} tried={tried}"
                 )
             }
             Self::Limited { upstreams, .. } => {
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -69,10 +69,20 @@
     pub is_first: bool,
     /// The request's object; none when it has none.
     pub object: Option<seen_objects::Object>,
+    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    pub avoided: Option<id::Upstream>,
     /// Upstreams that came before it, and whose limits are used up.
     pub skipped: Vec<id::Upstream>,
 }
 
+impl Choice {
+    /// Returns whether the request goes elsewhere for what upstreams say of themselves.
+    #[must_use]
+    pub fn is_diverted(&self) -> bool {
+        self.avoided.is_some() || !self.skipped.is_empty()
+    }
+}
+
 /// What the current try waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -144,16 +154,7 @@
         dispatcher: &mut dispatcher::Dispatcher,
         now: Instant,
     ) -> Result<Choice, give_up::Reason> {
-        let for_dispatcher = request::Request {
-            route: request.route,
-            service: request.service,
-            key: request.key,
-            tried: &self.chosen,
-            time_left: request.deadline.saturating_duration_since(now),
-            homes: request.homes,
-            urgency: request.urgency,
-        };
-        match dispatcher.choose(&for_dispatcher, now) {
+        match dispatcher.choose(&self.for_dispatcher(request, now), now) {
             Ok(candidate) => {
                 let is_first = self.chosen.is_empty();
                 self.chosen.push(candidate.entry.id.clone());
@@ -162,6 +163,7 @@
                     upstream: candidate.entry,
                     is_first,
                     object: candidate.object,
+                    avoided: candidate.avoided,
                     skipped: candidate.skipped,
                 })
             }
@@ -173,6 +175,32 @@
         }
     }
 
+    /// Gives the request up because its last upstream refused it, or since all upstreams rest.
+    #[must_use]
+    pub fn turned_away(
+        &self,
+        request: Request<'_>,
+        dispatcher: &mut dispatcher::Dispatcher,
+        now: Instant,
+    ) -> give_up::Reason {
+        match dispatcher.all_rest(&self.for_dispatcher(request, now), now) {
+            Some(retry_after) => give_up::Reason::Resting { retry_after },
+            None => give_up::Reason::TurnedAway,
+        }
+    }
+
+    fn for_dispatcher<'a>(&'a self, request: Request<'a>, now: Instant) -> request::Request<'a> {
+        request::Request {
+            route: request.route,
+            service: request.service,
+            key: request.key,
+            tried: &self.chosen,
+            time_left: request.deadline.saturating_duration_since(now),
+            homes: request.homes,
+            urgency: request.urgency,
+        }
+    }
+
     /// Gives the request up because its organisation's key was taken away.
     #[must_use]
     pub fn revoke(&self) -> give_up::Reason {
--- a/crates/steer/src/dispatch/selection.rs
+++ b/crates/steer/src/dispatch/selection.rs
@@ -94,6 +94,7 @@
             done: seconds::Seconds(chosen.wait.0 + self.work.of(chosen.sight).0),
             expected: seconds::Seconds(chosen.wait.0 + self.work.cautious().0),
             load_age: chosen.load_age,
+            avoided: None,
             skipped: Vec::new(),
         })
     }
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -72,7 +72,8 @@
     #[must_use]
     pub fn is_usable(&self, now: Instant) -> bool {
         let is_gone = self.lapsed_until.is_some_and(|until| now >= until);
-        self.entry.state == discovery::State::Ready && !self.is_replaced && !is_gone
+        let leaves = self.says_leaving || self.entry.state != discovery::State::Ready;
+        !leaves && !self.is_replaced && !is_gone
     }
 
     /// Returns whether it wants no requests from this node for now.
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -8,3 +8,4 @@
 mod restarts;
 mod setup;
 mod slow_start;
+mod statements;
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -36,6 +36,9 @@
     /// What upstreams name.
     #[prost(message, optional, tag = "10")]
     pub limits: Option<Limits>,
+    /// Upstreams that said that they leave.
+    #[prost(message, optional, tag = "11")]
+    pub leavings: Option<Leavings>,
 }
 
 /// What is sent to upstreams that name limits, in the units of [`Loads`]; all lists have the same length and order.
@@ -71,3 +74,17 @@
     #[prost(uint32, repeated, tag = "3")]
     pub ages: Vec<u32>,
 }
+
+/// Processes of upstreams that said that they leave; all lists have the same length and order.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Leavings {
+    /// The upstreams' names: a hash that two share would end the use of the other one for good.
+    #[prost(string, repeated, tag = "1")]
+    pub upstreams: Vec<String>,
+    /// When each process started, in milliseconds since 1970; 0 where that is not known.
+    #[prost(uint64, repeated, tag = "2")]
+    pub born: Vec<u64>,
+    /// Time since an answer said so, in milliseconds.
+    #[prost(uint32, repeated, tag = "3")]
+    pub ages: Vec<u32>,
+}
