--- a/crates/steer/tests/dispatch/choice.rs
+++ b/crates/steer/tests/dispatch/choice.rs
@@ -67,7 +67,10 @@
     dispatcher.set_evacuated([id::Hall::new("n-2")].into(), now);
     let refused = setup::choose(&mut dispatcher, &setup::route(&["north"]), 1, now)
         .expect_err("none is left");
-    assert_eq!(refused.to_string(), "known=3 outside=1 leaving=1 evacuated=1 resting=0 cold=0 tried=0");
+    assert_eq!(
+        refused.to_string(),
+        "known=3 outside=1 leaving=1 evacuated=1 resting=0 cold=0 tried=0"
+    );
     dispatcher.set_evacuated(collections::BTreeSet::new(), now);
     let load = vec![(peer_load::Key::of(&id::Upstream::new("i-1")), 400)];
     dispatcher.set_peer_load(id::Node::new("m"), load, now);
