Sight: the store's era, and its headers that nobody reads; a stand-in that comes back from a copy

No logic changes. Each answer of the store, refusals among them, is asked for its era; a change is logged with the revision up to which the copy is complete (store-era-changed), which no line showed. Clients of one gateway hear it together. The stand-in of the store copies what it holds, goes back to a copy and names the next era; watches from beyond its newest revision get 410. Upstreams of the tests count their writes, as the platform's do.

--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -119,7 +119,8 @@
     match source {
         settings::Source::Platform(address) => {
             // Each task has its own connections, so that neither reuses one that fell silent for the other.
-            let client = || client::Client::new(address);
+            let first = client::Client::new(address);
+            let client = || first.beside();
             vec![
                 task::spawn_local(sync::run(state(), client())),
                 task::spawn_local(registration::run(state(), client())),
--- a/crates/node/src/gateway/replica.rs
+++ b/crates/node/src/gateway/replica.rs
@@ -171,7 +171,7 @@
                 });
             items.extend(removed);
         }
-        extract::Extract { page: item::Page { items, more: false, at: self.at }, is_whole }
+        extract::Extract { page: item::Page { items, more: false, at: self.at, era: 0 }, is_whole }
     }
 
     /// Merges what another node sent.
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -59,6 +59,8 @@
     rate: cell::Cell<request_rate::Rate>,
     /// Calls to the store.
     pub calls: store_calls::Calls,
+    /// The highest era that the store named to this node.
+    store_era: cell::Cell<u64>,
     /// Whether this node watches the store itself.
     is_watching: cell::Cell<bool>,
     /// Counters and latencies.
@@ -115,6 +117,7 @@
             me: cell::RefCell::new(me),
             rate: cell::Cell::new(request_rate::Rate::new(Instant::now())),
             calls: store_calls::Calls::default(),
+            store_era: cell::Cell::new(0),
             is_watching: cell::Cell::new(false),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use platform::store::client;
 use platform::store::error;
 use steer::dispatch::fleet::store_call;
 
@@ -49,6 +50,18 @@
         self.is_store_reached() || members.alive(Instant::now()).any(|m| m.is_store_reached)
     }
 
+    /// Logs what the store says beside its answers, where that is new.
+    pub fn hear_store(&self, client: &client::Client) {
+        for name in client.take_unknown() {
+            self.metrics.unknown_headers.record(&name, "store");
+        }
+        let before = self.store_era.replace(client.era());
+        if before < client.era() {
+            let revision = self.replica.borrow().at();
+            log::warn!(era = client.era(), before, revision; "store-era-changed");
+        }
+    }
+
     /// Records whether the store answers, and logs and announces a change.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
         if !self.set_store_reached(failure.is_none()) {
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -53,6 +53,7 @@
             // starts together reads all items once for each node, which was half of its calls of a calm day.
             (false, _) => read(&state, &client, client::Freshness::Stale).await,
         };
+        state.hear_store(&client);
         state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
         match outcome {
             Ok(answer) => {
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -26,6 +26,8 @@
     pub store: store::Store,
     folder: tempfile::TempDir,
     version: u64,
+    /// How often upstreams wrote their entries.
+    written: sync::atomic::AtomicU64,
 }
 
 /// A running gateway process; dropping it kills it.
@@ -98,7 +100,9 @@
     /// Starts a store that holds `routes` as its first configuration.
     pub async fn start(routes: &[Route]) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let mut rig = Self { store: store::Store::start(), folder, version: 0 };
+        let store = store::Store::start();
+        let written = sync::atomic::AtomicU64::new(1);
+        let mut rig = Self { store, folder, version: 0, written };
         rig.configure(routes);
         rig
     }
@@ -158,6 +162,7 @@
         state: &str,
         born: u64,
     ) {
+        let call_seq = self.written.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let mut entry = serde_json::json!({
             "service": service,
             "address": address.to_string(),
@@ -166,7 +171,7 @@
             "slots": 4,
             "state": state,
             "cold_left": "0ms",
-            "call_seq": 1,
+            "call_seq": call_seq,
         });
         if born > 0 {
             entry["born"] = born.into();
--- a/crates/node/tests/replica.rs
+++ b/crates/node/tests/replica.rs
@@ -15,7 +15,7 @@
 }
 
 fn page(items: Vec<item::Item>, at: u64) -> item::Page {
-    item::Page { items, more: false, at }
+    item::Page { items, more: false, at, era: 0 }
 }
 
 fn entry(address: u8) -> String {
--- a/crates/standin/src/platform/items.rs
+++ b/crates/standin/src/platform/items.rs
@@ -25,7 +25,7 @@
 }
 
 /// What the store holds.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Items {
     stored: collections::BTreeMap<String, Stored>,
     history: Vec<item::Item>,
@@ -33,6 +33,7 @@
     revision: u64,
     forgotten: u64,
     last_lease: u64,
+    era: u64,
 }
 
 impl Items {
@@ -42,6 +43,19 @@
         self.revision
     }
 
+    /// Returns how often it has come back from a copy; 0 where it never did.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Goes back to a copy: what was written since is gone, and revisions and leases are given out again. No history is left.
+    pub fn restore(&mut self, copy: &Self) {
+        let era = self.era + 1;
+        *self = Self { era, ..copy.clone() };
+        self.forget();
+    }
+
     /// Returns the items of a prefix.
     #[must_use]
     pub fn range(&self, prefix: &str) -> Vec<item::Item> {
@@ -52,7 +66,8 @@
     /// Returns the changes of a prefix after `after`; none when that history is gone.
     #[must_use]
     pub fn changes(&self, prefix: &str, after: u64) -> Option<Vec<item::Item>> {
-        if after < self.forgotten {
+        // Revisions beyond the newest are of an earlier era.
+        if after < self.forgotten || after > self.revision {
             return None;
         }
         let changed = self.history.iter().filter(|i| i.revision > after);
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -9,6 +9,7 @@
 use std::sync;
 use std::time::{Duration, Instant};
 
+use ::platform::headers;
 use ::platform::store::{item, lease, paths};
 use axum::Json;
 use axum::extract::{Path, Query, State};
@@ -91,6 +92,7 @@
             .route(paths::LEASE, routing::post(grant))
             .route(&format!("{}/{{lease}}", paths::KEEP), routing::post(renew))
             .route(&format!("{}/{{lease}}", paths::END_LEASE), routing::delete(end))
+            .layer(axum::middleware::map_response_with_state(context.clone(), name_era))
             .with_state(context);
         let refused = sync::Arc::default();
         let server = server::Server::serve(socket, router, server::MANY, refused)?;
@@ -133,6 +135,17 @@
         *lock(&self.shared.old) = Some(page(&items, ""));
     }
 
+    /// Copies what the store holds now.
+    #[must_use]
+    pub fn copy(&self) -> items::Items {
+        lock(&self.shared.items).clone()
+    }
+
+    /// Goes back to a copy, as a store does that lost its newest seconds; answers name the next era from now on.
+    pub fn restore(&self, copy: &items::Items) {
+        self.shared.change(|items| items.restore(copy));
+    }
+
     /// Returns the calls that were answered so far.
     #[must_use]
     pub fn calls(&self) -> calls::Calls {
@@ -180,6 +193,15 @@
     }
 }
 
+/// Names the era in an answer, refusals among them; the first one has no number, as in stores that never come back from a copy.
+async fn name_era(State(context): State<Context>, mut response: Response) -> Response {
+    let era = lock(&context.shared.items).era();
+    if era > 0 {
+        response.headers_mut().insert(headers::STORE_ERA, era.into());
+    }
+    response
+}
+
 async fn expire(shared: sync::Weak<Shared>) {
     loop {
         tokio::time::sleep(LEASE_CHECK).await;
@@ -213,7 +235,7 @@
 
 /// Returns all items of a prefix as one page.
 fn page(items: &items::Items, prefix: &str) -> item::Page {
-    item::Page { items: items.range(prefix), more: false, at: items.revision() }
+    item::Page { items: items.range(prefix), at: items.revision(), ..item::Page::default() }
 }
 
 async fn watch_changes(State(context): State<Context>, Query(query): Queries) -> Response {
