A store that comes back from a copy is followed at once, and what was known holds

What callers saw: for up to 7 s after the return nothing that was written was in force: requests at an upstream that leaves 2.85 s after the acknowledgement, and by a configuration four versions old; the store answered thousands of needless calls.

Cause: a gateway kept one number, the revision, and took the larger one for the newer one, in its copy, its extracts, heartbeats, watches and conditional writes. Evidence: the calls end at all watchers at the moment at which the store's revisions pass the old ones, and the failing tests end with the era logged and nothing adopted. Ruled out: starved watchers, watchers that reach nobody.

Position is (era, revision) everywhere. A later era is read whole before anything of it is merged, an earlier one says nothing. Leases are renewed only where the copy has the entry under them. A store that drops its history again and again gets no more calls than one that fails.

Why it holds: no comparison crosses eras any more but by era itself, and the store's own era is in every answer. The copy of the store moves into a folder of two files; the test that names who may read undecoded items follows it. Pinned forms grew by the era.

--- a/crates/node/src/gateway/catch_up.rs
+++ b/crates/node/src/gateway/catch_up.rs
@@ -87,7 +87,7 @@
 /// Returns whether another node has a newer copy, or this node has none at all.
 fn is_behind(state: &state::State, now: Instant) -> bool {
     let at = state.replica.borrow().at();
-    let is_ahead = |m: &member::Member| m.at > at;
+    let is_ahead = |m: &member::Member| m.position() > at;
     !state.replica.borrow().is_complete() || state.members.borrow().alive(now).any(is_ahead)
 }
 
@@ -96,7 +96,7 @@
     let at = state.replica.borrow().at();
     let members = state.members.borrow();
     let me = state.me.borrow();
-    let ahead = members.alive(now).filter(|m| m.at > at && !exchanges.contains(m.peers));
+    let ahead = members.alive(now).filter(|m| m.position() > at && !exchanges.contains(m.peers));
     let (near, far): (Vec<&member::Member>, Vec<&member::Member>) =
         ahead.partition(|m| m.region == me.region);
     let from =
@@ -121,7 +121,7 @@
     exchanges.end(source);
     match fetched {
         Ok(extract) => {
-            let is_newer = extract.page.at > state.replica.borrow().at();
+            let is_newer = extract.page.position() > state.replica.borrow().at();
             if is_newer {
                 state.apply(kind, |replica| replica.merge_extract(extract));
             }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -11,6 +11,7 @@
 use model::fingerprint;
 use model::id;
 use platform::field;
+use platform::store::position;
 use steer::dispatch::dispatcher;
 use steer::dispatch::incarnation;
 use steer::dispatch::quarantine::ruling::Ruling;
@@ -51,7 +52,9 @@
 }
 
 fn changes(state: &state::State, after: &str) -> Response<Full<Bytes>> {
-    let Ok(after) = after.parse::<u64>() else { return status(StatusCode::BAD_REQUEST) };
+    let Ok(after) = after.parse::<position::Position>() else {
+        return status(StatusCode::BAD_REQUEST);
+    };
     let replica = state.replica.borrow();
     match replica.is_complete() {
         false => status(StatusCode::SERVICE_UNAVAILABLE),
@@ -103,7 +106,8 @@
         "me": *state.me.borrow(),
         "store_reached": state.is_store_reached(),
         "store_calls": store_calls(state, now),
-        "revision": replica.at(),
+        "revision": replica.at().revision,
+        "store_era": replica.at().era,
         "config_version": state.routing().map(|r| r.version),
         "peers_alive": alive,
         "organisations_near_limit": near_limit(state),
--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -23,6 +23,7 @@
         is_leaving: member.is_leaving,
         is_store_reached: member.is_store_reached,
         at: member.at,
+        era: member.era,
         capacity: member.capacity,
         requests: member.requests,
     };
@@ -51,6 +52,7 @@
         is_leaving: message.is_leaving,
         is_store_reached: message.is_store_reached,
         at: message.at,
+        era: message.era,
         capacity: message.capacity,
         requests: message.requests,
     })
--- a/crates/node/src/gateway/extracts.rs
+++ b/crates/node/src/gateway/extracts.rs
@@ -6,6 +6,7 @@
 use std::io::{self, Read as _, Write as _};
 
 use bytes::Bytes;
+use platform::store::position;
 use wire::gateway::extract;
 
 use crate::gateway::replica;
@@ -23,11 +24,11 @@
 /// First bytes of what is compressed (RFC 1952, section 2.3.1).
 const COMPRESSED: [u8; 2] = [0x1f, 0x8b];
 
-/// An extract, and the revisions between which it holds the changes.
+/// An extract, and the positions between which it holds the changes.
 #[derive(Clone, Debug)]
 struct Kept {
-    after: u64,
-    at: u64,
+    after: position::Position,
+    at: position::Position,
     bytes: Bytes,
 }
 
@@ -43,7 +44,11 @@
     /// # Errors
     ///
     /// Fails when it cannot be encoded, which would be a bug.
-    pub fn get(&mut self, replica: &replica::Replica, after: u64) -> io::Result<Bytes> {
+    pub fn get(
+        &mut self,
+        replica: &replica::Replica,
+        after: position::Position,
+    ) -> io::Result<Bytes> {
         let at = replica.at();
         if let Some(kept) = self.kept.iter().find(|k| (k.after, k.at) == (after, at)) {
             return Ok(kept.bytes.clone());
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -117,7 +117,7 @@
         return;
     }
     let name = member.node.clone();
-    if member.at > state.replica.borrow().at() {
+    if member.position() > state.replica.borrow().at() {
         state.behind.notify_one();
     }
     let is_new = state.members.borrow_mut().record(member, Instant::now());
--- a/crates/node/src/gateway/kept_ruling.rs
+++ b/crates/node/src/gateway/kept_ruling.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::fingerprint;
+use platform::store::position;
 use serde::{Deserialize, Serialize};
 use steer::dispatch::quarantine::ruling;
 
@@ -13,8 +14,8 @@
 pub struct Entry {
     /// The requests.
     pub scope: fingerprint::Scope,
-    /// The entry's revision.
-    pub revision: u64,
+    /// The position of the entry's last change.
+    pub position: position::Position,
     /// What was decided.
     pub kept: Kept,
 }
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -5,6 +5,7 @@
 use std::net;
 
 use model::id;
+use platform::store::position;
 use serde::{Deserialize, Serialize};
 use steer::dispatch::fleet::active_set;
 
@@ -34,6 +35,9 @@
     pub is_store_reached: bool,
     /// The store's revision up to which its copy is complete.
     pub at: u64,
+    /// The era of that revision.
+    #[serde(default, skip_serializing_if = "is_first")]
+    pub era: u64,
     /// Its processor, in thousandths of a core; 0 when it does not say.
     #[serde(default)]
     pub capacity: u32,
@@ -42,7 +46,19 @@
     pub requests: u32,
 }
 
+/// Returns whether an era is that of a store that never came back from a copy.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_first(era: &u64) -> bool {
+    *era == 0
+}
+
 impl Member {
+    /// Returns the store's position up to which its copy is complete.
+    #[must_use]
+    pub fn position(&self) -> position::Position {
+        position::Position::new(self.era, self.at)
+    }
+
     /// Returns whether look-ups may name it.
     #[must_use]
     pub fn is_serving(&self) -> bool {
--- a/crates/node/src/gateway/peer.rs
+++ b/crates/node/src/gateway/peer.rs
@@ -10,12 +10,13 @@
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use platform::store::position;
 use tokio::net::TcpStream;
 use wire::gateway::extract;
 
 use crate::gateway::extracts;
 
-/// Path of the changes of a node's copy; the query is the revision to start after.
+/// Path of the changes of a node's copy; the query is the position to start after.
 pub const CHANGES: &str = "/peer/changes";
 
 /// Longest time an exchange may take. Not measured.
@@ -29,11 +30,17 @@
 /// # Errors
 ///
 /// Fails when the node does not answer in time or its answer cannot be read.
-pub async fn fetch(peer: net::SocketAddr, after: u64) -> anyhow::Result<extract::Extract> {
+pub async fn fetch(
+    peer: net::SocketAddr,
+    after: position::Position,
+) -> anyhow::Result<extract::Extract> {
     tokio::time::timeout(EXCHANGE_TIME, exchange(peer, after)).await?
 }
 
-async fn exchange(peer: net::SocketAddr, after: u64) -> anyhow::Result<extract::Extract> {
+async fn exchange(
+    peer: net::SocketAddr,
+    after: position::Position,
+) -> anyhow::Result<extract::Extract> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -143,7 +143,7 @@
             service = self.service.as_ref().map_or("", id::Service::as_str),
             organisation = self.organisation.as_ref().map_or("", id::Organisation::as_str),
             config = self.version,
-            revision = self.state.replica.borrow().at(),
+            revision = self.state.replica.borrow().at().revision,
             tries = tries.as_str(),
             inputs = inputs.as_str(),
             waited_ms = waited;
--- a/crates/node/src/gateway/quarantine_keeper.rs
+++ b/crates/node/src/gateway/quarantine_keeper.rs
@@ -63,24 +63,27 @@
         return None;
     }
     let turn = turn(state, now)?;
+    // What the store holds since before it came back from a copy, it may not hold any more.
+    let era = replica.at().era;
+    let stands = |kept: &&kept_ruling::Entry| kept.position.era == era;
     let lacks = |(scope, ruling): (&Scope, &Ruling)| {
-        let kept = replica.rulings().find(|kept| kept.scope == *scope);
+        let kept = replica.rulings().filter(stands).find(|kept| kept.scope == *scope);
         let is_due = now.saturating_duration_since(ruling.since) >= turn;
         let is_worth = ruling.left(now).is_some() || kept.is_some_and(|kept| kept.kept.is_held);
         let is_newer = kept.is_none_or(|kept| {
             kept.kept.number < ruling.number && kept.kept.is_held != ruling.is_held
         });
-        let revision = kept.map_or(0, |kept| kept.revision);
+        let revision = kept.map_or(0, |kept| kept.position.revision);
         (is_due && is_worth && is_newer)
             .then(|| Difference::Lacks(*scope, Kept::of(ruling), revision))
     };
     let outlived = |kept: &kept_ruling::Entry| {
         let ruling = quarantine.ruling(&kept.scope);
         let is_over = ruling.is_none_or(|ruling| ruling.is_over(now));
-        is_over.then_some(Difference::Outlived(kept.scope, kept.revision))
+        is_over.then_some(Difference::Outlived(kept.scope, kept.position.revision))
     };
     let lacking = quarantine.rulings().find_map(lacks);
-    lacking.or_else(|| replica.rulings().find_map(outlived))
+    lacking.or_else(|| replica.rulings().filter(stands).find_map(outlived))
 }
 
 /// Returns how long this node waits for others to write; none when it is no representative of its region.
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -10,6 +10,7 @@
 use platform::store::client;
 use platform::store::error;
 use platform::store::item;
+use platform::store::lease;
 use steer::dispatch::fleet::store_call;
 
 use crate::gateway::state;
@@ -30,7 +31,7 @@
 /// Registers and renews until the task ends.
 pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
     if let Some(lease) = left_behind(&state).await {
-        log::info!(lease; "registration-taken-over");
+        log::info!(lease = lease.number; "registration-taken-over");
         renew(&state, &client, lease, Duration::ZERO).await;
     }
     loop {
@@ -47,7 +48,7 @@
 /// Returns the lease of an entry that this node's former process wrote and whose addresses still hold.
 ///
 /// Waits for the copy of the store, but no longer than a read of it may take.
-async fn left_behind(state: &state::State) -> Option<u64> {
+async fn left_behind(state: &state::State) -> Option<lease::Held> {
     let began = Instant::now();
     while !state.replica.borrow().is_complete() {
         if began.elapsed() >= store_call::read(state.store_bound()) {
@@ -58,11 +59,27 @@
     let (replica, me) = (state.replica.borrow(), state.me.borrow());
     let own = replica.nodes().find(|listed| listed.name == me.node)?;
     let is_true = own.member.as_ref().is_some_and(|member| member.stands_where(&me));
-    (is_true && own.lease != 0).then_some(own.lease)
+    let held = lease::Held { number: own.lease, era: own.era };
+    (is_true && own.lease != 0 && own.era == replica.at().era).then_some(held)
+}
+
+/// Returns the lease in the present era: none where the store came back from a copy that lacks this node's entry under it.
+fn carried_over(state: &state::State, lease: lease::Held) -> Option<lease::Held> {
+    let (replica, me) = (state.replica.borrow(), state.me.borrow());
+    let era = replica.at().era;
+    if lease.era == era {
+        return Some(lease);
+    }
+    let mut nodes = replica.nodes();
+    let own = nodes.find(|listed| listed.name == me.node && listed.lease == lease.number)?;
+    (own.era == era).then_some(lease::Held { era, ..lease })
 }
 
 /// Writes the entry under a new lease.
-async fn register(state: &state::State, client: &client::Client) -> Result<u64, error::Error> {
+async fn register(
+    state: &state::State,
+    client: &client::Client,
+) -> Result<lease::Held, error::Error> {
     let time = store_call::answer(state.store_bound());
     let call = client.lease(LEASE_TIME, time);
     let lease = state.call_store(store_calls::Kind::Lease, call).await?;
@@ -71,7 +88,7 @@
         let value = serde_json::to_vec(&*me).expect("a member is plain text and numbers");
         (fact::node_key(&me.node), value)
     };
-    let put = item::Put { key, value, lease };
+    let put = item::Put { key, value, lease: lease.number };
     let write = item::Write { put: vec![put], ..item::Write::default() };
     let call = client.write(&write, time);
     state.call_store(store_calls::Kind::Entry, call).await?;
@@ -79,23 +96,34 @@
 }
 
 /// Renews the lease after `pause`, and again and again, until it has expired or the entry is gone.
-async fn renew(state: &state::State, client: &client::Client, lease: u64, pause: Duration) {
+async fn renew(state: &state::State, client: &client::Client, lease: lease::Held, pause: Duration) {
     let me = state.me.borrow().node.clone();
     let key = fact::node_key(&me);
-    let mut pause = pause;
+    let (mut pause, mut lease) = (pause, lease);
     loop {
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = state.era_changed.notified() => {}
+        }
         pause = RENEWAL;
-        let is_listed = state.replica.borrow().nodes().any(|listed| listed.name == me);
-        if !is_listed && state.is_store_known() {
-            log::info!(key = key.as_str(); "registration-lost");
-            return;
+        if state.store_era() > state.replica.borrow().at().era {
+            // Whether the lease stands is known when the copy has been read.
+            pause = CHECK_PERIOD;
+            continue;
         }
+        let is_listed = state.replica.borrow().nodes().any(|listed| listed.name == me);
+        lease = match carried_over(state, lease) {
+            Some(lease) if is_listed || !state.is_store_known() => lease,
+            _ => {
+                log::info!(key = key.as_str(); "registration-lost");
+                return;
+            }
+        };
         let call = client.renew(lease, store_call::answer(state.store_bound()));
         match state.call_store(store_calls::Kind::Renewal, call).await {
             Ok(()) => {}
             Err(error::Error::NoLease) => {
-                log::info!(lease; "lease-over");
+                log::info!(lease = lease.number; "lease-over");
                 return;
             }
             // The record of calls has logged it.
--- /dev/null
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -0,0 +1,414 @@
+//! This node's copy of what the store holds, from the store itself or from other nodes.
+//!
+//! Owns the typed facts by their keys and merges them by the store's positions, so that copies merge in
+//! any order and nothing older replaces what is newer. A store that came back from a copy begins another era: until what it lost has been
+//! written again, [`doubt`] decides by what the values say of themselves. Relies on [`fact`] to decode an item. An item's
+//! bytes stay beside its fact for extracts only: other nodes get them as the store gave them, with digests in place of
+//! the keys of organisations.
+
+mod entry;
+
+use std::collections;
+use std::sync;
+
+use model::discovery;
+use model::id;
+use model::routing;
+use platform::fact;
+use platform::malformed;
+use platform::store::{item, position};
+use steer::dispatch::fleet::doubt;
+use wire::gateway::extract;
+
+use crate::gateway::kept_ruling;
+
+pub use crate::gateway::replica::entry::Node;
+use crate::gateway::replica::entry::{Entry, Known};
+
+/// Removed keys that are remembered; a node that is further behind gets a whole copy.
+///
+/// Not measured; it bounds memory while a fleet's entries come and go.
+const MOST_REMOVED: usize = 4_096;
+
+/// An item that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Its key.
+    pub key: String,
+    /// Its revision.
+    pub revision: u64,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl Fault {
+    fn new(item: &item::Item, message: String) -> Self {
+        Self { key: item.key.clone(), revision: item.revision, message }
+    }
+}
+
+/// What a merge changed.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// Whether upstreams were added, removed or changed.
+    pub upstreams: bool,
+    /// Whether evacuations began or ended.
+    pub evacuations: bool,
+    /// Whether entries of nodes were added, removed or changed.
+    pub nodes: bool,
+    /// Whether rulings were added, removed or changed.
+    pub rulings: bool,
+    /// Whether there is a newer configuration.
+    pub routing: bool,
+    /// Items that could not be read. A configuration or an evacuation that such an item replaces stays in force, an
+    /// upstream does not; a node stays registered without what it wrote.
+    pub faults: Vec<Fault>,
+}
+
+/// This node's copy of what the store holds.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    entries: collections::BTreeMap<String, Entry>,
+    /// Keys that were removed in this era, by the revisions at which they were, with what their values said of their age.
+    removed: collections::BTreeMap<(u64, String), doubt::Content>,
+    /// Keys that were removed in earlier eras, and may stand in the store once more.
+    removed_before: collections::BTreeMap<String, doubt::Content>,
+    /// What the store holds of this era and what does not stand, since something newer was known.
+    outdated: collections::BTreeMap<String, item::Item>,
+    routing: Option<sync::Arc<routing::Routing>>,
+    at: position::Position,
+    floor: u64,
+    is_complete: bool,
+    is_in_doubt: bool,
+}
+
+impl Replica {
+    /// Returns the store's position up to which this copy is complete.
+    #[must_use]
+    pub fn at(&self) -> position::Position {
+        self.at
+    }
+
+    /// Returns the era that is in doubt: the store came back from a copy, and what it lost may not be written again yet.
+    #[must_use]
+    pub fn doubtful_era(&self) -> Option<u64> {
+        self.is_in_doubt.then_some(self.at.era)
+    }
+
+    /// Returns whether a whole copy was ever merged.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the newest configuration.
+    #[must_use]
+    pub fn routing(&self) -> Option<&sync::Arc<routing::Routing>> {
+        self.routing.as_ref()
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &sync::Arc<discovery::Entry>> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::Upstream(upstream) => Some(upstream),
+            _ => None,
+        })
+    }
+
+    /// Returns the evacuated halls.
+    pub fn evacuated(&self) -> impl Iterator<Item = &id::Hall> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::Evacuated(hall) => Some(hall),
+            _ => None,
+        })
+    }
+
+    /// Returns the nodes of this system that are registered in the store.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::Node(node) => Some(node),
+            _ => None,
+        })
+    }
+
+    /// Returns the rulings that the store keeps.
+    pub fn rulings(&self) -> impl Iterator<Item = &kept_ruling::Entry> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::Ruling(ruling) => Some(ruling),
+            _ => None,
+        })
+    }
+
+    /// Returns what has changed after `after`; everything when that is no longer known.
+    #[must_use]
+    pub fn extract(&self, after: position::Position) -> extract::Extract {
+        let is_known = after.era == self.at.era && after.revision >= self.floor;
+        let is_whole = !is_known || after.revision == 0;
+        let items = self.entries.values().map(|e| &e.item);
+        let is_news = |i: &&item::Item| is_whole || i.position() > after;
+        let mut items: Vec<item::Item> = items.filter(is_news).cloned().collect();
+        match is_whole {
+            true => items.extend(self.outdated.values().cloned()),
+            false => items.extend(self.removed_after(after.revision)),
+        }
+        let (at, era) = (self.at.revision, self.at.era);
+        extract::Extract { page: item::Page { items, more: false, at, era }, is_whole }
+    }
+
+    fn removed_after(&self, after: u64) -> impl Iterator<Item = item::Item> {
+        self.removed.range((after + 1, String::new())..).map(|((revision, key), _)| item::Item {
+            key: key.clone(),
+            value: Vec::new(),
+            revision: *revision,
+            is_removed: true,
+            lease: 0,
+            era: self.at.era,
+        })
+    }
+
+    /// Merges what another node sent.
+    pub fn merge_extract(&mut self, extract: extract::Extract) -> Changes {
+        match extract.is_whole {
+            true => self.replace(extract.page),
+            false => self.merge(extract.page),
+        }
+    }
+
+    /// Merges changes up to the page's position.
+    ///
+    /// Changes of another era say nothing: an earlier one is over, and of a later one everything has to be read first.
+    pub fn merge(&mut self, page: item::Page) -> Changes {
+        let mut changes = Changes::default();
+        match self.is_complete {
+            true if page.era != self.at.era => return changes,
+            true => {}
+            false => self.at.era = page.era,
+        }
+        let at = page.position();
+        for item in page.items {
+            self.take(item, &mut changes);
+        }
+        self.at = self.at.max(at);
+        changes
+    }
+
+    /// Merges a whole copy: whatever it lacks, and is not newer, was removed.
+    pub fn replace(&mut self, page: item::Page) -> Changes {
+        let mut changes = Changes::default();
+        match self.is_complete {
+            true if page.era < self.at.era => return changes,
+            true if page.era == self.at.era => self.replace_in_era(page, &mut changes),
+            _ => self.begin_era(page, &mut changes),
+        }
+        self.is_complete = true;
+        changes
+    }
+
+    fn replace_in_era(&mut self, page: item::Page, changes: &mut Changes) {
+        let present: collections::BTreeSet<&str> =
+            page.items.iter().map(|item| item.key.as_str()).collect();
+        let is_older = |item: &item::Item| match item.era == page.era {
+            true => item.revision <= page.at,
+            false => !self.is_in_doubt && item.key != fact::CONFIG,
+        };
+        let is_gone = |e: &&Entry| is_older(&e.item) && !present.contains(e.item.key.as_str());
+        let gone: Vec<String> =
+            self.entries.values().filter(is_gone).map(|e| e.item.key.clone()).collect();
+        for key in gone {
+            self.remove(&key, page.at, changes);
+        }
+        // A whole copy does not list what was removed before it.
+        self.floor = self.floor.max(page.at);
+        let at = page.position();
+        for item in page.items {
+            match item.era == self.at.era {
+                true => self.take(item, changes),
+                false => self.take_doubtful(item, changes),
+            }
+        }
+        self.at = self.at.max(at);
+    }
+
+    /// Takes the copy from which the store came back; what is known otherwise is kept, and in doubt.
+    fn begin_era(&mut self, page: item::Page, changes: &mut Changes) {
+        let removed = std::mem::take(&mut self.removed);
+        let removed = removed.into_iter().map(|((_, key), content)| (key, content));
+        self.removed_before.extend(removed);
+        self.removed_before.retain(|key, _| !self.entries.contains_key(key));
+        while self.removed_before.len() > MOST_REMOVED {
+            self.removed_before.pop_first();
+        }
+        self.outdated.clear();
+        self.is_in_doubt = !self.entries.is_empty();
+        self.at = page.position();
+        self.floor = page.at;
+        for item in page.items {
+            self.is_in_doubt |= item.era < self.at.era;
+            self.reconcile(item, changes);
+        }
+    }
+
+    /// Takes an item of the copy, if nothing newer is known of its key.
+    fn reconcile(&mut self, item: item::Item, changes: &mut Changes) {
+        let fact = fact::read(&item.key, &item.value);
+        let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
+        let stands = match (self.entries.get(&item.key), self.removed_before.get(&item.key)) {
+            (Some(known), _) if known.item.era >= item.era => {
+                known.item.position() < item.position()
+            }
+            (Some(known), _) => doubt::replaces(known.content(), copy),
+            (None, Some(removed)) => doubt::comes_back(*removed, copy, false),
+            (None, None) => true,
+        };
+        match stands {
+            true => self.put(item, fact, changes),
+            false => {
+                self.outdated.insert(item.key.clone(), redacted(item));
+            }
+        }
+    }
+
+    /// Takes an item that another node has in doubt, unless this one knows better.
+    fn take_doubtful(&mut self, item: item::Item, changes: &mut Changes) {
+        let is_known = self.entries.contains_key(&item.key)
+            || self.removed_before.contains_key(&item.key)
+            || self.outdated.contains_key(&item.key);
+        if self.is_in_doubt && !is_known && !item.is_removed {
+            let fact = fact::read(&item.key, &item.value);
+            self.put(item, fact, changes);
+        }
+    }
+
+    /// Ends the doubt: what was not written again is gone, and what stands in the store still is so.
+    pub fn end_doubt(&mut self) -> Changes {
+        let mut changes = Changes::default();
+        self.is_in_doubt = false;
+        let outdated = std::mem::take(&mut self.outdated);
+        let is_lacking = |e: &&Entry| {
+            let is_before = e.item.era < self.at.era && e.item.key != fact::CONFIG;
+            is_before && !outdated.contains_key(&e.item.key)
+        };
+        let lacking: Vec<String> =
+            self.entries.values().filter(is_lacking).map(|e| e.item.key.clone()).collect();
+        for key in lacking {
+            let content = self.forget(&key, &mut changes);
+            self.removed_before.extend(content.map(|content| (key, content)));
+        }
+        for (key, item) in outdated {
+            let removed = self.removed_before.get(&key).copied();
+            let fact = fact::read(&item.key, &item.value);
+            let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
+            if removed.is_some_and(|removed| doubt::comes_back(removed, copy, true)) {
+                self.put(item, fact, &mut changes);
+            }
+        }
+        changes
+    }
+
+    fn take(&mut self, item: item::Item, changes: &mut Changes) {
+        let known = self.entries.get(&item.key);
+        if known.is_some_and(|known| known.item.position() >= item.position()) {
+            return;
+        }
+        // The copy is complete up to its position: what it lacks of that time was removed since.
+        let is_obsolete = self.is_complete && item.position() <= self.at;
+        if is_obsolete && known.is_none() {
+            return;
+        }
+        if item.is_removed {
+            self.remove(&item.key, item.revision, changes);
+            return;
+        }
+        let fact = fact::read(&item.key, &item.value);
+        self.put(item, fact, changes);
+    }
+
+    /// Puts an item into force.
+    fn put(
+        &mut self,
+        item: item::Item,
+        fact: Result<fact::Fact, malformed::Malformed>,
+        changes: &mut Changes,
+    ) {
+        let item = redacted(item);
+        let known = match fact {
+            Ok(fact) => self.adopt(fact, &item, changes),
+            Err(error) => {
+                changes.faults.push(Fault::new(&item, error.to_string()));
+                self.standing_despite(&item.key, changes)
+            }
+        };
+        self.removed_before.remove(&item.key);
+        self.outdated.remove(&item.key);
+        self.entries.insert(item.key.clone(), Entry { item, fact: known });
+    }
+
+    /// Returns what an item says that cannot be read: what its key said before, but for upstreams.
+    ///
+    /// An entry that cannot be read is another writer's, and names no upstream to use.
+    fn standing_despite(&self, key: &str, changes: &mut Changes) -> Known {
+        match self.entries.get(key).map(|before| &before.fact) {
+            Some(Known::Upstream(_)) => {
+                changes.upstreams = true;
+                Known::Nothing
+            }
+            Some(before) => before.clone(),
+            None => Known::Nothing,
+        }
+    }
+
+    fn adopt(&mut self, fact: fact::Fact, item: &item::Item, changes: &mut Changes) -> Known {
+        match fact {
+            fact::Fact::Routing(routing) => {
+                let version = routing.version;
+                let is_newer = self.routing.as_ref().is_none_or(|r| r.version < version);
+                if is_newer {
+                    self.routing = Some(sync::Arc::new(routing));
+                    changes.routing = true;
+                }
+                Known::Configuration(version)
+            }
+            fact::Fact::Evacuated(hall) => {
+                changes.evacuations = true;
+                Known::Evacuated(hall)
+            }
+            fact::Fact::Upstream(upstream) => {
+                changes.upstreams = true;
+                Known::Upstream(sync::Arc::new(upstream))
+            }
+            fact::Fact::Node(name) => entry::register(name, item, changes),
+            fact::Fact::Ruling(scope) => entry::keep(scope, item, changes),
+            fact::Fact::Other => Known::Nothing,
+        }
+    }
+
+    fn remove(&mut self, key: &str, revision: u64, changes: &mut Changes) {
+        let content = self.forget(key, changes).unwrap_or(doubt::Content::Undated);
+        self.removed.insert((revision, key.to_owned()), content);
+        while self.removed.len() > MOST_REMOVED {
+            if let Some(((revision, _), _)) = self.removed.pop_first() {
+                self.floor = self.floor.max(revision);
+            }
+        }
+    }
+
+    /// Drops a key; returns what its value said of its age, if it was known.
+    fn forget(&mut self, key: &str, changes: &mut Changes) -> Option<doubt::Content> {
+        self.outdated.remove(key);
+        let entry = self.entries.remove(key)?;
+        match entry.fact {
+            Known::Evacuated(_) => changes.evacuations = true,
+            Known::Upstream(_) => changes.upstreams = true,
+            Known::Node(_) => changes.nodes = true,
+            Known::Ruling(_) => changes.rulings = true,
+            Known::Configuration(_) | Known::Nothing => {}
+        }
+        Some(entry.content())
+    }
+}
+
+/// Returns an item without secrets.
+fn redacted(mut item: item::Item) -> item::Item {
+    fact::redact(&item.key, &mut item.value);
+    item
+}
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -16,7 +16,7 @@
 
 use model::id;
 use model::routing;
-use steer::dispatch::fleet::{request_rate, store_call};
+use steer::dispatch::fleet::{doubt, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
 use steer::dispatch::{dispatcher, position, quota};
 use tokio::sync::Notify;
@@ -59,8 +59,10 @@
     rate: cell::Cell<request_rate::Rate>,
     /// Calls to the store.
     pub calls: store_calls::Calls,
-    /// The highest era that the store named to this node.
+    /// The highest era that the store named to this node, or another node has.
     store_era: cell::Cell<u64>,
+    /// The era that is in doubt, and since when.
+    doubt: cell::Cell<Option<(u64, Instant)>>,
     /// Whether this node watches the store itself.
     is_watching: cell::Cell<bool>,
     /// Counters and latencies.
@@ -71,6 +73,8 @@
     pub dialect: dialect::Dialect,
     /// Wakes the task that sends heartbeats.
     pub beat: Notify,
+    /// Wakes the task that keeps this node's entry in the store when the store came back from a copy.
+    pub era_changed: Notify,
     /// Wakes the task that fetches changes from other nodes.
     pub behind: Notify,
     /// Wakes the task that reports crashes to other nodes.
@@ -98,6 +102,7 @@
             is_leaving: false,
             is_store_reached: false,
             at: 0,
+            era: 0,
             capacity: settings.processor.capacity(),
             requests: 0,
         };
@@ -118,6 +123,8 @@
             rate: cell::Cell::new(request_rate::Rate::new(Instant::now())),
             calls: store_calls::Calls::default(),
             store_era: cell::Cell::new(0),
+            doubt: cell::Cell::new(None),
+            era_changed: Notify::new(),
             is_watching: cell::Cell::new(false),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
@@ -164,13 +171,17 @@
         }
         let update = update::Update {
             source,
-            revision: replica.at(),
+            revision: replica.at().revision,
             routing: replica.routing().filter(|_| changes.routing).cloned(),
             upstreams: changes.upstreams.then(|| replica.upstreams().cloned().collect()),
             evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
         };
-        let is_ahead = replica.at() > self.me.borrow().at;
-        self.me.borrow_mut().at = replica.at();
+        let at = replica.at();
+        let is_ahead = at > self.me.borrow().position();
+        {
+            let mut me = self.me.borrow_mut();
+            (me.at, me.era) = (at.revision, at.era);
+        }
         if is_ahead && self.announces(source) {
             self.beat.notify_one();
         }
@@ -180,6 +191,7 @@
             false => Vec::new(),
         };
         drop(replica);
+        self.note_era(at.era);
         self.adopt_rulings(&rulings);
         if is_complete {
             self.adopt(update);
@@ -225,8 +237,24 @@
         self.update_ready();
     }
 
+    /// Ends the doubt after a return of the store from a copy, when it is time.
+    fn end_doubt(&self, now: Instant) {
+        let Some(era) = self.replica.borrow().doubtful_era() else {
+            self.doubt.set(None);
+            return;
+        };
+        match self.doubt.get() {
+            Some((doubted, since)) if doubted == era && doubt::is_over(since, now) => {
+                self.apply(update::Source::Store, replica::Replica::end_doubt);
+            }
+            Some((doubted, _)) if doubted == era => {}
+            _ => self.doubt.set(Some((era, now))),
+        }
+    }
+
     /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
     pub fn tick(&self, now: Instant) {
+        self.end_doubt(now);
         let mut dispatcher = self.dispatcher.borrow_mut();
         let lapsed = dispatcher.lapsed();
         dispatcher.tick(now);
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -55,20 +55,33 @@
         for name in client.take_unknown() {
             self.metrics.unknown_headers.record(&name, "store");
         }
-        let before = self.store_era.replace(client.era());
-        if before < client.era() {
-            let revision = self.replica.borrow().at();
-            log::warn!(era = client.era(), before, revision; "store-era-changed");
+        self.note_era(client.era());
+    }
+
+    /// Notes an era that the store named, or another node has; logs it where it is new.
+    pub(super) fn note_era(&self, era: u64) {
+        let before = self.store_era.get();
+        if before < era {
+            self.store_era.set(era);
+            let revision = self.replica.borrow().at().revision;
+            log::warn!(era, before, revision; "store-era-changed");
+            self.era_changed.notify_one();
         }
     }
 
+    /// Returns the highest era that the store named to this node, or another node has.
+    #[must_use]
+    pub fn store_era(&self) -> u64 {
+        self.store_era.get()
+    }
+
     /// Records whether the store answers, and logs and announces a change.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
         if !self.set_store_reached(failure.is_none()) {
             return;
         }
         match failure {
-            None => log::info!(revision = self.replica.borrow().at(); "store-reached"),
+            None => log::info!(revision = self.replica.borrow().at().revision; "store-reached"),
             Some(error) => {
                 let error = error.to_string();
                 log::warn!(error = error.as_str(); "store-lost");
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -8,6 +8,7 @@
 
 use platform::store::client;
 use platform::store::error;
+use platform::store::position;
 use rand::RngExt as _;
 use steer::dispatch::fleet::{store_call, watchers};
 
@@ -21,8 +22,10 @@
 /// What an answer of the store brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Brought {
-    /// Changes, or everything.
+    /// Changes.
     Changes,
+    /// Everything, since the history that was asked for is gone or of an earlier era.
+    Everything,
     /// No change within the time of the watch.
     Nothing,
 }
@@ -56,20 +59,28 @@
         state.hear_store(&client);
         state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
         match outcome {
+            // A store that drops its history again and again gets no more calls than one that fails.
+            Ok(Brought::Everything) if brought == Brought::Everything => {
+                pause(&state, &mut backoff).await;
+            }
             Ok(answer) => {
                 brought = answer;
                 backoff.reset();
             }
             Err(_) => {
                 brought = Brought::Changes;
-                let draw = rand::rng().random_range(0.0..1.0);
-                let pause = backoff.pause(state.store_bound(), state.turn(), draw);
-                tokio::time::sleep(pause).await;
+                pause(&state, &mut backoff).await;
             }
         }
     }
 }
 
+async fn pause(state: &state::State, backoff: &mut store_call::Backoff) {
+    let draw = rand::rng().random_range(0.0..1.0);
+    let pause = backoff.pause(state.store_bound(), state.turn(), draw);
+    tokio::time::sleep(pause).await;
+}
+
 /// Returns how long the next watch waits for a change: not at all after a failure.
 fn wait(
     state: &state::State,
@@ -80,22 +91,31 @@
     let bound = state.store_bound();
     match brought {
         _ if backoff.has_failed() => Duration::ZERO,
-        Brought::Changes => store_call::watch_after_change(bound, place.part_of_watch()),
+        Brought::Changes | Brought::Everything => {
+            store_call::watch_after_change(bound, place.part_of_watch())
+        }
         Brought::Nothing => store_call::watch(bound),
     }
 }
 
-/// Watches; reads everything when the store dropped the history since the last watch.
+/// Watches; reads everything when the store dropped the history since the last watch, or came back from a copy.
 async fn watch_or_read(
     state: &state::State,
     client: &client::Client,
     place: watchers::Place,
     wait: Duration,
 ) -> Result<Brought, error::Error> {
-    match watch(state, client, place, wait).await {
+    let is_followed = client.era() <= state.replica.borrow().at().era;
+    let outcome = match is_followed {
+        true => watch(state, client, place, wait).await,
+        false => Err(error::Error::Compacted),
+    };
+    match outcome {
         Err(error::Error::Compacted) => {
-            log::info!(after = state.replica.borrow().at(); "history-compacted");
-            read(state, client, client::Freshness::Latest).await
+            log::info!(after = state.replica.borrow().at().revision; "history-compacted");
+            read(state, client, client::Freshness::Latest).await?;
+            tokio::time::sleep(place.gather()).await;
+            Ok(Brought::Everything)
         }
         outcome => outcome,
     }
@@ -108,10 +128,20 @@
 ) -> Result<Brought, error::Error> {
     let call = client.range(ALL_KEYS, freshness, store_call::read(state.store_bound()));
     let page = state.call_store(store_calls::Kind::Read, call).await?;
+    is_current(state, page.position())?;
     state.apply(update::Source::Store, |replica| replica.replace(page));
     Ok(Brought::Changes)
 }
 
+/// Checks that an answer was not long on its way: one of an earlier era says nothing to a node that knows more.
+fn is_current(state: &state::State, answered: position::Position) -> Result<(), error::Error> {
+    let is_over = answered.era < state.store_era() && state.replica.borrow().is_complete();
+    match is_over {
+        true => Err(error::Error::Lost(format!("of era {}, which is over", answered.era))),
+        false => Ok(()),
+    }
+}
+
 /// Asks for changes, and waits for one for as long as `wait`.
 async fn watch(
     state: &state::State,
@@ -119,7 +149,7 @@
     place: watchers::Place,
     wait: Duration,
 ) -> Result<Brought, error::Error> {
-    let after = state.replica.borrow().at();
+    let after = state.replica.borrow().at().revision;
     let bound = state.store_bound();
     let answer = match wait.is_zero() {
         true => store_call::answer(bound),
@@ -127,6 +157,10 @@
     };
     let call = client.watch(ALL_KEYS, after, wait, answer);
     let page = state.call_store(store_calls::Kind::Watch, call).await?;
+    is_current(state, page.position())?;
+    if page.era > state.replica.borrow().at().era {
+        return Err(error::Error::Compacted);
+    }
     let has_changes = !page.items.is_empty();
     state.apply(update::Source::Store, |replica| replica.merge(page));
     if !has_changes {
--- a/crates/node/tests/forms/calls.rs
+++ b/crates/node/tests/forms/calls.rs
@@ -11,7 +11,7 @@
 use node::common::store::client as own;
 use node::common::store::edge::{self, Store as _};
 use node::gateway::member;
-use platform::store::{client, error, item};
+use platform::store::{client, error, item, lease};
 
 use crate::fixture;
 use crate::recorder::{self, answer};
@@ -65,6 +65,7 @@
         revision,
         is_removed,
         lease: 0,
+        era: 0,
     };
     let page = client.range("a b/", client::Freshness::Latest, CALL_TIME).await.expect("a page");
     assert_eq!((page.items, page.at), (vec![item("a", b"a", 3, false)], 4));
@@ -73,10 +74,11 @@
     assert_eq!(client.write(&write_of("free"), CALL_TIME).await, Ok(6));
     let conflict = error::Error::Conflict(vec![item("taken", b"a", 3, false)]);
     assert_eq!(client.write(&write_of("taken"), CALL_TIME).await, Err(conflict));
-    assert_eq!(client.lease(Duration::from_secs(12), CALL_TIME).await, Ok(7));
-    assert_eq!(client.renew(7, CALL_TIME).await, Ok(()));
-    assert_eq!(client.renew(8, CALL_TIME).await, Err(error::Error::NoLease));
-    assert_eq!(client.renew(9, CALL_TIME).await, Err(error::Error::Refused(503)));
+    let held = |number| lease::Held { number, era: 0 };
+    assert_eq!(client.lease(Duration::from_secs(12), CALL_TIME).await, Ok(held(7)));
+    assert_eq!(client.renew(held(7), CALL_TIME).await, Ok(()));
+    assert_eq!(client.renew(held(8), CALL_TIME).await, Err(error::Error::NoLease));
+    assert_eq!(client.renew(held(9), CALL_TIME).await, Err(error::Error::Refused(503)));
     assert_eq!(client.end_lease(7, CALL_TIME).await, Ok(()));
     fixture::assert_is("calls-platform.txt", store.transcript().as_bytes());
 }
--- a/crates/node/tests/forms/extracts.rs
+++ b/crates/node/tests/forms/extracts.rs
@@ -26,6 +26,7 @@
         revision,
         is_removed: value.is_none(),
         lease: 0,
+        era: 0,
     }
 }
 
--- a/crates/node/tests/forms/stored.rs
+++ b/crates/node/tests/forms/stored.rs
@@ -192,6 +192,7 @@
         is_leaving: true,
         is_store_reached: true,
         at: 412,
+        era: 0,
         capacity: 0,
         requests: 0,
     }
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -209,6 +209,7 @@
         is_leaving: false,
         is_store_reached: true,
         at: u64::MAX / 2,
+        era: 0,
         capacity: 0,
         requests: 0,
     };
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -21,6 +21,7 @@
         is_leaving: false,
         is_store_reached: true,
         at: 7,
+        era: 0,
         capacity: 500,
         requests: 40,
     }
--- a/crates/node/tests/platform_names.rs
+++ b/crates/node/tests/platform_names.rs
@@ -67,7 +67,7 @@
         "store::item",
         &[
             "standin/src/platform",
-            "node/src/gateway/replica.rs",
+            "node/src/gateway/replica/",
             "node/src/gateway/registration.rs",
             "wire/src/gateway/extract.rs",
         ],
--- a/crates/node/tests/replica.rs
+++ b/crates/node/tests/replica.rs
@@ -1,7 +1,7 @@
 //! A node's copy of the store: whatever order news come in, nothing goes back.
 
 use node::gateway::replica;
-use platform::store::item;
+use platform::store::{item, position};
 use quickcheck::quickcheck;
 
 fn item(key: &str, revision: u64, value: Option<&str>) -> item::Item {
@@ -11,6 +11,7 @@
         revision,
         is_removed: value.is_none(),
         lease: 0,
+        era: 0,
     }
 }
 
@@ -18,6 +19,10 @@
     item::Page { items, more: false, at, era: 0 }
 }
 
+fn position(revision: u64) -> position::Position {
+    position::Position::new(0, revision)
+}
+
 fn entry(address: u8) -> String {
     format!(
         r#"{{"service":"x","address":"10.0.0.{address}:80","zone":"n","slots":1,"state":"ready"}}"#
@@ -51,7 +56,7 @@
     // Another node that is behind tells its whole copy.
     replica.replace(page(vec![item("servers/a", 1, Some(&entry(1)))], 1));
     assert!(names(&replica).is_empty());
-    assert_eq!(replica.at(), 2);
+    assert_eq!(replica.at(), position(2));
 }
 
 #[test]
@@ -115,7 +120,7 @@
     let text = version_with_organisation(7);
     assert!(text.contains(KEY));
     replica.replace(page(vec![item("op/config", 1, Some(&text))], 1));
-    let extract = replica.extract(0);
+    let extract = replica.extract(position(0));
     let passed_on = String::from_utf8(extract.page.items[0].value.clone()).expect("text");
     assert!(!passed_on.contains(KEY) && !format!("{replica:?}").contains(KEY), "{passed_on}");
     // Another node reads the same organisations from it.
@@ -172,7 +177,7 @@
     let extract = ahead.extract(behind.at());
     assert!(!extract.is_whole);
     behind.merge_extract(extract);
-    assert_eq!((names(&behind), behind.at()), (names(&ahead), 3));
+    assert_eq!((names(&behind), behind.at()), (names(&ahead), position(3)));
 }
 
 #[test]
@@ -182,7 +187,7 @@
     let mut new = replica::Replica::default();
     new.merge_extract(ahead.extract(new.at()));
     assert!(new.is_complete());
-    assert_eq!((names(&new), new.at()), (names(&ahead), 9));
+    assert_eq!((names(&new), new.at()), (names(&ahead), position(9)));
 }
 
 quickcheck! {
--- a/crates/standin/src/platform/items.rs
+++ b/crates/standin/src/platform/items.rs
@@ -104,6 +104,7 @@
                 revision: self.revision,
                 is_removed: false,
                 lease: put.lease,
+                era: 0,
             };
             self.history.push(item.clone());
             self.stored.insert(put.key.clone(), Stored { item, lease: put.lease });
@@ -159,6 +160,7 @@
                 revision: self.revision,
                 is_removed: true,
                 lease: 0,
+                era: 0,
             });
         }
     }
--- a/crates/steer/src/dispatch/fleet/mod.rs
+++ b/crates/steer/src/dispatch/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod active_set;
 pub mod announcement;
 pub mod catch_up;
+pub mod doubt;
 pub mod gossip;
 pub mod lookup;
 pub mod representatives;
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -45,4 +45,7 @@
     /// Requests that the sender takes a second.
     #[prost(uint32, tag = "13")]
     pub requests: u32,
+    /// The era of the revision in `at`.
+    #[prost(uint64, tag = "14")]
+    pub era: u64,
 }
