Soak: a store that comes back from copies, in one soak of three

Drawn apart, so the other faults of every seed stay. The oracles are those of the soak: versions never go back, the newest is in force at every gateway within the bound, nothing reaches what leaves.

--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -26,6 +26,7 @@
     pub store: store::Store,
     folder: tempfile::TempDir,
     version: u64,
+    newest: Vec<u8>,
     /// How often upstreams wrote their entries.
     written: sync::atomic::AtomicU64,
 }
@@ -102,7 +103,7 @@
         let folder = tempfile::tempdir().expect("a temporary folder");
         let store = store::Store::start();
         let written = sync::atomic::AtomicU64::new(1);
-        let mut rig = Self { store, folder, version: 0, written };
+        let mut rig = Self { store, folder, version: 0, newest: Vec::new(), written };
         rig.configure(routes);
         rig
     }
@@ -131,7 +132,13 @@
         if let Some(tenants) = tenants {
             config["tenants"] = tenants;
         }
-        self.store.put(fact::CONFIG, config.to_string().as_bytes());
+        self.newest = config.to_string().into_bytes();
+        self.write_again();
+    }
+
+    /// Writes the newest configuration once more, as the operator does when the store lost it.
+    pub fn write_again(&self) {
+        self.store.put(fact::CONFIG, &self.newest);
     }
 
     /// Returns the version of the newest configuration.
--- a/crates/node/tests/soak/fault.rs
+++ b/crates/node/tests/soak/fault.rs
@@ -26,6 +26,17 @@
 /// Makes their draw another one than that of the other faults.
 const ORGANISATIONS: u64 = 0x6f72_6761;
 
+/// Soaks of which one has a store that comes back from copies, and which of them it is.
+const COPIES_EVERY: u64 = 3;
+/// See [`COPIES_EVERY`].
+const COPIES_AT: u64 = 0;
+
+/// Mean time between two returns from a copy.
+const COPIES_GAP: Duration = Duration::from_millis(2_500);
+
+/// Makes their draw another one than that of the other faults.
+const COPIES: u64 = 0x636f_7079;
+
 /// Something that goes wrong, or that operators do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -39,6 +50,8 @@
     StoreAway(listener::Mode),
     /// The store forgets its history.
     Compaction,
+    /// The store is away for a moment when it ends, and comes back from a copy of when it began.
+    Copy,
     /// An upstream answers so.
     Manner(usize, upstream::Behavior),
     /// A gateway stands still.
@@ -126,6 +139,25 @@
     }
 }
 
+/// Draws when the store comes back from a copy; apart from the rest, whose seeds stay as they were.
+pub fn draw_copies(seed: u64, length: Duration) -> Vec<Event> {
+    let mut events = Vec::new();
+    if seed % COPIES_EVERY != COPIES_AT {
+        return events;
+    }
+    let mut random = rngs::StdRng::seed_from_u64(seed ^ COPIES);
+    let mut from = Duration::ZERO;
+    loop {
+        from += COPIES_GAP.mul_f64(random.random_range(0.1..1.9));
+        if from >= length {
+            return events;
+        }
+        let (shortest, longest) = LENGTHS;
+        let to = from + random.random_range(shortest..longest);
+        events.push(Event { from, to, fault: Fault::Copy });
+    }
+}
+
 fn one(random: &mut rngs::StdRng, gateways: usize, upstreams: usize) -> Fault {
     let gateway = random.random_range(0..gateways);
     let upstream = random.random_range(0..upstreams);
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -5,7 +5,7 @@
 
 use platform::fact;
 use rand::{RngExt as _, SeedableRng as _, rngs};
-use standin::platform::{listener, upstream};
+use standin::platform::{items, listener, upstream};
 use tokio::time::Instant;
 
 use crate::callers;
@@ -46,6 +46,9 @@
 /// Time after the store's return at which upstreams write their entries again.
 const ENTRIES_RETURN: Duration = Duration::from_millis(700);
 
+/// Time for which the store is away before it comes back from a copy.
+const COPY_AWAY: Duration = Duration::from_millis(200);
+
 /// Requests that must all be served before the calm part begins.
 const SERVED_IN_A_ROW: usize = 60;
 
@@ -88,6 +91,8 @@
     reads: usize,
     evacuated: Option<&'static str>,
     is_revoked: bool,
+    /// Copies of the store, the latest one last, from which it is to come back.
+    copies: Vec<items::Items>,
 }
 
 /// Plays one soak; fails with the seed, the faults and every promise that was broken.
@@ -99,6 +104,7 @@
     };
     let mut world = World::start(count).await;
     let mut events = fault::draw(seed, &mut random, length, count, world.upstreams.len());
+    events.extend(fault::draw_copies(seed, length));
     events.extend(fault::draw_organisations(seed, length, world.upstreams.len()));
     let callers = callers::Callers::start("trouble", CALLERS, &world.addresses, seed);
     let deadly = match seed % deadly::EVERY {
@@ -165,6 +171,7 @@
             reads: 0,
             evacuated: None,
             is_revoked: false,
+            copies: Vec::new(),
         };
         world.put_configuration();
         for hall in HALLS {
@@ -287,6 +294,7 @@
             Fault::Door(node, mode) => self.nodes[node].door.set(mode),
             Fault::StoreAway(mode) => self.set_doors(mode),
             Fault::Compaction => self.rig.store.forget(),
+            Fault::Copy => self.copies.push(self.rig.store.copy()),
             Fault::Manner(upstream, manner) => self.upstreams[upstream].standin.set(manner),
             Fault::Pause(node) => self.signal(node, rustix::process::Signal::STOP),
             Fault::Reload(node) => self.signal(node, rustix::process::Signal::HUP),
@@ -312,6 +320,7 @@
                 self.upstreams[upstream].standin.set(upstream::Behavior::Slow(WORK));
             }
             Fault::Pause(node) => self.signal(node, rustix::process::Signal::CONT),
+            Fault::Copy => self.return_from_copy().await,
             Fault::Kill(node) | Fault::Stop(node) => self.start_process(node).await,
             Fault::KillAll => self.start_all().await,
             Fault::Evacuate => self.take_back(),
@@ -337,6 +346,28 @@
         }
     }
 
+    /// Lets the store be away for a moment and come back from its oldest copy; operators and upstreams write again.
+    async fn return_from_copy(&mut self) {
+        if self.copies.is_empty() {
+            return;
+        }
+        let copy = self.copies.remove(0);
+        self.set_doors(listener::Mode::Busy);
+        tokio::time::sleep(COPY_AWAY).await;
+        self.rig.store.restore(&copy);
+        self.set_doors(listener::Mode::Open);
+        self.rig.write_again();
+        let evacuations = self.rig.store.keys(fact::EVACUATIONS);
+        for key in evacuations {
+            self.rig.store.remove(&key);
+        }
+        if let Some(hall) = self.evacuated {
+            self.rig.store.put(&format!("{}{hall}", fact::EVACUATIONS), b"{}");
+        }
+        tokio::time::sleep(ENTRIES_RETURN).await;
+        (0..self.upstreams.len()).for_each(|index| self.enter(index));
+    }
+
     fn signal(&self, node: usize, signal: rustix::process::Signal) {
         if let Some(process) = &self.nodes[node].process {
             process.signal(signal);
