Nodes that own upstreams: leaving and rest by an upstream's own word

An owner takes the upstream out until a probe shows another start, or for the time asked for. Reading is shared with the gateways'.

--- a/crates/node/src/common/head.rs
+++ b/crates/node/src/common/head.rs
@@ -6,7 +6,12 @@
 use std::time::Duration;
 
 use http::header;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use model::leaving;
+use model::limit;
+use model::statement;
+use platform::answer;
+use platform::field;
 
 /// Header by which a caller gives the time it will wait, in milliseconds.
 pub const TIMEOUT: HeaderName = HeaderName::from_static("yokespoke-timeout-ms");
@@ -23,6 +28,15 @@
 /// Header that carries the deadline to an upstream, in milliseconds since 1970 (UTC).
 pub const DEADLINE: HeaderName = HeaderName::from_static("yokespoke-deadline");
 
+/// An upstream's load: requests that it runs, requests queued at it, and slots.
+pub const LOAD: HeaderName = HeaderName::from_static("yokespoke-load");
+
+/// The requests a second that an upstream takes from all nodes together.
+pub const LIMIT: HeaderName = HeaderName::from_static("yokespoke-limit");
+
+/// Says that the upstream leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("yokespoke-leaving");
+
 /// Header that carries the caller's address to an upstream.
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
@@ -50,6 +64,19 @@
 /// Headers that only yokespoke itself may set.
 const OURS: [HeaderName; 5] = [TIMEOUT, TICKET, VERDICT, REASON, DEADLINE];
 
+/// Reads what an upstream says of itself in an answer.
+///
+/// A load that cannot be read counts as absent: the sender then goes by the requests that it has in flight itself.
+#[must_use]
+pub fn statement(headers: &HeaderMap, status: StatusCode) -> statement::Statement {
+    statement::Statement {
+        load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
+        limit: limit::Field::read(field::all(headers, &LIMIT)),
+        leaving: leaving::Field::read(field::all(headers, &LEAVING)),
+        rest: answer::rest(headers, status),
+    }
+}
+
 /// Returns whether a request gives its length or host more than once, as request smuggling does.
 #[must_use]
 pub fn is_ambiguous(headers: &HeaderMap) -> bool {
--- a/crates/node/src/gateway/own_headers.rs
+++ b/crates/node/src/gateway/own_headers.rs
@@ -8,24 +8,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use model::head;
 use model::id;
-use model::leaving;
-use model::limit;
 use model::routing;
-use model::statement;
-use platform::answer;
 use platform::field;
 
 use crate::common::head as names;
 
-/// An upstream's load: requests that it runs, requests queued at it, and slots.
-const LOAD: HeaderName = HeaderName::from_static("yokespoke-load");
-
-/// The requests a second that an upstream takes from all nodes together.
-const LIMIT: HeaderName = HeaderName::from_static("yokespoke-limit");
-
-/// Says that the upstream leaves.
-const LEAVING: HeaderName = HeaderName::from_static("yokespoke-leaving");
-
 /// Proves which organisation sends a request. Upstreams never see it.
 const KEY: HeaderName = HeaderName::from_static("x-api-key");
 
@@ -37,7 +24,7 @@
 
 /// Headers by which a caller could pass itself off as a gateway or an upstream, and an upstream as a gateway.
 static OURS: [HeaderName; 7] =
-    [names::VERDICT, names::REASON, LOAD, LIMIT, LEAVING, KEY, ORGANISATION];
+    [names::VERDICT, names::REASON, names::LOAD, names::LIMIT, names::LEAVING, KEY, ORGANISATION];
 
 /// Shortest time left that is sent to an upstream, in milliseconds, so that the deadline lies ahead.
 const SHORTEST_LEFT_MILLIS: u64 = 1;
@@ -101,8 +88,7 @@
 /// Reads the head of an answer from an upstream of a service with `rules`.
 ///
 /// Upstreams carry no seal here, and state by the service's declared statuses that they did not run a
-/// request. A load that cannot be read counts as absent: the gateway then goes by the requests that it
-/// has in flight itself.
+/// request.
 #[must_use]
 pub fn answer<'a>(
     headers: &'a HeaderMap,
@@ -114,12 +100,7 @@
         request_id: field::text(headers, &names::REQUEST_ID),
         is_sealed: false,
         states_not_run: rules.is_some_and(|rules| rules.shed.contains(&status.as_u16())),
-        statement: statement::Statement {
-            load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
-            limit: limit::Field::read(field::all(headers, &LIMIT)),
-            leaving: leaving::Field::read(field::all(headers, &LEAVING)),
-            rest: answer::rest(headers, status),
-        },
+        statement: names::statement(headers, status),
     }
 }
 
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -15,8 +15,12 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
 use model::id;
+use model::leaving;
+use model::rest;
 use model::service;
+use model::upstream;
 use model::verdict;
+use steer::ownership::event;
 use steer::ownership::heartbeat;
 use steer::ownership::request;
 
@@ -160,7 +164,11 @@
             return Err(End::not_run(Outcome::Shed, Reason::BadRequest));
         };
         let left = order.deadline.saturating_duration_since(self.handle.now());
-        match tokio::time::timeout(left, self.client.request(request)).await {
+        let answer = tokio::time::timeout(left, self.client.request(request)).await;
+        if let Ok(Ok(answer)) = &answer {
+            self.pass_on_statement(slot, order, answer);
+        }
+        match answer {
             Ok(Ok(answer)) if order.service.shed.contains(&answer.status().as_u16()) => {
                 Err(End::not_run(Outcome::Shed, Reason::Shed))
             }
@@ -180,6 +188,19 @@
         }
     }
 
+    /// Tells the decisions what an upstream says of leaving and rest.
+    ///
+    /// One that is lost where their ring is full is said again: both by the next answer.
+    fn pass_on_statement(&self, slot: &Slot, order: &Order, answer: &Response<Incoming>) {
+        let statement = head::statement(answer.headers(), answer.status());
+        let leaves = statement.leaving == leaving::Field::Leaving;
+        if leaves || matches!(statement.rest, rest::Field::Rest(_)) {
+            let service = order.service.name.clone();
+            let upstream = upstream::Key { service, upstream: slot.upstream.clone() };
+            self.handle.send(event::Event::Said { upstream, statement });
+        }
+    }
+
     /// Builds the request that the upstream sees.
     fn request(&self, slot: &Slot, order: &Order, body: body::Body) -> Option<Request<body::Body>> {
         let uri = format!("http://{}{}", slot.address, order.path);
--- a/crates/steer/src/ownership/core/mod.rs
+++ b/crates/steer/src/ownership/core/mod.rs
@@ -128,6 +128,9 @@
             event::Event::Probed { upstream, report } => {
                 self.owner.probed(&upstream, report.as_ref());
             }
+            event::Event::Said { upstream, statement } => {
+                self.owner.said(&upstream, &statement, now);
+            }
             event::Event::Heartbeat { heartbeat } => {
                 let reply = Box::new(self.answer(&heartbeat, now, out));
                 out.push(action::Action::Reply { reply });
--- a/crates/steer/src/ownership/event.rs
+++ b/crates/steer/src/ownership/event.rs
@@ -8,6 +8,7 @@
 use model::id;
 use model::service;
 use model::snapshot;
+use model::statement;
 use model::table;
 use model::verdict;
 
@@ -95,6 +96,13 @@
         /// What it said; none when it did not answer.
         report: Option<report::Report>,
     },
+    /// An upstream said something of itself in an answer.
+    Said {
+        /// The upstream.
+        upstream: upstream::Key,
+        /// What it said.
+        statement: statement::Statement,
+    },
     /// A peer's heartbeat arrived.
     Heartbeat {
         /// The heartbeat.
--- a/crates/steer/src/ownership/health.rs
+++ b/crates/steer/src/ownership/health.rs
@@ -6,6 +6,10 @@
 
 use std::time::{Duration, Instant};
 
+use model::leaving;
+use model::rest;
+use model::statement;
+
 use crate::ownership::report;
 
 /// Failures in a row after which an upstream is ejected. Not measured.
@@ -30,6 +34,10 @@
     reported_slots: Option<u32>,
     uptime_ms: Option<u64>,
     is_leaving: bool,
+    /// Whether it said in an answer that it leaves; holds until a probe shows that it started again.
+    says_leaving: bool,
+    /// When it has rested; none before it asks for rest.
+    rests_until: Option<Instant>,
 }
 
 impl Health {
@@ -37,7 +45,9 @@
     #[must_use]
     pub fn is_usable(&self, now: Instant) -> bool {
         let is_ejected = self.ejected_until.is_some_and(|until| now < until);
-        !is_ejected && !self.is_leaving && self.missed_probes < MISSED_PROBES
+        let is_resting = self.rests_until.is_some_and(|until| now < until);
+        let leaves = self.is_leaving || self.says_leaving;
+        !is_ejected && !is_resting && !leaves && self.missed_probes < MISSED_PROBES
     }
 
     /// Returns the most slots the upstream's own report leaves, of `slots`.
@@ -65,6 +75,15 @@
         self.failures = FAILURES - 1;
     }
 
+    /// Records what it said of itself in an answer. A rest that asks for less does not shorten an earlier one.
+    pub fn said(&mut self, statement: &statement::Statement, now: Instant) {
+        self.says_leaving |= statement.leaving == leaving::Field::Leaving;
+        if let rest::Field::Rest(rest) = statement.rest {
+            let until = now + rest;
+            self.rests_until = Some(self.rests_until.map_or(until, |before| before.max(until)));
+        }
+    }
+
     /// Records the outcome of a probe; returns whether the upstream was restarted since the last.
     pub fn probed(&mut self, report: Option<&report::Report>) -> bool {
         let Some(report) = report else {
@@ -76,6 +95,9 @@
         self.reported_slots = report.slots;
         self.is_leaving = report.draining;
         self.uptime_ms = report.uptime_ms;
+        if restarted {
+            (self.says_leaving, self.rests_until) = (false, None);
+        }
         restarted
     }
 }
--- a/crates/steer/src/ownership/owner/configuration.rs
+++ b/crates/steer/src/ownership/owner/configuration.rs
@@ -4,13 +4,14 @@
 //! [`allotment`] for this node's slots under a new table.
 
 use std::sync;
-use std::time::SystemTime;
+use std::time::{Instant, SystemTime};
 
 use model::epoch;
 use model::id;
 use model::member;
 use model::service;
 use model::snapshot;
+use model::statement;
 use model::table;
 use model::upstream;
 
@@ -83,6 +84,13 @@
         }
     }
 
+    /// Applies what an upstream said of itself in an answer.
+    pub fn said(&mut self, key: &upstream::Key, statement: &statement::Statement, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.health.said(statement, now);
+        }
+    }
+
     fn configure_service(
         &mut self,
         spec: &sync::Arc<service::Service>,
--- a/crates/steer/tests/core.rs
+++ b/crates/steer/tests/core.rs
@@ -9,10 +9,13 @@
 use model::document;
 use model::epoch::Epoch;
 use model::id;
+use model::leaving;
 use model::member::{Key, Listed};
 use model::resource::Kind;
+use model::rest;
 use model::revision::Revision;
 use model::snapshot::Snapshot;
+use model::statement::Statement;
 use model::table::Table;
 use model::upstream;
 use steer::ownership::action::Action;
@@ -112,6 +115,15 @@
         actions.iter().any(|action| matches!(action, Action::Run { .. }))
     }
 
+    /// Lets the upstream say something of itself in an answer.
+    fn hear(&mut self, statement: Statement) {
+        let upstream = upstream::Key {
+            service: id::Service::new("search"),
+            upstream: id::Upstream::new("one"),
+        };
+        self.tell(Event::Said { upstream, statement });
+    }
+
     fn report(&mut self, report: Option<Report>) {
         let upstream = upstream::Key {
             service: id::Service::new("search"),
@@ -209,3 +221,34 @@
     node.report(Some(Report { slots: Some(100), ..Report::default() }));
     assert_eq!((0..6).filter(|_| node.runs()).count(), 2, "it has four, whatever it claims");
 }
+
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_no_new_work_until_it_starts_again() {
+    let mut node = Node::start();
+    let up = |uptime_ms| Some(Report { uptime_ms: Some(uptime_ms), ..Report::default() });
+    node.report(up(5_000));
+    assert!(node.runs());
+    node.tell(Event::Done { request: Id(1), outcome: Outcome::Answered });
+    node.hear(Statement { leaving: leaving::Field::Leaving, ..Statement::default() });
+    assert!(!node.runs());
+    node.hear(Statement::default());
+    node.report(up(6_000));
+    assert!(!node.runs(), "the same process");
+    node.report(up(10));
+    assert!(node.runs(), "another one");
+}
+
+#[test]
+fn an_upstream_that_asks_for_rest_gets_it() {
+    let mut node = Node::start();
+    let rests = |seconds| Statement {
+        rest: rest::Field::Rest(Duration::from_secs(seconds)),
+        ..Statement::default()
+    };
+    node.hear(rests(3));
+    node.hear(rests(1));
+    node.tick(Duration::from_millis(2_900));
+    assert!(!node.runs());
+    node.tick(Duration::from_millis(100));
+    assert!(node.runs());
+}
