Rest: in yokespoke's own dialect only a refusal by the service's rules asks for it

Seen by reading: an upstream's own 503 with Retry-After, for one resource, would have taken the whole upstream out for that time, and every upstream that a caller can make answer so. Only a status that the service declares as a refusal (shed) says that the upstream turned the request away; the platform's upstreams say so by themselves. The new test failed before (a rest of 3 s where none is asked for).

--- a/crates/node/src/common/head.rs
+++ b/crates/node/src/common/head.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use model::leaving;
 use model::limit;
+use model::rest;
 use model::statement;
 use platform::answer;
 use platform::field;
@@ -64,16 +65,23 @@
 /// Headers that only yokespoke itself may set.
 const OURS: [HeaderName; 5] = [TIMEOUT, TICKET, VERDICT, REASON, DEADLINE];
 
-/// Reads what an upstream says of itself in an answer.
+/// Reads what an upstream says of itself in an answer; `is_refusal` where it did not run the request by its service's rules.
 ///
-/// A load that cannot be read counts as absent: the sender then goes by the requests that it has in flight itself.
+/// Another 503 is the answer of what it serves, whose `Retry-After` is the caller's. A load that cannot be read counts as absent: the sender then goes by the requests that it has in flight itself.
 #[must_use]
-pub fn statement(headers: &HeaderMap, status: StatusCode) -> statement::Statement {
+pub fn statement(
+    headers: &HeaderMap,
+    status: StatusCode,
+    is_refusal: bool,
+) -> statement::Statement {
     statement::Statement {
         load: field::text(headers, &LOAD).and_then(|load| load.parse().ok()),
         limit: limit::Field::read(field::all(headers, &LIMIT)),
         leaving: leaving::Field::read(field::all(headers, &LEAVING)),
-        rest: answer::rest(headers, status),
+        rest: match is_refusal {
+            true => answer::rest(headers, status),
+            false => rest::Field::Absent,
+        },
     }
 }
 
--- a/crates/node/src/gateway/own_headers.rs
+++ b/crates/node/src/gateway/own_headers.rs
@@ -95,12 +95,13 @@
     status: StatusCode,
     rules: Option<&routing::ServiceRules>,
 ) -> head::Answer<'a> {
+    let states_not_run = rules.is_some_and(|rules| rules.shed.contains(&status.as_u16()));
     head::Answer {
         status: status.as_u16(),
         request_id: field::text(headers, &names::REQUEST_ID),
         is_sealed: false,
-        states_not_run: rules.is_some_and(|rules| rules.shed.contains(&status.as_u16())),
-        statement: names::statement(headers, status),
+        states_not_run,
+        statement: names::statement(headers, status, states_not_run),
     }
 }
 
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -192,7 +192,8 @@
     ///
     /// One that is lost where their ring is full is said again: both by the next answer.
     fn pass_on_statement(&self, slot: &Slot, order: &Order, answer: &Response<Incoming>) {
-        let statement = head::statement(answer.headers(), answer.status());
+        let is_shed = order.service.shed.contains(&answer.status().as_u16());
+        let statement = head::statement(answer.headers(), answer.status(), is_shed);
         let leaves = statement.leaving == leaving::Field::Leaving;
         if leaves || matches!(statement.rest, rest::Field::Rest(_)) {
             let service = order.service.name.clone();
--- a/crates/node/tests/own_dialect.rs
+++ b/crates/node/tests/own_dialect.rs
@@ -1,6 +1,9 @@
 //! What callers of yokespoke's own dialect may rely on.
 
-use http::{HeaderValue, Response, header};
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use model::{rest, routing};
 use node::common::body;
 use node::common::head as names;
 use node::gateway::dialect::Dialect;
@@ -23,3 +26,23 @@
     let after = after.to_str().expect("it is text");
     assert!(after.parse::<u64>().is_ok(), "{after}");
 }
+
+/// A 503 that its service does not declare as a refusal is an answer, whose `Retry-After` is for its caller.
+#[test]
+fn only_a_refusal_by_the_service_s_rules_asks_for_rest() {
+    let rules = |shed| routing::ServiceRules {
+        max_connections: None,
+        cold_start: Duration::ZERO,
+        cold_rate: None,
+        shed,
+    };
+    let mut headers = HeaderMap::new();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("3"));
+    let asked = |shed| {
+        let rules = rules(shed);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Dialect::Own.answer(&headers, status, Some(&rules)).statement.rest
+    };
+    assert_eq!(asked(vec![503]), rest::Field::Rest(Duration::from_secs(3)));
+    assert_eq!(asked(Vec::new()), rest::Field::Absent);
+}
