A return of the store from a copy costs a region two reads

All but the first two of a region now wait a quarter of a second for each further one before they read a new era, a second at most, and take it from the others where these have it by then.

--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -3,7 +3,7 @@
 //! Relies on [`steer::dispatch::fleet`] for each decision; here the members only become its inputs.
 
 use std::collections;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id;
 use rand::RngExt as _;
@@ -57,6 +57,14 @@
         watchers::turn(&self.me.borrow().node, others)
     }
 
+    /// Returns how long this node waits before it reads everything in a new era of the store.
+    #[must_use]
+    pub fn read_turn(&self) -> Duration {
+        let members = self.members.borrow();
+        let others = members.staying(Instant::now()).map(|m| &m.node);
+        watchers::read_turn(&self.me.borrow().node, others)
+    }
+
     /// Returns the other living nodes of the region that say they reach the store.
     pub(super) fn reaching(&self) -> Vec<id::Node> {
         let members = self.members.borrow();
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -105,15 +105,14 @@
     place: watchers::Place,
     wait: Duration,
 ) -> Result<Brought, error::Error> {
-    let is_followed = client.era() <= state.replica.borrow().at().era;
-    let outcome = match is_followed {
+    let outcome = match is_followed(state, client) {
         true => watch(state, client, place, wait).await,
         false => Err(error::Error::Compacted),
     };
     match outcome {
         Err(error::Error::Compacted) => {
             log::info!(after = state.replica.borrow().at().revision; "history-compacted");
-            read(state, client, client::Freshness::Latest).await?;
+            read_once(state, client).await?;
             tokio::time::sleep(place.gather()).await;
             Ok(Brought::Everything)
         }
@@ -121,6 +120,22 @@
     }
 }
 
+/// Reads everything, unless another node has read a new era meanwhile and this one has taken it from there.
+async fn read_once(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
+    if !is_followed(state, client) {
+        tokio::time::sleep(state.read_turn()).await;
+        if is_followed(state, client) {
+            return Ok(());
+        }
+    }
+    read(state, client, client::Freshness::Latest).await.map(|_| ())
+}
+
+/// Returns whether this node's copy is of the store's era.
+fn is_followed(state: &state::State, client: &client::Client) -> bool {
+    client.era() <= state.replica.borrow().at().era
+}
+
 async fn read(
     state: &state::State,
     client: &client::Client,
--- a/crates/node/tests/gateway/copies.rs
+++ b/crates/node/tests/gateway/copies.rs
@@ -175,3 +175,24 @@
     };
     assert!(fleet.gateways.iter().all(|gateway| entered(gateway) == 1));
 }
+
+/// While the store is away all gateways of a region try to reach it, and many of them meet it as soon as it is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn config_a_return_costs_a_region_two_reads_of_everything() {
+    let mut fleet = Fleet::start_with(&[HALLS[0]; 9], 2).await;
+    fleet.registered().await;
+    let copy = fleet.rig.store.copy();
+    write_noise(&fleet);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.door.set(Mode::Busy);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = fleet.rig.store.calls();
+    fleet.rig.store.restore(&copy);
+    fleet.door.set(Mode::Open);
+    fleet.rig.configure(&rig::routes());
+    let took = fleet.adopted().await;
+    assert!(took < IN_FORCE, "in force after {took:?}");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let reads = fleet.rig.store.calls().reads - before.reads;
+    assert!(reads <= MOST_READS, "{reads} reads of everything");
+}
--- a/crates/steer/src/dispatch/fleet/watchers.rs
+++ b/crates/steer/src/dispatch/fleet/watchers.rs
@@ -58,6 +58,13 @@
     (SETTLE + SETTLE_SPREAD.mul_f64(draw)).min(longest)
 }
 
+/// Time by which each further node of a region waits longer before it reads everything in a new era of the store: while no node
+/// reached the store, more of them tried than watch, and what one has read the others take from it within this time.
+const READ_TURN: Duration = Duration::from_millis(250);
+
+/// Longest such time, so that a node follows the store soon where those before it do not reach it.
+const LONGEST_READ_TURN: Duration = Duration::from_millis(1_000);
+
 /// Place of a watcher among those of its region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place(usize);
@@ -89,6 +96,15 @@
     (before < PER_REGION).then_some(Place(before))
 }
 
+/// Returns how long `me` waits before it reads everything in a new era of the store, so that another node may be first.
+///
+/// `others` are the living nodes of its region, but `me`, that do not leave.
+pub fn read_turn<'a>(me: &id::Node, others: impl Iterator<Item = &'a id::Node>) -> Duration {
+    let later = count_before(me, others).saturating_sub(PER_REGION - 1);
+    let turns = u32::try_from(later).unwrap_or(u32::MAX);
+    READ_TURN.saturating_mul(turns).min(LONGEST_READ_TURN)
+}
+
 /// Returns whether `me` is among the first to watch the store while no node reaches it.
 ///
 /// `others` are the living nodes of its region, but `me`, that do not leave.
