Copy of the store, client of the store, state of a gateway: smaller modules, and terms of the field in comments

No logic changes. A store 'is restored from a copy'; a leaving is 'observed' and 'announced', as limits are (the state dump's heard_ms_ago is observed_ms_ago).

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -185,17 +185,17 @@
     })
 }
 
-/// Returns when an upstream was heard to leave, and who told it; null where it was not.
+/// Returns when an upstream was observed to leave, and which node reported it; null where it was not.
 fn leaving(
     dispatcher: &dispatcher::Dispatcher,
     upstream: &upstream::Upstream,
     now: Instant,
 ) -> serde_json::Value {
-    let heard = dispatcher.leavings().get(&incarnation::Incarnation::of(&upstream.entry));
-    heard.map_or(serde_json::Value::Null, |heard| {
+    let observed = dispatcher.leavings().get(&incarnation::Incarnation::of(&upstream.entry));
+    observed.map_or(serde_json::Value::Null, |observation| {
         serde_json::json!({
-            "heard_ms_ago": field::whole_millis(now.saturating_duration_since(heard.at)),
-            "reported_by": heard.by.as_ref().map(id::Node::as_str),
+            "observed_ms_ago": field::whole_millis(now.saturating_duration_since(observation.at)),
+            "reported_by": observation.by.as_ref().map(id::Node::as_str),
         })
     })
 }
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// Returns the headers of an answer that bear the mark of these headers, and that nobody reads.
+    /// Returns the headers of an answer that bear the mark of these headers, and that are not read.
     pub fn unknown(self, headers: &HeaderMap) -> Vec<&str> {
         match self {
             Self::Platform => platform::answer::unknown(headers).collect(),
--- /dev/null
+++ b/crates/node/src/gateway/leaving_report.rs
@@ -0,0 +1,54 @@
+//! Form of what load reports say of upstreams that leave.
+
+use std::time::Duration;
+
+use model::id;
+use steer::dispatch::incarnation;
+use steer::dispatch::leaving;
+use wire::gateway::loads as message;
+
+/// Lists that belong together and differ in length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Uneven {
+    /// Names.
+    pub names: usize,
+    /// Figures for them.
+    pub figures: usize,
+}
+
+/// Writes announcements.
+pub(super) fn encode(leavings: &[leaving::Announcement]) -> message::Leavings {
+    let name = |announced: &leaving::Announcement| announced.incarnation.upstream.to_string();
+    message::Leavings {
+        upstreams: leavings.iter().map(name).collect(),
+        born: leavings.iter().map(|announced| announced.incarnation.born).collect(),
+        ages: leavings.iter().map(|announced| millis(announced.age)).collect(),
+    }
+}
+
+/// Reads announcements.
+///
+/// # Errors
+///
+/// Fails when the lists do not have the same length.
+pub(super) fn read(leavings: &message::Leavings) -> Result<Vec<leaving::Announcement>, Uneven> {
+    let names = leavings.upstreams.len();
+    if let Some(figures) =
+        [leavings.born.len(), leavings.ages.len()].into_iter().find(|length| *length != names)
+    {
+        return Err(Uneven { names, figures });
+    }
+    let announcement = |index: usize| leaving::Announcement {
+        incarnation: incarnation::Incarnation {
+            upstream: id::Upstream::new(&leavings.upstreams[index]),
+            born: leavings.born[index],
+        },
+        age: Duration::from_millis(leavings.ages[index].into()),
+    };
+    Ok((0..names).map(announcement).collect())
+}
+
+/// Returns a time in milliseconds; the longest that a message holds for a longer one.
+pub(super) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -8,13 +8,14 @@
 
 use model::{id, limit};
 use prost::Message as _;
-use steer::dispatch::incarnation;
 use steer::dispatch::leaving;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
 use steer::dispatch::upstream_limit::{self, announcement};
 use wire::gateway::loads as message;
 
+use crate::gateway::leaving_report;
+
 /// Most upstreams of one datagram; those of a longer report go into several. Some 8 KB.
 const MOST_UPSTREAMS: usize = 1_000;
 
@@ -79,7 +80,7 @@
             node: name(number),
             sends: sends.get(number).map(|sends| encode_sends(sends)),
             limits: announcements.get(number).map(|part| encode_announcements(part)),
-            leavings: leavings.get(number).map(|leavings| encode_leavings(leavings)),
+            leavings: leavings.get(number).map(|leavings| leaving_report::encode(leavings)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -119,24 +120,10 @@
             .iter()
             .map(|n| n.limit.map_or(NO_LIMIT, limit::Rate::per_second))
             .collect(),
-        ages: announcements.iter().map(|announced| millis(announced.age)).collect(),
-    }
-}
-
-fn encode_leavings(leavings: &[leaving::Announcement]) -> message::Leavings {
-    let name = |announced: &leaving::Announcement| announced.incarnation.upstream.to_string();
-    message::Leavings {
-        upstreams: leavings.iter().map(name).collect(),
-        born: leavings.iter().map(|announced| announced.incarnation.born).collect(),
-        ages: leavings.iter().map(|announced| millis(announced.age)).collect(),
+        ages: announcements.iter().map(|announced| leaving_report::millis(announced.age)).collect(),
     }
 }
 
-/// Returns a time in milliseconds; the longest that a message holds for a longer one.
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Usages as the lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -227,7 +214,8 @@
         };
         let upstreams = loads.upstreams.into_iter().map(peer_load::Key);
         let requests = upstreams.zip(loads.requests).collect();
-        let leavings = read_leavings(&loads.leavings.unwrap_or_default())?;
+        let leavings = leaving_report::read(&loads.leavings.unwrap_or_default())
+            .map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
         let content = Content { requests, usages: figures.read()?, limits, leavings };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
@@ -261,23 +249,6 @@
     (0..names).map(announcement).collect()
 }
 
-fn read_leavings(leavings: &message::Leavings) -> Result<Vec<leaving::Announcement>, Malformed> {
-    let names = leavings.upstreams.len();
-    if let Some(uneven) =
-        [leavings.born.len(), leavings.ages.len()].into_iter().find(|figures| *figures != names)
-    {
-        return Err(Malformed::Uneven(names, uneven));
-    }
-    let announcement = |index: usize| leaving::Announcement {
-        incarnation: incarnation::Incarnation {
-            upstream: id::Upstream::new(&leavings.upstreams[index]),
-            born: leavings.born[index],
-        },
-        age: Duration::from_millis(leavings.ages[index].into()),
-    };
-    Ok((0..names).map(announcement).collect())
-}
-
 /// Why a load report cannot be applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Malformed {
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -46,7 +46,7 @@
     pub requests: u32,
 }
 
-/// Returns whether an era is that of a store that never came back from a copy.
+/// Returns whether an era is that of a store that was never restored from a copy.
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
 fn is_first(era: &u64) -> bool {
     *era == 0
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -147,7 +147,7 @@
     pub malformed_leavings: Counter,
     /// Refusals that ask for a rest which cannot be read.
     pub malformed_rests: Counter,
-    /// Headers of answers that nobody reads.
+    /// Headers of answers that are not read.
     pub unknown_headers: unknown_headers::Counts,
     /// New connections to upstreams.
     pub connections: Counter,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod extracts;
 pub mod heartbeat;
 pub mod kept_ruling;
+mod leaving_report;
 pub mod load_report;
 pub mod loads;
 pub mod member;
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Returns why a request is given up that was refused at last: its caller returns in vain while all upstreams rest.
+    /// Returns why a request is given up that was refused at last: no retry of its caller succeeds while all upstreams rest.
     fn turned_away(&self) -> give_up::Reason {
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         self.progress.turned_away(self.for_choice(), &mut dispatcher, Instant::now())
--- a/crates/node/src/gateway/quarantine_keeper.rs
+++ b/crates/node/src/gateway/quarantine_keeper.rs
@@ -63,7 +63,7 @@
         return None;
     }
     let turn = turn(state, now)?;
-    // What the store holds since before it came back from a copy, it may not hold any more.
+    // What the store holds since before it was restored from a copy, it may not hold any more.
     let era = replica.at().era;
     let stands = |kept: &&kept_ruling::Entry| kept.position.era == era;
     let lacks = |(scope, ruling): (&Scope, &Ruling)| {
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -63,7 +63,7 @@
     (is_true && own.lease != 0 && own.era == replica.at().era).then_some(held)
 }
 
-/// Returns the lease in the present era: none where the store came back from a copy that lacks this node's entry under it.
+/// Returns the lease in the present era: none where the store was restored from a copy that lacks this node's entry under it.
 fn carried_over(state: &state::State, lease: lease::Held) -> Option<lease::Held> {
     let (replica, me) = (state.replica.borrow(), state.me.borrow());
     let era = replica.at().era;
--- a/crates/node/src/gateway/replica/entry.rs
+++ b/crates/node/src/gateway/replica/entry.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::kept_ruling;
 use crate::gateway::member;
-use crate::gateway::replica::{Changes, Fault};
+use crate::gateway::replica::changes::{Changes, Fault};
 
 /// One key's state.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/node/src/gateway/replica/era.rs
@@ -0,0 +1,89 @@
+//! Eras of a copy: what is kept of it when the store was restored from a copy of its own, and when the doubt ends.
+//!
+//! Relies on [`doubt`] for what holds of two values whose revisions cannot be compared.
+
+use platform::fact;
+use platform::store::item;
+use steer::dispatch::fleet::doubt;
+
+use crate::gateway::replica::changes::Changes;
+use crate::gateway::replica::entry::{self, Entry};
+use crate::gateway::replica::{MOST_REMOVED, Replica, redacted};
+
+impl Replica {
+    /// Takes the copy from which the store came back; what is known otherwise is kept, and in doubt.
+    pub(super) fn begin_era(&mut self, page: item::Page, changes: &mut Changes) {
+        let removed = std::mem::take(&mut self.removed);
+        let removed = removed.into_iter().map(|((_, key), content)| (key, content));
+        self.removed_before.extend(removed);
+        self.removed_before.retain(|key, _| !self.entries.contains_key(key));
+        while self.removed_before.len() > MOST_REMOVED {
+            self.removed_before.pop_first();
+        }
+        self.outdated.clear();
+        self.is_in_doubt = !self.entries.is_empty();
+        self.at = page.position();
+        self.floor = page.at;
+        for item in page.items {
+            self.is_in_doubt |= item.era < self.at.era;
+            self.reconcile(item, changes);
+        }
+    }
+
+    /// Takes an item of the copy, if nothing newer is known of its key.
+    fn reconcile(&mut self, item: item::Item, changes: &mut Changes) {
+        let fact = fact::read(&item.key, &item.value);
+        let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
+        let stands = match (self.entries.get(&item.key), self.removed_before.get(&item.key)) {
+            (Some(known), _) if known.item.era >= item.era => {
+                known.item.position() < item.position()
+            }
+            (Some(known), _) => doubt::replaces(known.content(), copy),
+            (None, Some(removed)) => doubt::comes_back(*removed, copy, false),
+            (None, None) => true,
+        };
+        match stands {
+            true => self.put(item, fact, changes),
+            false => {
+                self.outdated.insert(item.key.clone(), redacted(item));
+            }
+        }
+    }
+
+    /// Takes an item that another node has in doubt, unless this one knows better.
+    pub(super) fn take_doubtful(&mut self, item: item::Item, changes: &mut Changes) {
+        let is_known = self.entries.contains_key(&item.key)
+            || self.removed_before.contains_key(&item.key)
+            || self.outdated.contains_key(&item.key);
+        if self.is_in_doubt && !is_known && !item.is_removed {
+            let fact = fact::read(&item.key, &item.value);
+            self.put(item, fact, changes);
+        }
+    }
+
+    /// Ends the doubt: what was not written again is gone, and what stands in the store still is so.
+    pub fn end_doubt(&mut self) -> Changes {
+        let mut changes = Changes::default();
+        self.is_in_doubt = false;
+        let outdated = std::mem::take(&mut self.outdated);
+        let is_lacking = |e: &&Entry| {
+            let is_before = e.item.era < self.at.era && e.item.key != fact::CONFIG;
+            is_before && !outdated.contains_key(&e.item.key)
+        };
+        let lacking: Vec<String> =
+            self.entries.values().filter(is_lacking).map(|e| e.item.key.clone()).collect();
+        for key in lacking {
+            let content = self.forget(&key, &mut changes);
+            self.removed_before.extend(content.map(|content| (key, content)));
+        }
+        for (key, item) in outdated {
+            let removed = self.removed_before.get(&key).copied();
+            let fact = fact::read(&item.key, &item.value);
+            let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
+            if removed.is_some_and(|removed| doubt::comes_back(removed, copy, true)) {
+                self.put(item, fact, &mut changes);
+            }
+        }
+        changes
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/replica/extract.rs
@@ -0,0 +1,43 @@
+//! Extracts of a copy: what another node lacks.
+
+use platform::store::{item, position};
+use wire::gateway::extract;
+
+use crate::gateway::replica::{Changes, Replica};
+
+impl Replica {
+    /// Returns what has changed after `after`; everything when that is no longer known.
+    #[must_use]
+    pub fn extract(&self, after: position::Position) -> extract::Extract {
+        let is_known = after.era == self.at.era && after.revision >= self.floor;
+        let is_whole = !is_known || after.revision == 0;
+        let items = self.entries.values().map(|e| &e.item);
+        let is_news = |i: &&item::Item| is_whole || i.position() > after;
+        let mut items: Vec<item::Item> = items.filter(is_news).cloned().collect();
+        match is_whole {
+            true => items.extend(self.outdated.values().cloned()),
+            false => items.extend(self.removed_after(after.revision)),
+        }
+        let (at, era) = (self.at.revision, self.at.era);
+        extract::Extract { page: item::Page { items, more: false, at, era }, is_whole }
+    }
+
+    fn removed_after(&self, after: u64) -> impl Iterator<Item = item::Item> {
+        self.removed.range((after + 1, String::new())..).map(|((revision, key), _)| item::Item {
+            key: key.clone(),
+            value: Vec::new(),
+            revision: *revision,
+            is_removed: true,
+            lease: 0,
+            era: self.at.era,
+        })
+    }
+
+    /// Merges what another node sent.
+    pub fn merge_extract(&mut self, extract: extract::Extract) -> Changes {
+        match extract.is_whole {
+            true => self.replace(extract.page),
+            false => self.merge(extract.page),
+        }
+    }
+}
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -1,12 +1,15 @@
 //! This node's copy of what the store holds, from the store itself or from other nodes.
 //!
 //! Owns the typed facts by their keys and merges them by the store's positions, so that copies merge in
-//! any order and nothing older replaces what is newer. A store that came back from a copy begins another era: until what it lost has been
+//! any order and nothing older replaces what is newer. A store that was restored from a copy begins another era: until what it lost has been
 //! written again, [`doubt`] decides by what the values say of themselves. Relies on [`fact`] to decode an item. An item's
 //! bytes stay beside its fact for extracts only: other nodes get them as the store gave them, with digests in place of
 //! the keys of organisations.
 
+pub mod changes;
 mod entry;
+mod era;
+mod extract;
 
 use std::collections;
 use std::sync;
@@ -18,10 +21,10 @@
 use platform::malformed;
 use platform::store::{item, position};
 use steer::dispatch::fleet::doubt;
-use wire::gateway::extract;
 
 use crate::gateway::kept_ruling;
 
+pub use crate::gateway::replica::changes::{Changes, Fault};
 pub use crate::gateway::replica::entry::Node;
 use crate::gateway::replica::entry::{Entry, Known};
 
@@ -30,41 +33,6 @@
 /// Not measured; it bounds memory while a fleet's entries come and go.
 const MOST_REMOVED: usize = 4_096;
 
-/// An item that could not be read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// Its key.
-    pub key: String,
-    /// Its revision.
-    pub revision: u64,
-    /// What is wrong.
-    pub message: String,
-}
-
-impl Fault {
-    fn new(item: &item::Item, message: String) -> Self {
-        Self { key: item.key.clone(), revision: item.revision, message }
-    }
-}
-
-/// What a merge changed.
-#[derive(Clone, Debug, Default)]
-pub struct Changes {
-    /// Whether upstreams were added, removed or changed.
-    pub upstreams: bool,
-    /// Whether evacuations began or ended.
-    pub evacuations: bool,
-    /// Whether entries of nodes were added, removed or changed.
-    pub nodes: bool,
-    /// Whether rulings were added, removed or changed.
-    pub rulings: bool,
-    /// Whether there is a newer configuration.
-    pub routing: bool,
-    /// Items that could not be read. A configuration or an evacuation that such an item replaces stays in force, an
-    /// upstream does not; a node stays registered without what it wrote.
-    pub faults: Vec<Fault>,
-}
-
 /// This node's copy of what the store holds.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
@@ -89,7 +57,7 @@
         self.at
     }
 
-    /// Returns the era that is in doubt: the store came back from a copy, and what it lost may not be written again yet.
+    /// Returns the era that is in doubt: the store was restored from a copy, and what it lost may not be written again yet.
     #[must_use]
     pub fn doubtful_era(&self) -> Option<u64> {
         self.is_in_doubt.then_some(self.at.era)
@@ -139,41 +107,6 @@
         })
     }
 
-    /// Returns what has changed after `after`; everything when that is no longer known.
-    #[must_use]
-    pub fn extract(&self, after: position::Position) -> extract::Extract {
-        let is_known = after.era == self.at.era && after.revision >= self.floor;
-        let is_whole = !is_known || after.revision == 0;
-        let items = self.entries.values().map(|e| &e.item);
-        let is_news = |i: &&item::Item| is_whole || i.position() > after;
-        let mut items: Vec<item::Item> = items.filter(is_news).cloned().collect();
-        match is_whole {
-            true => items.extend(self.outdated.values().cloned()),
-            false => items.extend(self.removed_after(after.revision)),
-        }
-        let (at, era) = (self.at.revision, self.at.era);
-        extract::Extract { page: item::Page { items, more: false, at, era }, is_whole }
-    }
-
-    fn removed_after(&self, after: u64) -> impl Iterator<Item = item::Item> {
-        self.removed.range((after + 1, String::new())..).map(|((revision, key), _)| item::Item {
-            key: key.clone(),
-            value: Vec::new(),
-            revision: *revision,
-            is_removed: true,
-            lease: 0,
-            era: self.at.era,
-        })
-    }
-
-    /// Merges what another node sent.
-    pub fn merge_extract(&mut self, extract: extract::Extract) -> Changes {
-        match extract.is_whole {
-            true => self.replace(extract.page),
-            false => self.merge(extract.page),
-        }
-    }
-
     /// Merges changes up to the page's position.
     ///
     /// Changes of another era say nothing: an earlier one is over, and of a later one everything has to be read first.
@@ -229,82 +162,6 @@
         self.at = self.at.max(at);
     }
 
-    /// Takes the copy from which the store came back; what is known otherwise is kept, and in doubt.
-    fn begin_era(&mut self, page: item::Page, changes: &mut Changes) {
-        let removed = std::mem::take(&mut self.removed);
-        let removed = removed.into_iter().map(|((_, key), content)| (key, content));
-        self.removed_before.extend(removed);
-        self.removed_before.retain(|key, _| !self.entries.contains_key(key));
-        while self.removed_before.len() > MOST_REMOVED {
-            self.removed_before.pop_first();
-        }
-        self.outdated.clear();
-        self.is_in_doubt = !self.entries.is_empty();
-        self.at = page.position();
-        self.floor = page.at;
-        for item in page.items {
-            self.is_in_doubt |= item.era < self.at.era;
-            self.reconcile(item, changes);
-        }
-    }
-
-    /// Takes an item of the copy, if nothing newer is known of its key.
-    fn reconcile(&mut self, item: item::Item, changes: &mut Changes) {
-        let fact = fact::read(&item.key, &item.value);
-        let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
-        let stands = match (self.entries.get(&item.key), self.removed_before.get(&item.key)) {
-            (Some(known), _) if known.item.era >= item.era => {
-                known.item.position() < item.position()
-            }
-            (Some(known), _) => doubt::replaces(known.content(), copy),
-            (None, Some(removed)) => doubt::comes_back(*removed, copy, false),
-            (None, None) => true,
-        };
-        match stands {
-            true => self.put(item, fact, changes),
-            false => {
-                self.outdated.insert(item.key.clone(), redacted(item));
-            }
-        }
-    }
-
-    /// Takes an item that another node has in doubt, unless this one knows better.
-    fn take_doubtful(&mut self, item: item::Item, changes: &mut Changes) {
-        let is_known = self.entries.contains_key(&item.key)
-            || self.removed_before.contains_key(&item.key)
-            || self.outdated.contains_key(&item.key);
-        if self.is_in_doubt && !is_known && !item.is_removed {
-            let fact = fact::read(&item.key, &item.value);
-            self.put(item, fact, changes);
-        }
-    }
-
-    /// Ends the doubt: what was not written again is gone, and what stands in the store still is so.
-    pub fn end_doubt(&mut self) -> Changes {
-        let mut changes = Changes::default();
-        self.is_in_doubt = false;
-        let outdated = std::mem::take(&mut self.outdated);
-        let is_lacking = |e: &&Entry| {
-            let is_before = e.item.era < self.at.era && e.item.key != fact::CONFIG;
-            is_before && !outdated.contains_key(&e.item.key)
-        };
-        let lacking: Vec<String> =
-            self.entries.values().filter(is_lacking).map(|e| e.item.key.clone()).collect();
-        for key in lacking {
-            let content = self.forget(&key, &mut changes);
-            self.removed_before.extend(content.map(|content| (key, content)));
-        }
-        for (key, item) in outdated {
-            let removed = self.removed_before.get(&key).copied();
-            let fact = fact::read(&item.key, &item.value);
-            let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
-            if removed.is_some_and(|removed| doubt::comes_back(removed, copy, true)) {
-                self.put(item, fact, &mut changes);
-            }
-        }
-        changes
-    }
-
     fn take(&mut self, item: item::Item, changes: &mut Changes) {
         let known = self.entries.get(&item.key);
         if known.is_some_and(|known| known.item.position() >= item.position()) {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -3,6 +3,8 @@
 //! Owns the configuration in force, the copy of the store, the members and the dispatcher, and applies each change to
 //! them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
 
+mod era;
+mod gauges;
 mod nodes;
 mod quarantine;
 mod statements;
@@ -16,7 +18,7 @@
 
 use model::id;
 use model::routing;
-use steer::dispatch::fleet::{doubt, request_rate, store_call};
+use steer::dispatch::fleet::{request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
 use steer::dispatch::{dispatcher, position, quota};
 use tokio::sync::Notify;
@@ -73,7 +75,7 @@
     pub dialect: dialect::Dialect,
     /// Wakes the task that sends heartbeats.
     pub beat: Notify,
-    /// Wakes the task that keeps this node's entry in the store when the store came back from a copy.
+    /// Wakes the task that keeps this node's entry in the store when the store was restored from a copy.
     pub era_changed: Notify,
     /// Wakes the task that fetches changes from other nodes.
     pub behind: Notify,
@@ -177,12 +179,7 @@
             evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
         };
         let at = replica.at();
-        let is_ahead = at > self.me.borrow().position();
-        {
-            let mut me = self.me.borrow_mut();
-            (me.at, me.era) = (at.revision, at.era);
-        }
-        if is_ahead && self.announces(source) {
+        if self.advance(at) && self.announces(source) {
             self.beat.notify_one();
         }
         let is_complete = replica.is_complete();
@@ -237,21 +234,6 @@
         self.update_ready();
     }
 
-    /// Ends the doubt after a return of the store from a copy, when it is time.
-    fn end_doubt(&self, now: Instant) {
-        let Some(era) = self.replica.borrow().doubtful_era() else {
-            self.doubt.set(None);
-            return;
-        };
-        match self.doubt.get() {
-            Some((doubted, since)) if doubted == era && doubt::is_over(since, now) => {
-                self.apply(update::Source::Store, replica::Replica::end_doubt);
-            }
-            Some((doubted, _)) if doubted == era => {}
-            _ => self.doubt.set(Some((era, now))),
-        }
-    }
-
     /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
@@ -270,23 +252,6 @@
         self.calls.log_unanswered(store_call::longest_gap(self.store_bound()), now);
     }
 
-    /// Brings the figures up to date that are no counters.
-    pub fn update_gauges(&self, now: Instant) {
-        let waiting =
-            store_calls::Kind::ALL.into_iter().filter_map(|k| self.calls.waiting(k, now)).max();
-        let figures = &self.metrics;
-        figures.store_call_age.set(waiting.unwrap_or_default().as_secs_f64());
-        let answered = self.calls.since_answer(now).unwrap_or_default();
-        figures.store_answer_age.set(answered.as_secs_f64());
-        figures.is_watching.set(f64::from(u8::from(self.is_watching.get())));
-        let lapsed = u32::try_from(self.dispatcher.borrow().lapsed().len()).unwrap_or(u32::MAX);
-        figures.upstreams_lapsed.set(lapsed.into());
-        let held = self.quarantine.borrow().held(now).count();
-        figures.held.set(u32::try_from(held).unwrap_or(u32::MAX).into());
-        let limited = self.dispatcher.borrow().limits().count_named();
-        figures.upstreams_limited.set(u32::try_from(limited).unwrap_or(u32::MAX).into());
-    }
-
     /// Brings what this node reports of itself up to date, for its next heartbeat.
     pub fn update_me(&self, now: Instant) {
         let mut rate = self.rate.get();
--- a/crates/node/src/gateway/state/statements.rs
+++ b/crates/node/src/gateway/state/statements.rs
@@ -19,7 +19,7 @@
 const NONE: &str = "none";
 
 impl State {
-    /// Records what an answer of an upstream says of the upstream, and counts its headers that nobody reads.
+    /// Records what an answer of an upstream says of the upstream, and counts its headers that are not read.
     pub fn observe(
         &self,
         upstream: &discovery::Entry,
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Applies what another node, or a sum of several, tells of upstreams that leave.
+    /// Applies what another node, or a sum of several, announces of upstreams that leave.
     pub fn receive_leavings(
         &self,
         node: &id::Node,
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -5,7 +5,6 @@
 
 use std::time::{Duration, Instant};
 
-use platform::store::client;
 use platform::store::error;
 use steer::dispatch::fleet::store_call;
 
@@ -50,31 +49,6 @@
         self.is_store_reached() || members.alive(Instant::now()).any(|m| m.is_store_reached)
     }
 
-    /// Logs what the store says beside its answers, where that is new.
-    pub fn hear_store(&self, client: &client::Client) {
-        for name in client.take_unknown() {
-            self.metrics.unknown_headers.record(&name, "store");
-        }
-        self.note_era(client.era());
-    }
-
-    /// Notes an era that the store named, or another node has; logs it where it is new.
-    pub(super) fn note_era(&self, era: u64) {
-        let before = self.store_era.get();
-        if before < era {
-            self.store_era.set(era);
-            let revision = self.replica.borrow().at().revision;
-            log::warn!(era, before, revision; "store-era-changed");
-            self.era_changed.notify_one();
-        }
-    }
-
-    /// Returns the highest era that the store named to this node, or another node has.
-    #[must_use]
-    pub fn store_era(&self) -> u64 {
-        self.store_era.get()
-    }
-
     /// Records whether the store answers, and logs and announces a change.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
         if !self.set_store_reached(failure.is_none()) {
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -58,19 +58,15 @@
         };
         state.hear_store(&client);
         state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
+        let before =
+            std::mem::replace(&mut brought, outcome.as_ref().copied().unwrap_or(Brought::Changes));
         match outcome {
             // A store that drops its history again and again gets no more calls than one that fails.
-            Ok(Brought::Everything) if brought == Brought::Everything => {
-                pause(&state, &mut backoff).await;
-            }
-            Ok(answer) => {
-                brought = answer;
-                backoff.reset();
-            }
-            Err(_) => {
-                brought = Brought::Changes;
+            Ok(Brought::Everything) if before == Brought::Everything => {
                 pause(&state, &mut backoff).await;
             }
+            Ok(_) => backoff.reset(),
+            Err(_) => pause(&state, &mut backoff).await,
         }
     }
 }
@@ -98,7 +94,7 @@
     }
 }
 
-/// Watches; reads everything when the store dropped the history since the last watch, or came back from a copy.
+/// Watches; reads everything when the store dropped the history since the last watch, or was restored from a copy.
 async fn watch_or_read(
     state: &state::State,
     client: &client::Client,
--- a/crates/node/src/gateway/unknown_headers.rs
+++ b/crates/node/src/gateway/unknown_headers.rs
@@ -1,4 +1,4 @@
-//! Headers of answers that bear the mark of a deployment's own and that nobody reads, by name.
+//! Headers of answers that bear the mark of a deployment's own and that are not read, by name.
 //!
 //! Owns their counts. A partner that begins to say something new is seen by the first answer that says it.
 
@@ -12,7 +12,7 @@
 /// Longest name that is counted, in bytes.
 const LONGEST_NAME: usize = 64;
 
-/// Headers that nobody reads, by name.
+/// Headers that are not read, by name.
 #[derive(Debug, Default)]
 pub struct Counts(cell::RefCell<collections::BTreeMap<String, u64>>);
 
--- a/crates/standin/src/platform/items.rs
+++ b/crates/standin/src/platform/items.rs
@@ -43,7 +43,7 @@
         self.revision
     }
 
-    /// Returns how often it has come back from a copy; 0 where it never did.
+    /// Returns how often it was restored from a copy; 0 where it never did.
     #[must_use]
     pub fn era(&self) -> u64 {
         self.era
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -193,7 +193,7 @@
     }
 }
 
-/// Names the era in an answer, refusals among them; the first one has no number, as in stores that never come back from a copy.
+/// Names the era in an answer, refusals among them; the first one has no number, as in stores that are never restored from a copy.
 async fn name_era(State(context): State<Context>, mut response: Response) -> Response {
     let era = lock(&context.shared.items).era();
     if era > 0 {
--- a/crates/steer/src/dispatch/candidate.rs
+++ b/crates/steer/src/dispatch/candidate.rs
@@ -34,7 +34,7 @@
     pub expected: seconds::Seconds,
     /// Age of the latest load that the upstream reported.
     pub load_age: Duration,
-    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    /// The upstream that the request's object prefers, where it said that it leaves, or rests.
     pub avoided: Option<id::Upstream>,
     /// Upstreams that came before it, and whose limits are used up.
     pub skipped: Vec<id::Upstream>,
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -33,7 +33,7 @@
     name: id::Region,
     /// Its upstreams; none before the request looks at them, since the first region is enough for most.
     ranking: Option<selection::Ranking>,
-    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    /// The upstream that the request's object prefers, where it said that it leaves, or rests.
     avoided: Option<id::Upstream>,
 }
 
@@ -224,7 +224,7 @@
         selection::Ranking::new(eligible, request, work, self.priorities.rank(request), now)
     }
 
-    /// Returns the upstream that the request's object prefers, where it leaves or rests by its own word.
+    /// Returns the upstream that the request's object prefers, where it said that it leaves, or rests.
     fn avoided(
         &self,
         region: &id::Region,
--- a/crates/steer/src/dispatch/dispatcher/statements.rs
+++ b/crates/steer/src/dispatch/dispatcher/statements.rs
@@ -81,7 +81,7 @@
         known.collect()
     }
 
-    /// Records what another node, or a sum of several, told of processes that leave; returns those that were not known to.
+    /// Records what another node, or a sum of several, announced of processes that leave; returns those that were not known to.
     pub fn receive_leavings<'a>(
         &mut self,
         node: &id::Node,
@@ -111,12 +111,12 @@
         &self.limits
     }
 
-    /// Returns the processes that were heard to leave, to report them.
+    /// Returns the processes that were observed to leave, to announce them.
     pub fn leavings_mut(&mut self) -> &mut leaving::Leavings {
         &mut self.leavings
     }
 
-    /// Returns the processes that were heard to leave.
+    /// Returns the processes that were observed to leave.
     #[must_use]
     pub fn leavings(&self) -> &leaving::Leavings {
         &self.leavings
--- a/crates/steer/src/dispatch/fleet/doubt.rs
+++ b/crates/steer/src/dispatch/fleet/doubt.rs
@@ -1,6 +1,6 @@
-//! Doubt: what holds after the store came back from a copy, until it is written again.
+//! Doubt: what holds after the store was restored from a copy, until it is written again.
 //!
-//! Revisions tell nothing across such a return, so what is known and what the copy says are compared by what they say themselves. What was
+//! Revisions say nothing across a restore, so what is known and what the copy says are compared by what they say themselves. What was
 //! acknowledged holds: a copy is older by its nature, and operators and upstreams write again what it lacks. Owns nothing.
 
 use std::time::{Duration, Instant};
@@ -50,7 +50,7 @@
 
 /// Returns whether what the store holds after its return stands, though its key had been `removed` before.
 ///
-/// An upstream that ended comes back by a later entry of its own only; for what does not say how old it is, the doubt has to be over. An
+/// An upstream that ended is listed again by a later entry of its own only; for what does not say how old it is, the doubt has to be over. An
 /// evacuation that was taken back is of that kind: its hall serves on, and is emptied if the store still says so then.
 #[must_use]
 pub fn comes_back(removed: Content, copy: Content, is_over: bool) -> bool {
--- a/crates/steer/src/dispatch/rest.rs
+++ b/crates/steer/src/dispatch/rest.rs
@@ -1,6 +1,6 @@
 //! Rest: which upstreams turned a request of this node away and want none from it for a time.
 //!
-//! Owns the end of each rest. A rest is asked of one node, which tells no other. It ends by its time or with the process: a refusal that asks
+//! Owns the end of each rest. A rest is asked of one node, which reports it to no other. It ends by its time or with the process: a refusal that asks
 //! for less does not shorten it, since the upstream asked for both, and neither does a success, whose request came before it. Nothing is
 //! sent to try whether it may end sooner.
 
@@ -9,7 +9,7 @@
 
 use crate::dispatch::incarnation;
 
-/// Time over which callers that wait for the end of a rest are told to return.
+/// Time over which callers that wait for the end of a rest are asked to return.
 const SPREAD: Duration = Duration::from_millis(500);
 
 /// Part of the spread between two callers that follow each other: the golden ratio, by which any few of them lie apart.
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -69,7 +69,7 @@
     pub is_first: bool,
     /// The request's object; none when it has none.
     pub object: Option<seen_objects::Object>,
-    /// The upstream that the request's object prefers, where it leaves or rests by its own word.
+    /// The upstream that the request's object prefers, where it said that it leaves, or rests.
     pub avoided: Option<id::Upstream>,
     /// Upstreams that came before it, and whose limits are used up.
     pub skipped: Vec<id::Upstream>,
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -37,7 +37,7 @@
     pub is_owned: bool,
     /// Whether another entry answered at its address.
     pub is_replaced: bool,
-    /// Whether it was heard to leave.
+    /// Whether it was observed to leave.
     pub says_leaving: bool,
     /// When it has rested; none before it asks for rest.
     pub rests_until: Option<Instant>,
--- a/crates/steer/src/ownership/core/mod.rs
+++ b/crates/steer/src/ownership/core/mod.rs
@@ -129,7 +129,7 @@
                 self.owner.probed(&upstream, report.as_ref());
             }
             event::Event::Said { upstream, statement } => {
-                self.owner.said(&upstream, &statement, now);
+                self.owner.said(&upstream, &statement, now)
             }
             event::Event::Heartbeat { heartbeat } => {
                 let reply = Box::new(self.answer(&heartbeat, now, out));
