--- a/crates/model/src/head.rs
+++ b/crates/model/src/head.rs
@@ -32,6 +32,6 @@
     pub is_sealed: bool,
     /// Whether the upstream states that it did not run the request.
     pub states_not_run: bool,
-    /// What the upstream says of itself.
+    /// What the upstream says of itself: load, limit, leaving, rest.
     pub statement: statement::Statement,
 }
--- a/crates/node/tests/soak/fault.rs
+++ b/crates/node/tests/soak/fault.rs
@@ -50,7 +50,7 @@
     StoreAway(listener::Mode),
     /// The store forgets its history.
     Compaction,
-    /// The store is away for a moment when it ends, and comes back from a copy of when it began.
+    /// The store is away for a moment when it ends, and is restored, in its next era, from a copy of when it began.
     Copy,
     /// An upstream answers so.
     Manner(usize, upstream::Behavior),
