Test of rests: a caller waits from its refusal on, not from its request

It now adds the time until the answer; the bounds are unchanged, and both ends bind the true time of return.

--- a/crates/node/tests/gateway/statements.rs
+++ b/crates/node/tests/gateway/statements.rs
@@ -156,7 +156,7 @@
         assert!(refused.took < AT_ONCE, "after {:?}", refused.took);
         let told = refused.answer.header("retry-after").expect("told when to come back");
         let told = Duration::from_secs_f64(told.parse().expect("seconds"));
-        let back = (refused.at + told).duration_since(began);
+        let back = (refused.at + refused.took + told).duration_since(began);
         let fits = REST..REST + SPREAD + AT_ONCE;
         assert!(fits.contains(&back), "back {back:?} after the first refusal");
     }
