Tests of log lines wait for the line

Cause: the gateway's lines are written by a thread of its own and read by one of the test's, so a count of the metrics may be ahead of them. The test waits for the first line, then 0.2 s for others of the same moment, so it is stricter on 'once'. The new test of unknown headers asked as early, and waits too.

--- a/crates/node/tests/gateway/fleet.rs
+++ b/crates/node/tests/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! Several gateways: what they learn from each other, and whom look-ups name.
 
 use std::net;
+use std::time::Duration;
 
 use platform::fact;
 use prost::Message as _;
@@ -10,6 +11,9 @@
 
 use crate::rig::{self, Rig};
 
+/// Time in which further lines of the same moment arrive; less than the second after which one more may be logged.
+const LATE_LINES: Duration = Duration::from_millis(200);
+
 #[tokio::test]
 async fn recover_a_node_that_the_store_turns_away_learns_from_its_peers() {
     for mode in [Mode::Busy, Mode::Many, Mode::Silent] {
@@ -156,6 +160,10 @@
     rig::until("all are counted", async || gateway.metric("malformed_datagrams").await == count)
         .await;
     assert_eq!(gateway.caller().await.get("/read/a", "id").await.status, 200);
+    // Lines are written by a thread of the gateway's and read by one of the test's.
+    let is_logged = async || gateway.has_logged(&["event=datagram-malformed"]);
+    rig::until("one is logged", is_logged).await;
+    tokio::time::sleep(LATE_LINES).await;
     let lines = gateway.lines.lock().expect("no reader panics");
     let logged = lines.iter().filter(|line| line.contains("event=datagram-malformed"));
     assert_eq!(logged.count(), 1);
--- a/crates/node/tests/gateway/statements.rs
+++ b/crates/node/tests/gateway/statements.rs
@@ -257,6 +257,8 @@
     operator.write(b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n").await;
     let text = operator.read().await.text();
     assert!(text.contains("yokespoke_unknown_headers_total{header=\"server-mood\"} 3\n"));
+    let is_logged = async || gateway.has_logged(&["event=header-unknown"]);
+    rig::until("it is logged", is_logged).await;
     let lines = gateway.lines.lock().expect("no reader panics");
     assert_eq!(lines.iter().filter(|line| line.contains("event=header-unknown")).count(), 1);
 }
