A gateway that starts after a return is told which upstreams had ended

What it shows is real: a gateway that takes its copy from another one during the doubt used an upstream that had ended and that the store's copy brought back, since the extract listed its entry like any other. Extracts mark such entries as removed, with what they say of their age, so the new gateway keeps them out as the others do.

--- a/crates/node/src/gateway/replica/era.rs
+++ b/crates/node/src/gateway/replica/era.rs
@@ -34,6 +34,13 @@
     fn reconcile(&mut self, item: item::Item, changes: &mut Changes) {
         let fact = fact::read(&item.key, &item.value);
         let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
+        if item.is_removed {
+            // Another node knows that it ended, and what the copy says of its age.
+            if !self.entries.contains_key(&item.key) {
+                self.removed_before.entry(item.key).or_insert(copy);
+            }
+            return;
+        }
         let stands = match (self.entries.get(&item.key), self.removed_before.get(&item.key)) {
             (Some(known), _) if known.item.era >= item.era => {
                 known.item.position() < item.position()
--- a/crates/node/src/gateway/replica/extract.rs
+++ b/crates/node/src/gateway/replica/extract.rs
@@ -1,5 +1,6 @@
 //! Extracts of a copy: what another node lacks.
 
+use platform::fact;
 use platform::store::{item, position};
 use wire::gateway::extract;
 
@@ -15,13 +16,21 @@
         let is_news = |i: &&item::Item| is_whole || i.position() > after;
         let mut items: Vec<item::Item> = items.filter(is_news).cloned().collect();
         match is_whole {
-            true => items.extend(self.outdated.values().cloned()),
+            true => items.extend(self.outdated.values().map(|i| self.marked(i))),
             false => items.extend(self.removed_after(after.revision)),
         }
         let (at, era) = (self.at.revision, self.at.era);
         extract::Extract { page: item::Page { items, more: false, at, era }, is_whole }
     }
 
+    /// Returns an item that does not stand; the entry of an upstream that ended is marked as removed, with what it says of its age, since a
+    /// node that starts does not know that it ended.
+    fn marked(&self, item: &item::Item) -> item::Item {
+        let is_entry = item.key.starts_with(fact::UPSTREAMS);
+        let has_ended = is_entry && !self.entries.contains_key(&item.key);
+        item::Item { is_removed: has_ended, ..item.clone() }
+    }
+
     fn removed_after(&self, after: u64) -> impl Iterator<Item = item::Item> {
         self.removed.range((after + 1, String::new())..).map(|((revision, key), _)| item::Item {
             key: key.clone(),
