--- a/crates/steer/src/dispatch/dispatcher/statements.rs
+++ b/crates/steer/src/dispatch/dispatcher/statements.rs
@@ -1,8 +1,8 @@
 //! Statements: what the dispatcher learns from what upstreams say of themselves.
 //!
 //! The one place that decides which of them hold. Each is about one process: what an earlier one under the same name said ends
-//! with it. Of limits the latest answer holds, whichever node got it ([`upstream_limit`]); a [leaving](leaving) holds
-//! until the process ends, at every node; a [rest](rest) for the time that it names, at the node that was asked. The load goes
+//! with it. Of limits the latest answer holds, whichever node got it ([`upstream_limit`]); a [`leaving`] holds
+//! until the process ends, at every node; a [`rest`](crate::dispatch::rest) for the time that it names, at the node that was asked. The load goes
 //! with the end of its try.
 //!
 //! [`upstream_limit`]: crate::dispatch::upstream_limit
