An upstream that leaves does not come back when the store's copy is read once more

A store that came back from a copy still says ready of an upstream that had said draining in the era before. That entry is kept out, as the older one. When the copy was read once more in its era (history compacted, or a whole extract of another node), it counted as a later entry of the era and took the place of the one that leaves: callers' requests went to an upstream that had left (DRAIN).

The test failed before (leaves:Ready within the doubt). What was kept out stays known as such after the doubt as well, until its key is written or removed, and an item that is no later than it says nothing. So the next whole read changes nothing, and a whole extract still says that the store lists such an upstream.

--- a/crates/node/src/gateway/replica/era.rs
+++ b/crates/node/src/gateway/replica/era.rs
@@ -90,8 +90,12 @@
             let removed = self.removed_before.get(&key).copied();
             let fact = fact::read(&item.key, &item.value);
             let copy = fact.as_ref().map_or(doubt::Content::Undated, |f| entry::content(f, &item));
-            if removed.is_some_and(|removed| doubt::comes_back(removed, copy, true)) {
-                self.put(item, fact, &mut changes);
+            match removed.is_some_and(|removed| doubt::comes_back(removed, copy, true)) {
+                true => self.put(item, fact, &mut changes),
+                // It may be read again, and is as old then as now.
+                false => {
+                    self.outdated.insert(key, item);
+                }
             }
         }
         changes
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -170,6 +170,10 @@
         if known.is_some_and(|known| known.item.position() >= item.position()) {
             return;
         }
+        let outdated = self.outdated.get(&item.key);
+        if outdated.is_some_and(|outdated| outdated.position() >= item.position()) {
+            return;
+        }
         // The copy is complete up to its position: what it lacks of that time was removed since.
         let is_obsolete = self.is_complete && item.position() <= self.at;
         if is_obsolete && known.is_none() {
--- a/crates/node/tests/replica_eras.rs
+++ b/crates/node/tests/replica_eras.rs
@@ -142,6 +142,18 @@
     assert!(halls(&replica).is_empty(), "{:?}", halls(&replica));
 }
 
+/// The history of the store is compacted after its return, so its copy is read once more: it is as old as before.
+#[test]
+fn an_upstream_that_leaves_does_not_come_back_when_the_copy_is_read_again() {
+    let mut replica = known();
+    replica.replace(copy(2));
+    replica.replace(item::Page { at: 105, ..copy(2) });
+    assert_eq!(names(&replica), KNOWN, "within the doubt");
+    replica.end_doubt();
+    replica.replace(item::Page { at: 106, ..copy(2) });
+    assert_eq!(names(&replica), ["leaves:Draining", "stays:Ready"], "after it");
+}
+
 #[test]
 fn answers_of_an_earlier_era_say_nothing_and_changes_of_a_later_one_wait_for_the_copy() {
     let mut replica = known();
