A gateway that missed that an upstream leaves is told so when its heartbeat shows it

Cause: load reports name it three times, to the gateways that callers are told to use and to representatives. A gateway that is neither, or that starts later, never hears of it, and sends its own next request there.

A gateway that starts 2 s after the news had not heard of it after 30 s (the test failed so with the answer taken out, and passes now).

Weighed against telling it for as long as it holds, as rulings are: that costs bytes while all know the same.

A node of the version before logs the new datagram as malformed, once a second at most, and works on.

--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -4,6 +4,7 @@
 
 use model::id;
 use prost::Message as _;
+use steer::dispatch::fleet::repair;
 use wire::gateway::heartbeat;
 
 use crate::gateway::member;
@@ -26,6 +27,7 @@
         era: member.era,
         capacity: member.capacity,
         requests: member.requests,
+        leavings: member.leavings.0,
     };
     let mut datagram = vec![heartbeat::MARK];
     datagram.extend(message.encode_to_vec());
@@ -55,5 +57,6 @@
         era: message.era,
         capacity: message.capacity,
         requests: message.requests,
+        leavings: repair::Digest(message.leavings),
     })
 }
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::datagram;
+use crate::gateway::facts;
 use crate::gateway::loads;
 use crate::gateway::member;
 use crate::gateway::metrics;
@@ -89,7 +90,7 @@
         };
         let _timer = metrics::Timer::start(&state.metrics.control_micros);
         state.metrics.control_bytes_received.add(length as u64);
-        if let Err(error) = apply(&state, &buffer[..length]) {
+        if let Err(error) = apply(&state, &socket, &buffer[..length]) {
             state.metrics.malformed_datagrams.add(1);
             faults.log(Some(from), &error, Instant::now());
         }
@@ -97,14 +98,15 @@
 }
 
 /// Applies a datagram of another node.
-fn apply(state: &state::State, datagram: &[u8]) -> anyhow::Result<()> {
+fn apply(state: &state::State, socket: &UdpSocket, datagram: &[u8]) -> anyhow::Result<()> {
     anyhow::ensure!(datagram.len() <= LARGEST, "longer than {LARGEST} bytes");
     match datagram {
         [wire::gateway::loads::MARK, loads @ ..] => Ok(loads::receive(state, loads)?),
         [wire::gateway::quarantine::MARK, report @ ..] => Ok(quarantine::receive(state, report)?),
+        [wire::gateway::facts::MARK, facts @ ..] => Ok(facts::receive(state, facts)?),
         [wire::gateway::heartbeat::MARK, ..] => {
             let member = datagram::read(datagram).context("no heartbeat")?;
-            take_heartbeat(state, member);
+            take_heartbeat(state, socket, member);
             Ok(())
         }
         [mark, ..] => anyhow::bail!("unknown mark {mark}, perhaps of a later version"),
@@ -112,10 +114,11 @@
     }
 }
 
-fn take_heartbeat(state: &state::State, member: member::Member) {
+fn take_heartbeat(state: &state::State, socket: &UdpSocket, member: member::Member) {
     if member.node == state.me.borrow().node {
         return;
     }
+    facts::answer(state, socket, &member);
     let name = member.node.clone();
     if member.position() > state.replica.borrow().at() {
         state.behind.notify_one();
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -7,7 +7,7 @@
 use model::id;
 use platform::store::position;
 use serde::{Deserialize, Serialize};
-use steer::dispatch::fleet::active_set;
+use steer::dispatch::fleet::{active_set, repair};
 
 /// What a node reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +44,9 @@
     /// Requests that it takes a second.
     #[serde(default)]
     pub requests: u32,
+    /// Digest of the upstreams that it knows to leave. The store's entry does not hold it.
+    #[serde(skip)]
+    pub leavings: repair::Digest,
 }
 
 /// Returns whether an era is that of a store that was never restored from a copy.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -168,6 +168,8 @@
     pub peer_fetches: Counter,
     /// Such copies that did not arrive.
     pub peer_fetches_failed: Counter,
+    /// Datagrams that told other nodes what they had missed.
+    pub repairs: Counter,
     /// Calls to the platform's store.
     pub store_calls: Counter,
     /// Watches among them.
@@ -206,7 +208,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 39] {
+    fn counters(&self) -> [(&'static str, &Counter); 40] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -238,6 +240,7 @@
             ("peer_fetches", &self.peer_fetches),
             ("malformed_items", &self.malformed_items),
             ("peer_fetches_failed", &self.peer_fetches_failed),
+            ("repairs", &self.repairs),
             ("store_calls", &self.store_calls),
             ("store_calls_failed", &self.store_calls_failed),
             ("store_calls_watch", &self.store_watches),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod extracts;
+pub mod facts;
 pub mod heartbeat;
 pub mod kept_ruling;
 mod leaving_report;
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -18,7 +18,7 @@
 
 use model::id;
 use model::routing;
-use steer::dispatch::fleet::{request_rate, store_call};
+use steer::dispatch::fleet::{repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
 use steer::dispatch::{dispatcher, position, quota};
 use tokio::sync::Notify;
@@ -107,6 +107,7 @@
             era: 0,
             capacity: settings.processor.capacity(),
             requests: 0,
+            leavings: repair::Digest::default(),
         };
         let bounds = settings.bounds();
         let dispatcher = dispatcher::Dispatcher::new(position, bounds);
@@ -257,7 +258,9 @@
         let mut rate = self.rate.get();
         let requests = rate.update(self.metrics.requests.get(), now);
         self.rate.set(rate);
+        let leavings = self.dispatcher.borrow().leaving_digest();
         let mut me = self.me.borrow_mut();
+        me.leavings = leavings;
         me.requests = requests;
         me.sequence += 1;
     }
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -8,6 +8,7 @@
 use node::gateway::member;
 use prost::Message as _;
 use standin::platform::upstream;
+use steer::dispatch::fleet::repair;
 use steer::dispatch::peer_load;
 use tokio::net::UdpSocket;
 use wire::gateway::{heartbeat, loads};
@@ -38,6 +39,7 @@
         era: 0,
         capacity: 0,
         requests: 0,
+        leavings: repair::Digest::default(),
     }
 }
 
--- a/crates/node/tests/forms/stored.rs
+++ b/crates/node/tests/forms/stored.rs
@@ -8,6 +8,7 @@
 use node::common::store::accept;
 use node::common::store::edge;
 use node::gateway;
+use steer::dispatch::fleet::repair;
 use steer::ownership::vms;
 
 use crate::fixture;
@@ -195,6 +196,7 @@
         era: 0,
         capacity: 0,
         requests: 0,
+        leavings: repair::Digest::default(),
     }
 }
 
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -9,6 +9,7 @@
 use node::gateway::datagram;
 use node::gateway::member;
 use standin::platform::listener::Mode;
+use steer::dispatch::fleet::repair;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -212,6 +213,7 @@
         era: 0,
         capacity: 0,
         requests: 0,
+        leavings: repair::Digest::default(),
     };
     loop {
         member.sequence += 1;
--- a/crates/node/tests/gateway/statements.rs
+++ b/crates/node/tests/gateway/statements.rs
@@ -100,6 +100,26 @@
     assert_eq!(arrived_after(upstream, heard), 0);
 }
 
+/// A gateway that starts when the others have long told each other sent its first request to the upstream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_a_gateway_that_starts_later_knows_which_upstream_leaves() {
+    let fleet = Fleet::start(2).await;
+    let upstream = fleet.preferred().await;
+    upstream.say_leaving(&["1"]);
+    fleet.ask(60.0, DRAIN).await;
+    let heard = Instant::now();
+    let door = fleet.rig.store.open().await.expect("the store opens");
+    let peer = fleet.gateways[0].peers;
+    let late = fleet.rig.gateway_at("late", HALLS[0], door.address, &[peer]).await;
+    late.wait_ready().await;
+    let knows = async || late.has_logged(&["event=upstream-leaving"]);
+    rig::until("the late one knows it", knows).await;
+    for number in 0..20 {
+        late.caller().await.get(PATH, &format!("late-{number}")).await;
+    }
+    assert_eq!(arrived_after(upstream, heard), 0);
+}
+
 /// A process that starts under the same name has said nothing yet.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drain_an_upstream_that_starts_again_leaves_no_more() {
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -5,7 +5,7 @@
 use model::id;
 use node::gateway::{datagram, member, members};
 use quickcheck::quickcheck;
-use steer::dispatch::fleet::representatives;
+use steer::dispatch::fleet::{repair, representatives};
 use wire::gateway::heartbeat;
 
 fn member(node: &str, incarnation: u64, sequence: u64) -> member::Member {
@@ -24,6 +24,7 @@
         era: 0,
         capacity: 500,
         requests: 40,
+        leavings: repair::Digest::default(),
     }
 }
 
--- a/crates/steer/src/dispatch/dispatcher/statements.rs
+++ b/crates/steer/src/dispatch/dispatcher/statements.rs
@@ -18,6 +18,7 @@
 use model::statement;
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::fleet::repair;
 use crate::dispatch::incarnation;
 use crate::dispatch::leaving;
 use crate::dispatch::upstream_limit::{self, Limits, observation};
@@ -111,6 +112,24 @@
         &self.limits
     }
 
+    /// Returns a digest of the known upstreams that leave.
+    #[must_use]
+    pub fn leaving_digest(&self) -> repair::Digest {
+        repair::Digest::of(self.leaving().map(|incarnation| incarnation.hash()))
+    }
+
+    /// Returns the known upstreams that leave, for a node that may not know it.
+    #[must_use]
+    pub fn all_leavings(&self, now: Instant) -> Vec<leaving::Announcement> {
+        let announcement = |incarnation| self.leavings.announcement(incarnation, now);
+        self.leaving().filter_map(announcement).collect()
+    }
+
+    fn leaving(&self) -> impl Iterator<Item = incarnation::Incarnation> {
+        let leaving = self.upstreams.iter().filter(|upstream| upstream.says_leaving);
+        leaving.map(|upstream| incarnation::Incarnation::of(&upstream.entry))
+    }
+
     /// Returns the processes that were observed to leave, to announce them.
     pub fn leavings_mut(&mut self) -> &mut leaving::Leavings {
         &mut self.leavings
--- a/crates/steer/src/dispatch/fleet/mod.rs
+++ b/crates/steer/src/dispatch/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each node decides alone from the members that it knows; nodes that know the same decide alike. The
 //! gateway's tasks own the members and perform the I/O. In the order of a change's way: [`watchers`] read
-//! it from the store by [`store_call`]s, [`announcement`] and [`catch_up`] spread it, [`gossip`] sets how often nodes report,
+//! it from the store by [`store_call`]s, [`announcement`] and [`catch_up`] spread it, [`repair`] brings what a node missed, [`gossip`] sets how often nodes report,
 //! [`representatives`] report between regions, and [`lookup`] names nodes of the [`active_set`] to callers, by the [`request_rate`] of each.
 
 pub mod active_set;
@@ -11,6 +11,7 @@
 pub mod doubt;
 pub mod gossip;
 pub mod lookup;
+pub mod repair;
 pub mod representatives;
 pub mod request_rate;
 pub mod store_call;
--- a/crates/steer/src/dispatch/incarnation.rs
+++ b/crates/steer/src/dispatch/incarnation.rs
@@ -5,6 +5,7 @@
 
 use model::discovery;
 use model::id;
+use xxhash_rust::xxh3;
 
 /// One process of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,4 +22,10 @@
     pub fn of(entry: &discovery::Entry) -> Self {
         Self { upstream: entry.id.clone(), born: entry.born }
     }
+
+    /// Returns a hash that is the same at every node.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxh3::xxh3_64_with_seed(self.upstream.as_str().as_bytes(), self.born)
+    }
 }
--- a/crates/steer/src/dispatch/leaving.rs
+++ b/crates/steer/src/dispatch/leaving.rs
@@ -2,7 +2,9 @@
 //!
 //! Owns them, with which node observed it when. A process that leaves never takes it back, so nothing but another process under the same
 //! name ends it: neither a later answer nor an entry of service discovery that still says ready. The node that observed it announces it to
-//! the others a few times; they hold to it as if they had observed it.
+//! the others a few times; they hold to it as if they had observed it. Who misses that learns of it by [`repair`].
+//!
+//! [`repair`]: crate::dispatch::fleet::repair
 
 use std::collections;
 use std::time::{Duration, Instant};
@@ -76,6 +78,17 @@
         true
     }
 
+    /// Returns the announcement of a process, if it was observed to leave.
+    #[must_use]
+    pub fn announcement(
+        &self,
+        incarnation: incarnation::Incarnation,
+        now: Instant,
+    ) -> Option<Announcement> {
+        let age = now.saturating_duration_since(self.observed.get(&incarnation)?.at);
+        Some(Announcement { incarnation, age })
+    }
+
     /// Returns what this node has to announce now of what it observed itself.
     pub fn report(&mut self, now: Instant) -> Vec<Announcement> {
         let own = self.observed.iter().filter(|(_, observed)| observed.by.is_none());
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -48,4 +48,7 @@
     /// The era of the revision in `at`.
     #[prost(uint64, tag = "14")]
     pub era: u64,
+    /// Digest of the upstreams that the sender knows to leave.
+    #[prost(fixed64, tag = "15")]
+    pub leavings: u64,
 }
--- a/crates/wire/src/gateway/mod.rs
+++ b/crates/wire/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! Owns their forms on the wire; when and to whom they are sent is the gateway's.
 
 pub mod extract;
+pub mod facts;
 pub mod heartbeat;
 pub mod loads;
 pub mod quarantine;
