Gateways of two fleets no longer take each other for one

Cause: nothing in a heartbeat or an extract says whose it is. Where a node of another fleet gets the address of one that is gone, the first fleet's nodes go on sending there; the new node counts them as members, sees a higher revision, fetches their copy, and adopts their configuration and upstreams (config-adopted source=peer).

By hand on the code before this change: 20 of 20 requests of the node at the freed address ran at the other fleet's upstream (the test failed so).

A fleet has a number, which its first gateway draws and the store keeps; heartbeats and extracts hold it, and nothing counts that comes from where another number was heard.

--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -1,6 +1,7 @@
 //! Names of things, one type for each so that none is taken for another.
 
 use std::fmt;
+use std::num;
 use std::sync;
 
 use serde::{Deserialize, Serialize};
@@ -94,6 +95,16 @@
     Evacuation
 );
 
+/// What tells one fleet from others: a number that its first node draws, and that its store keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet(pub num::NonZeroU32);
+
+impl fmt::Display for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// Returns whether `text` may name a resource: letters, digits, `-`, `_`, `.`, 1 to [`LONGEST`].
 #[must_use]
 pub fn is_valid(text: &str) -> bool {
--- a/crates/node/src/gateway/catch_up.rs
+++ b/crates/node/src/gateway/catch_up.rs
@@ -6,12 +6,15 @@
 use std::cell;
 use std::collections;
 use std::net;
+use std::num;
 use std::rc;
 use std::time::Instant;
 
+use model::id;
 use platform::field;
 use rand::RngExt as _;
-use steer::dispatch::fleet::catch_up;
+use steer::dispatch::fleet::{catch_up, membership};
+use wire::gateway::extract;
 
 use crate::gateway::member;
 use crate::gateway::peer;
@@ -120,6 +123,11 @@
     let fetched = peer::fetch(source, after).await;
     exchanges.end(source);
     match fetched {
+        Ok(extract) if is_foreign(state, &extract) => {
+            state.metrics.foreign.add(1);
+            let peer = source.to_string();
+            log::warn!(peer = peer.as_str(); "extract-of-another-fleet");
+        }
         Ok(extract) => {
             let is_newer = extract.page.position() > state.replica.borrow().at();
             if is_newer {
@@ -134,3 +142,8 @@
         }
     }
 }
+
+fn is_foreign(state: &state::State, extract: &extract::Extract) -> bool {
+    let theirs = num::NonZeroU32::new(extract.fleet).map(id::Fleet);
+    !membership::is_of(state.fleet(), theirs)
+}
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -108,6 +108,7 @@
         "store_calls": store_calls(state, now),
         "revision": replica.at().revision,
         "store_era": replica.at().era,
+        "fleet": state.fleet().map(|fleet| fleet.to_string()),
         "config_version": state.routing().map(|r| r.version),
         "peers_alive": alive,
         "organisations_near_limit": near_limit(state),
--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -2,6 +2,8 @@
 //!
 //! Owns the conversion only; [`heartbeat`] has the message.
 
+use std::num;
+
 use model::id;
 use prost::Message as _;
 use steer::dispatch::fleet::repair;
@@ -28,6 +30,7 @@
         capacity: member.capacity,
         requests: member.requests,
         leavings: member.leavings.0,
+        fleet: member.fleet.map_or(0, |fleet| fleet.0.get()),
     };
     let mut datagram = vec![heartbeat::MARK];
     datagram.extend(message.encode_to_vec());
@@ -58,5 +61,6 @@
         capacity: message.capacity,
         requests: message.requests,
         leavings: repair::Digest(message.leavings),
+        fleet: num::NonZeroU32::new(message.fleet).map(id::Fleet),
     })
 }
--- /dev/null
+++ b/crates/node/src/gateway/fleet_keeper.rs
@@ -0,0 +1,57 @@
+//! Keeps the fleet's number in the store, by which its nodes know each other.
+//!
+//! Owns the call for it. The first node to write draws the number; the store then keeps it, and a node that knows it writes it
+//! again where the store came back from a copy without it.
+
+use std::rc;
+use std::time::{Duration, Instant};
+
+use model::id;
+use platform::fleet;
+use platform::store::client;
+use rand::RngExt as _;
+use steer::dispatch::fleet::{representatives, store_call};
+
+use crate::gateway::state;
+use crate::gateway::store_calls;
+
+/// Time between two looks whether the store lacks the number.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time for which the store lacks the number before the first representative of a region writes it.
+const FIRST_TURN: Duration = Duration::from_millis(750);
+
+/// Time by which each further representative waits longer for the one before it.
+const TURN: Duration = Duration::from_millis(600);
+
+/// Writes the number whenever the store lacks it, until the task ends.
+pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
+    let mut lacking_since = None;
+    loop {
+        tokio::time::sleep(CHECK_PERIOD).await;
+        let now = Instant::now();
+        if !state.replica.borrow().lacks_fleet() {
+            lacking_since = None;
+            continue;
+        }
+        let since = *lacking_since.get_or_insert(now);
+        let is_due = |turn| now.saturating_duration_since(since) >= turn;
+        if !turn(&state, now).is_some_and(is_due) {
+            continue;
+        }
+        let number = state.fleet().unwrap_or_else(|| id::Fleet(rand::rng().random()));
+        let write = fleet::creation(number);
+        let call = client.write(&write, store_call::answer(state.store_bound()));
+        // The record of calls logs a failure. A condition that does not hold means that another node was first.
+        let _ = state.call_store(store_calls::Kind::Fleet, call).await;
+        lacking_since = None;
+    }
+}
+
+/// Returns how long this node waits for others to write; none when it is no representative of its region.
+fn turn(state: &state::State, now: Instant) -> Option<Duration> {
+    let (members, me) = (state.members.borrow(), state.me.borrow());
+    let before = members.staying(now).filter(|member| member.node < me.node).count();
+    let place = u32::try_from(before).ok()?;
+    (before < representatives::PER_REGION).then(|| FIRST_TURN + TURN * place)
+}
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context as _;
-use steer::dispatch::fleet::gossip;
+use steer::dispatch::fleet::{gossip, membership};
 use tokio::net::UdpSocket;
 
 use crate::gateway::datagram;
@@ -90,6 +90,10 @@
         };
         let _timer = metrics::Timer::start(&state.metrics.control_micros);
         state.metrics.control_bytes_received.add(length as u64);
+        if is_foreign(&state, from, &buffer[..length], Instant::now()) {
+            state.metrics.foreign.add(1);
+            continue;
+        }
         if let Err(error) = apply(&state, &socket, &buffer[..length]) {
             state.metrics.malformed_datagrams.add(1);
             faults.log(Some(from), &error, Instant::now());
@@ -97,6 +101,23 @@
     }
 }
 
+/// Returns whether a datagram comes from a node of another fleet; only heartbeats say so, and other datagrams from there count as its.
+fn is_foreign(state: &state::State, from: net::SocketAddr, datagram: &[u8], now: Instant) -> bool {
+    let Some(member) = datagram::read(datagram) else {
+        return state.strangers.contains(from, now);
+    };
+    if membership::is_of(state.fleet(), member.fleet) {
+        state.strangers.forget(from);
+        return false;
+    }
+    if state.strangers.record(from, now) {
+        let (peer, address) = (member.node.as_str(), from.to_string());
+        let fleet = member.fleet.map(|fleet| fleet.to_string()).unwrap_or_default();
+        log::warn!(peer, address = address.as_str(), fleet = fleet.as_str(); "peer-of-another-fleet");
+    }
+    true
+}
+
 /// Applies a datagram of another node.
 fn apply(state: &state::State, socket: &UdpSocket, datagram: &[u8]) -> anyhow::Result<()> {
     anyhow::ensure!(datagram.len() <= LARGEST, "longer than {LARGEST} bytes");
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -47,6 +47,9 @@
     /// Digest of the upstreams that it knows to leave. The store's entry does not hold it.
     #[serde(skip)]
     pub leavings: repair::Digest,
+    /// The number of its fleet, once it knows it. The store's entry does not hold it.
+    #[serde(skip)]
+    pub fleet: Option<id::Fleet>,
 }
 
 /// Returns whether an era is that of a store that was never restored from a copy.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -164,6 +164,8 @@
     pub control_micros: Counter,
     /// Datagrams of other nodes that could not be read.
     pub malformed_datagrams: Counter,
+    /// Datagrams and copies of other fleets' nodes.
+    pub foreign: Counter,
     /// Copies of the store fetched from other nodes.
     pub peer_fetches: Counter,
     /// Such copies that did not arrive.
@@ -184,6 +186,8 @@
     pub store_renewals: Counter,
     /// Writes of rulings on requests that crash upstreams among them.
     pub store_rulings: Counter,
+    /// Writes of the number of the fleet among them.
+    pub store_fleets: Counter,
     /// Such calls without an answer, or refused.
     pub store_calls_failed: Counter,
     /// Tries at upstreams whose entries have vanished.
@@ -208,7 +212,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 40] {
+    fn counters(&self) -> [(&'static str, &Counter); 42] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -237,6 +241,7 @@
             ("control_bytes_received", &self.control_bytes_received),
             ("control_microseconds", &self.control_micros),
             ("malformed_datagrams", &self.malformed_datagrams),
+            ("foreign", &self.foreign),
             ("peer_fetches", &self.peer_fetches),
             ("malformed_items", &self.malformed_items),
             ("peer_fetches_failed", &self.peer_fetches_failed),
@@ -249,6 +254,7 @@
             ("store_calls_entry", &self.store_entries),
             ("store_calls_renewal", &self.store_renewals),
             ("store_calls_ruling", &self.store_rulings),
+            ("store_calls_fleet", &self.store_fleets),
             ("tries_lapsed", &self.tries_lapsed),
         ]
     }
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -15,6 +15,7 @@
 use crate::gateway::catch_up;
 use crate::gateway::control_server;
 use crate::gateway::declarations;
+use crate::gateway::fleet_keeper;
 use crate::gateway::heartbeat;
 use crate::gateway::loads;
 use crate::gateway::proxy::listener;
@@ -125,6 +126,7 @@
                 task::spawn_local(sync::run(state(), client())),
                 task::spawn_local(registration::run(state(), client())),
                 task::spawn_local(quarantine_keeper::run(state(), client())),
+                task::spawn_local(fleet_keeper::run(state(), client())),
                 task::spawn_local(catch_up::run(state())),
             ]
         }
--- a/crates/node/src/gateway/replica/entry.rs
+++ b/crates/node/src/gateway/replica/entry.rs
@@ -36,6 +36,8 @@
     Ruling(kept_ruling::Entry),
     /// The configuration, which is kept apart, of this version.
     Configuration(u64),
+    /// The number of the fleet, which is kept apart.
+    Fleet,
     /// Nothing that a gateway uses.
     Nothing,
 }
@@ -59,9 +61,11 @@
         match &self.fact {
             Known::Upstream(upstream) => of_upstream(upstream, &self.item),
             Known::Configuration(version) => doubt::Content::Configuration(*version),
-            Known::Evacuated(_) | Known::Node(_) | Known::Ruling(_) | Known::Nothing => {
-                doubt::Content::Undated
-            }
+            Known::Evacuated(_)
+            | Known::Node(_)
+            | Known::Ruling(_)
+            | Known::Fleet
+            | Known::Nothing => doubt::Content::Undated,
         }
     }
 }
--- a/crates/node/src/gateway/replica/extract.rs
+++ b/crates/node/src/gateway/replica/extract.rs
@@ -20,7 +20,11 @@
             false => items.extend(self.removed_after(after.revision)),
         }
         let (at, era) = (self.at.revision, self.at.era);
-        extract::Extract { page: item::Page { items, more: false, at, era }, is_whole }
+        extract::Extract {
+            page: item::Page { items, more: false, at, era },
+            is_whole,
+            fleet: self.fleet.map_or(0, |fleet| fleet.0.get()),
+        }
     }
 
     /// Returns an item that does not stand; the entry of an upstream that ended is marked as removed, with what it says of its age, since a
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -44,6 +44,8 @@
     /// What the store holds of this era and what does not stand, since something newer was known.
     outdated: collections::BTreeMap<String, item::Item>,
     routing: Option<sync::Arc<routing::Routing>>,
+    /// The number of the fleet; it outlasts its item, which the store may lose.
+    fleet: Option<id::Fleet>,
     at: position::Position,
     floor: u64,
     is_complete: bool,
@@ -75,6 +77,19 @@
         self.routing.as_ref()
     }
 
+    /// Returns the number of the fleet, once it is known.
+    #[must_use]
+    pub fn fleet(&self) -> Option<id::Fleet> {
+        self.fleet
+    }
+
+    /// Returns whether the store lacks the number of the fleet, as far as this copy says.
+    #[must_use]
+    pub fn lacks_fleet(&self) -> bool {
+        let item = self.entries.get(fact::FLEET).map(|entry| &entry.item);
+        self.is_complete && item.is_none_or(|item| item.era < self.at.era)
+    }
+
     /// Returns all upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &sync::Arc<discovery::Entry>> {
         self.entries.values().filter_map(|entry| match &entry.fact {
@@ -242,6 +257,10 @@
             }
             fact::Fact::Node(name) => entry::register(name, item, changes),
             fact::Fact::Ruling(scope) => entry::keep(scope, item, changes),
+            fact::Fact::Fleet(number) => {
+                self.fleet = Some(number);
+                Known::Fleet
+            }
             fact::Fact::Other => Known::Nothing,
         }
     }
@@ -265,7 +284,7 @@
             Known::Upstream(_) => changes.upstreams = true,
             Known::Node(_) => changes.nodes = true,
             Known::Ruling(_) => changes.rulings = true,
-            Known::Configuration(_) | Known::Nothing => {}
+            Known::Configuration(_) | Known::Fleet | Known::Nothing => {}
         }
         Some(entry.content())
     }
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -32,6 +32,7 @@
 use crate::gateway::replica;
 use crate::gateway::settings;
 use crate::gateway::store_calls;
+use crate::gateway::strangers;
 
 /// Upstreams that one line of log names at most. Not measured; some 300 characters.
 const MOST_NAMED: usize = 20;
@@ -67,6 +68,8 @@
     doubt: cell::Cell<Option<(u64, Instant)>>,
     /// Whether this node watches the store itself.
     is_watching: cell::Cell<bool>,
+    /// Addresses at which nodes of other fleets were heard.
+    pub strangers: strangers::Strangers,
     /// Counters and latencies.
     pub metrics: metrics::Metrics,
     /// Whether all of the upstreams and the configuration were ever known.
@@ -108,6 +111,7 @@
             capacity: settings.processor.capacity(),
             requests: 0,
             leavings: repair::Digest::default(),
+            fleet: None,
         };
         let bounds = settings.bounds();
         let dispatcher = dispatcher::Dispatcher::new(position, bounds);
@@ -129,6 +133,7 @@
             doubt: cell::Cell::new(None),
             era_changed: Notify::new(),
             is_watching: cell::Cell::new(false),
+            strangers: strangers::Strangers::default(),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
             behind: Notify::new(),
@@ -143,6 +148,20 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the number of the fleet, once it is known.
+    #[must_use]
+    pub fn fleet(&self) -> Option<id::Fleet> {
+        self.me.borrow().fleet
+    }
+
+    fn adopt_fleet(&self, fleet: Option<id::Fleet>) {
+        let before = std::mem::replace(&mut self.me.borrow_mut().fleet, fleet);
+        if let Some(fleet) = fleet.filter(|_| fleet != before) {
+            let fleet = fleet.to_string();
+            log::info!(fleet = fleet.as_str(); "fleet-known");
+        }
+    }
+
     /// Returns whether the node may be given new callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -180,6 +199,7 @@
             evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
         };
         let at = replica.at();
+        self.adopt_fleet(replica.fleet());
         if self.advance(at) && self.announces(source) {
             self.beat.notify_one();
         }
--- a/crates/node/src/gateway/store_calls.rs
+++ b/crates/node/src/gateway/store_calls.rs
@@ -27,12 +27,21 @@
     Renewal,
     /// Writes a ruling on requests that crash upstreams, or removes one.
     Ruling,
+    /// Writes the number of the fleet.
+    Fleet,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 6] =
-        [Self::Watch, Self::Read, Self::Lease, Self::Entry, Self::Renewal, Self::Ruling];
+    pub const ALL: [Self; 7] = [
+        Self::Watch,
+        Self::Read,
+        Self::Lease,
+        Self::Entry,
+        Self::Renewal,
+        Self::Ruling,
+        Self::Fleet,
+    ];
 
     /// Returns the kind as the log key `call` holds it.
     #[must_use]
@@ -44,6 +53,7 @@
             Self::Entry => "entry",
             Self::Renewal => "renewal",
             Self::Ruling => "ruling",
+            Self::Fleet => "fleet",
         }
     }
 
@@ -56,6 +66,7 @@
             Self::Entry => &metrics.store_entries,
             Self::Renewal => &metrics.store_renewals,
             Self::Ruling => &metrics.store_rulings,
+            Self::Fleet => &metrics.store_fleets,
         }
     }
 }
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -40,6 +40,7 @@
         capacity: 0,
         requests: 0,
         leavings: repair::Digest::default(),
+        fleet: None,
     }
 }
 
--- a/crates/node/tests/forms/extracts.rs
+++ b/crates/node/tests/forms/extracts.rs
@@ -38,14 +38,22 @@
         item("servers/i-1", 5, Some("{}")),
         item("servers/i-0", 6, None),
     ];
-    extract::Extract { page: item::Page { items, more: false, at: 6, era: 0 }, is_whole: false }
+    extract::Extract {
+        page: item::Page { items, more: false, at: 6, era: 0 },
+        is_whole: false,
+        fleet: 0,
+    }
 }
 
 /// A whole copy that is long enough to be compressed.
 fn whole() -> extract::Extract {
     let entry = |n: u64| item(&format!("servers/i-{n:03}"), n, Some(&"entry ".repeat(9)));
     let items = (1..=200).map(entry).collect();
-    extract::Extract { page: item::Page { items, more: true, at: 200, era: 0 }, is_whole: true }
+    extract::Extract {
+        page: item::Page { items, more: true, at: 200, era: 0 },
+        is_whole: true,
+        fleet: 0,
+    }
 }
 
 fn same(a: &extract::Extract, b: &extract::Extract) -> bool {
@@ -77,7 +85,7 @@
     let of_key = |length: usize| {
         let items = vec![item(&"k".repeat(length), 1, Some(""))];
         let page = item::Page { items, more: false, at: 1, era: 0 };
-        let extract = extract::Extract { page, is_whole: true };
+        let extract = extract::Extract { page, is_whole: true, fleet: 0 };
         let length = serde_json::to_vec(&extract).expect("it can be written").len();
         (length, extracts::encode(&extract).expect("it is encoded"))
     };
--- a/crates/node/tests/forms/stored.rs
+++ b/crates/node/tests/forms/stored.rs
@@ -197,6 +197,7 @@
         capacity: 0,
         requests: 0,
         leavings: repair::Digest::default(),
+        fleet: None,
     }
 }
 
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -14,4 +14,5 @@
 mod silence;
 mod statements;
 mod stop;
+mod strangers;
 mod traffic;
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -214,6 +214,7 @@
         capacity: 0,
         requests: 0,
         leavings: repair::Digest::default(),
+        fleet: None,
     };
     loop {
         member.sequence += 1;
--- /dev/null
+++ b/crates/node/tests/gateway/strangers.rs
@@ -0,0 +1,49 @@
+//! A node of another fleet gets the address of one that is gone. It was taken for one of this fleet, since nothing in a heartbeat or an
+//! extract says whose it is: each fleet adopted the other's configuration and upstreams, and ran its callers' requests there.
+
+use std::time::Duration;
+
+use crate::rig::{self, Rig};
+use crate::traffic::{HALLS, PATH};
+
+/// Time after which a fleet's nodes know each other.
+const KNOWN: Duration = Duration::from_secs(4);
+
+/// Time for which both fleets run beside each other; some heartbeats of every node.
+const BESIDE: Duration = Duration::from_secs(3);
+
+/// Entries that the other fleet's store has seen more, so that its nodes are ahead by revisions.
+const AHEAD: usize = 40;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn mixed_a_node_at_an_address_of_another_fleet_keeps_to_its_own_upstreams() {
+    let (ours, theirs) = (Rig::start(&rig::routes()).await, Rig::start(&rig::routes()).await);
+    let our_upstream = ours.upstream("i-0", "desk", HALLS[0]).await;
+    let their_upstream = theirs.upstream("i-0", "desk", HALLS[0]).await;
+    let our_door = ours.store.open().await.expect("the store opens");
+    let their_door = theirs.store.open().await.expect("the store opens");
+    let stays = theirs.gateway("n-1", HALLS[0], &their_door).await;
+    let goes = theirs.gateway_at("n-2", HALLS[0], their_door.address, &[stays.peers]).await;
+    goes.wait_ready().await;
+    let mut stranger = ours.gateway("n-3", HALLS[0], &our_door).await;
+    tokio::time::sleep(KNOWN).await;
+    let freed = goes.peers;
+    drop(goes);
+    stranger.peers = freed;
+    let stranger = stranger.restart().await;
+    for _ in 0..AHEAD {
+        theirs.enter(&their_upstream, "desk", HALLS[0], "ready");
+    }
+    tokio::time::sleep(BESIDE).await;
+    for number in 0..20 {
+        let answer = stranger.caller().await.get(PATH, &format!("ours-{number}")).await;
+        assert_eq!(answer.status, 200);
+        let answer = stays.caller().await.get(PATH, &format!("theirs-{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    for (upstream, names) in [(&our_upstream, "ours-"), (&their_upstream, "theirs-")] {
+        let ran: Vec<String> = upstream.record().ran.into_keys().collect();
+        assert_eq!(ran.len(), 20, "{ran:?}");
+        assert!(ran.iter().all(|id| id.starts_with(names)), "{ran:?}");
+    }
+}
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -25,6 +25,7 @@
         capacity: 500,
         requests: 40,
         leavings: repair::Digest::default(),
+        fleet: None,
     }
 }
 
--- a/crates/node/tests/replica_eras.rs
+++ b/crates/node/tests/replica_eras.rs
@@ -320,3 +320,22 @@
             && listed(first) <= wanted && listed(second) <= wanted
     }
 }
+
+/// The number of the fleet outlasts a return of the store from a copy without it, and is written again.
+#[test]
+fn the_number_of_the_fleet_holds_though_the_store_lost_it() {
+    let mut replica = known();
+    assert!(replica.lacks_fleet(), "nobody wrote it");
+    replica.merge(page(1, 503, vec![item("fleet", 1, 503, Some("77"))]));
+    let fleet = replica.fleet();
+    assert!(fleet.is_some() && !replica.lacks_fleet());
+    assert_eq!(replica.extract(position::Position::default()).fleet, 77);
+    replica.replace(copy(2));
+    assert_eq!((replica.fleet(), replica.lacks_fleet()), (fleet, true));
+    replica.end_doubt();
+    assert_eq!((replica.fleet(), replica.lacks_fleet()), (fleet, true));
+    replica.merge(page(2, 104, vec![item("fleet", 2, 104, Some("77"))]));
+    assert_eq!((replica.fleet(), replica.lacks_fleet()), (fleet, false));
+    let changes = replica.merge(page(2, 105, vec![item("fleet", 2, 105, Some("none"))]));
+    assert_eq!((replica.fleet(), changes.faults.len()), (fleet, 1), "what cannot be read");
+}
--- a/crates/wire/src/gateway/extract.rs
+++ b/crates/wire/src/gateway/extract.rs
@@ -10,4 +10,12 @@
     pub page: item::Page,
     /// Whether these are all items, so that any other was removed.
     pub is_whole: bool,
+    /// The number of the sender's fleet; 0 where it is not known.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub fleet: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_unknown(fleet: &u32) -> bool {
+    *fleet == 0
 }
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -51,4 +51,7 @@
     /// Digest of the upstreams that the sender knows to leave.
     #[prost(fixed64, tag = "15")]
     pub leavings: u64,
+    /// The number of the sender's fleet; 0 where it is not known.
+    #[prost(fixed32, tag = "16")]
+    pub fleet: u32,
 }
