A caller's connection to a node that owns upstreams may rest for longer than a head may take

Cause: the HTTP library begins a head's time when the answer before has been sent, so the node closes a resting connection after limits.head_time, 5 s by default, also when the next request is on its way.

A head's time begins with its first byte now, and a connection may rest for limits.idle_time, a minute.

The pinned list of settings grew by the new one.

--- a/crates/node/src/owner/callers/server.rs
+++ b/crates/node/src/owner/callers/server.rs
@@ -24,6 +24,7 @@
 
 use crate::common::body;
 use crate::common::head;
+use crate::common::head_timer;
 use crate::common::socket;
 use crate::owner::callers::entry;
 use crate::owner::callers::lookup;
@@ -94,11 +95,13 @@
 ) -> impl Future<Output = ()> + use<> {
     socket::accepted(&stream);
     let server = sync::Arc::clone(server);
+    let settings::Limits { head_time, idle_time, .. } = server.limits;
+    let (stream, timer) = head_timer::watch(stream, head_time, idle_time);
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(server.limits.head_time)
+        .timer(timer)
+        .header_read_timeout(head_time)
         .max_buf_size(server.limits.head_bytes);
     builder
         .http2()
--- a/crates/node/src/owner/settings.rs
+++ b/crates/node/src/owner/settings.rs
@@ -94,6 +94,9 @@
     /// Time a caller may take to send a request's head.
     #[serde(with = "humantime_serde")]
     pub head_time: Duration,
+    /// Time for which a caller's connection may rest between two requests.
+    #[serde(with = "humantime_serde")]
+    pub idle_time: Duration,
     /// Time for which callers may cache a look-up.
     #[serde(with = "humantime_serde")]
     pub lookup_cache: Duration,
@@ -109,6 +112,7 @@
             requests: 8_192,
             head_bytes: 16 * 1_024,
             head_time: Duration::from_secs(5),
+            idle_time: Duration::from_secs(60),
             lookup_cache: Duration::from_secs(5),
             stop_time: Duration::from_secs(60),
         }
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -52,6 +52,7 @@
     assert_eq!(settings.limits.requests, 12);
     assert_eq!(settings.limits.head_bytes, 8_193);
     assert_eq!(settings.limits.head_time, Duration::from_millis(1_500));
+    assert_eq!(settings.limits.idle_time, Duration::from_secs(120));
     assert_eq!(settings.limits.lookup_cache, Duration::from_millis(250));
     assert_eq!(settings.limits.stop_time, Duration::from_secs(120));
     assert_eq!(settings.log, logging::Level::Debug);
@@ -66,6 +67,7 @@
     assert_eq!(settings.limits.requests, 8_192);
     assert_eq!(settings.limits.head_bytes, 16_384);
     assert_eq!(settings.limits.head_time, Duration::from_secs(5));
+    assert_eq!(settings.limits.idle_time, Duration::from_secs(60));
     assert_eq!(settings.limits.lookup_cache, Duration::from_secs(5));
     assert_eq!(settings.limits.stop_time, Duration::from_secs(60));
     assert_eq!(settings.log, logging::Level::Info);
--- a/crates/node/tests/process/failures.rs
+++ b/crates/node/tests/process/failures.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic;
 use std::time::Duration;
 
+use standin::client;
+
 use crate::rig;
 
 /// Requests that the load keeps out at once.
@@ -190,3 +192,42 @@
     assert_eq!(failed, 0, "{ends:?}");
     assert_eq!(rig.truth.over_slots(), 0);
 }
+
+/// Callers' connections that rest as long as a head may take.
+const RESTING: usize = 60;
+
+/// Rests of each of them, and their shortest and longest time in milliseconds.
+const RESTS: (u64, u64, u64) = (6, 985, 1_015);
+
+/// A node closed a connection that rested between two requests after the time that a head may take, also when the next request was
+/// on its way: the caller got no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_rest_between_requests_get_every_answer() {
+    let rig = sync::Arc::new(rig::Rig::start(&["dakar"], 1).await);
+    let callers = (0..RESTING).map(|caller| {
+        let rig = sync::Arc::clone(&rig);
+        tokio::spawn(async move {
+            let (rests, shortest, longest) = RESTS;
+            let client = client::Client::new(None);
+            let node = rig.nodes.keys().next().expect("a node");
+            let mut unanswered = Vec::new();
+            for rest in 0..rests {
+                let id = format!("rests-{caller}-{rest}");
+                match rig.get_by(&client, node, &id, 50).await {
+                    Ok(answer) if rig::is_whole(&id, 50, &answer) => {}
+                    Ok(answer) => unanswered.push(format!("{id}: {answer:?}")),
+                    Err(error) => unanswered.push(format!("{id}: {error:?}")),
+                }
+                let time = shortest + (caller as u64 * 7 + rest) % (longest - shortest);
+                tokio::time::sleep(Duration::from_millis(time)).await;
+            }
+            unanswered
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut unanswered = Vec::new();
+    for caller in callers {
+        unanswered.extend(caller.await.expect("the caller ends"));
+    }
+    assert!(unanswered.is_empty(), "{} without an answer: {unanswered:?}", unanswered.len());
+}
--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -150,12 +150,23 @@
 
     /// Sends a request for the service to a node.
     pub async fn get(&self, node: &str, id: &str, bytes: usize) -> anyhow::Result<Response<Bytes>> {
+        self.get_by(&self.http, node, id, bytes).await
+    }
+
+    /// Sends a request as [`Self::get`] does, over the connections of `client`.
+    pub async fn get_by(
+        &self,
+        client: &client::Client,
+        node: &str,
+        id: &str,
+        bytes: usize,
+    ) -> anyhow::Result<Response<Bytes>> {
         let request = Request::get(format!("http://{}/search", self.nodes[node].callers))
             .header("host", HOST)
             .header("x-request-id", id)
             .header("x-answer-bytes", bytes)
             .body(Full::default())?;
-        self.http.send(request).await
+        client.send(request).await
     }
 
     /// Calls the operators' face of the first node.
