--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -95,7 +95,7 @@
     Evacuation
 );
 
-/// What tells one fleet from others: a number that its first node draws, and that its store keeps.
+/// A fleet, by a number that its first node draws and its store keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fleet(pub num::NonZeroU32);
 
--- a/crates/node/src/common/head_timer.rs
+++ b/crates/node/src/common/head_timer.rs
@@ -4,7 +4,6 @@
 //! that rests is closed while its next request is on the way, and the caller gets no answer; with a long one, a slow head is borne for as
 //! long. Here the time of a head begins with its first byte. Owns one connection's times.
 
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync;
--- a/crates/node/src/gateway/facts.rs
+++ b/crates/node/src/gateway/facts.rs
@@ -1,4 +1,4 @@
-//! Facts: datagrams by which a node tells another one what that missed.
+//! Facts: datagrams with all that a node knows, for another one that missed some of it.
 //!
 //! Owns their form, and sends them where a heartbeat shows a difference. Relies on [`repair`] for which nodes answer.
 
@@ -25,12 +25,12 @@
 pub fn answer(state: &state::State, socket: &UdpSocket, sender: &member::Member) {
     let own = state.dispatcher.borrow().leaving_digest();
     let is_near = sender.region == state.me.borrow().region;
-    let hearers = match is_near {
+    let receivers = match is_near {
         true => state.members.borrow().near_count(),
         false => representatives::PER_REGION,
     };
     let draw = |nodes| rand::rng().random_range(0..nodes);
-    if !repair::is_answered(sender.leavings, own, hearers, draw) {
+    if !repair::is_answered(sender.leavings, own, receivers, draw) {
         return;
     }
     let leavings = state.dispatcher.borrow().all_leavings(Instant::now());
--- a/crates/node/src/gateway/fleet_keeper.rs
+++ b/crates/node/src/gateway/fleet_keeper.rs
@@ -10,7 +10,7 @@
 use platform::fleet;
 use platform::store::client;
 use rand::RngExt as _;
-use steer::dispatch::fleet::{representatives, store_call};
+use steer::dispatch::fleet::store_call;
 
 use crate::gateway::state;
 use crate::gateway::store_calls;
@@ -35,8 +35,8 @@
             continue;
         }
         let since = *lacking_since.get_or_insert(now);
-        let is_due = |turn| now.saturating_duration_since(since) >= turn;
-        if !turn(&state, now).is_some_and(is_due) {
+        let is_due = |place| now.saturating_duration_since(since) >= FIRST_TURN + TURN * place;
+        if !state.representative_place(now).is_some_and(is_due) {
             continue;
         }
         let number = state.fleet().unwrap_or_else(|| id::Fleet(rand::rng().random()));
@@ -47,11 +47,3 @@
         lacking_since = None;
     }
 }
-
-/// Returns how long this node waits for others to write; none when it is no representative of its region.
-fn turn(state: &state::State, now: Instant) -> Option<Duration> {
-    let (members, me) = (state.members.borrow(), state.me.borrow());
-    let before = members.staying(now).filter(|member| member.node < me.node).count();
-    let place = u32::try_from(before).ok()?;
-    (before < representatives::PER_REGION).then(|| FIRST_TURN + TURN * place)
-}
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -104,13 +104,13 @@
 /// Returns whether a datagram comes from a node of another fleet; only heartbeats say so, and other datagrams from there count as its.
 fn is_foreign(state: &state::State, from: net::SocketAddr, datagram: &[u8], now: Instant) -> bool {
     let Some(member) = datagram::read(datagram) else {
-        return state.strangers.contains(from, now);
+        return state.foreign.contains(from, now);
     };
     if membership::is_of(state.fleet(), member.fleet) {
-        state.strangers.forget(from);
+        state.foreign.forget(from);
         return false;
     }
-    if state.strangers.record(from, now) {
+    if state.foreign.record(from, now) {
         let (peer, address) = (member.node.as_str(), from.to_string());
         let fleet = member.fleet.map(|fleet| fleet.to_string()).unwrap_or_default();
         log::warn!(peer, address = address.as_str(), fleet = fleet.as_str(); "peer-of-another-fleet");
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -170,7 +170,7 @@
     pub peer_fetches: Counter,
     /// Such copies that did not arrive.
     pub peer_fetches_failed: Counter,
-    /// Datagrams that told other nodes what they had missed.
+    /// Datagrams with facts for nodes that missed some.
     pub repairs: Counter,
     /// Calls to the platform's store.
     pub store_calls: Counter,
--- a/crates/node/src/gateway/quarantine_keeper.rs
+++ b/crates/node/src/gateway/quarantine_keeper.rs
@@ -9,7 +9,7 @@
 use model::fingerprint::Scope;
 use platform::rulings;
 use platform::store::client;
-use steer::dispatch::fleet::{representatives, store_call};
+use steer::dispatch::fleet::store_call;
 use steer::dispatch::quarantine::ruling::Ruling;
 
 use crate::gateway::kept_ruling::{self, Kept};
@@ -62,7 +62,7 @@
     if !replica.is_complete() {
         return None;
     }
-    let turn = turn(state, now)?;
+    let turn = TURN * state.representative_place(now)?;
     // What the store holds since before it was restored from a copy, it may not hold any more.
     let era = replica.at().era;
     let stands = |kept: &&kept_ruling::Entry| kept.position.era == era;
@@ -85,11 +85,3 @@
     let lacking = quarantine.rulings().find_map(lacks);
     lacking.or_else(|| replica.rulings().filter(stands).find_map(outlived))
 }
-
-/// Returns how long this node waits for others to write; none when it is no representative of its region.
-fn turn(state: &state::State, now: Instant) -> Option<Duration> {
-    let (members, me) = (state.members.borrow(), state.me.borrow());
-    let before = members.staying(now).filter(|member| member.node < me.node).count();
-    let place = u32::try_from(before).ok()?;
-    (before < representatives::PER_REGION).then(|| TURN * place)
-}
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -4,6 +4,7 @@
 //! them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
 
 mod era;
+mod fleet;
 mod gauges;
 mod nodes;
 mod quarantine;
@@ -25,6 +26,7 @@
 
 use crate::gateway::dialect;
 use crate::gateway::extracts;
+use crate::gateway::foreign;
 use crate::gateway::kept_ruling;
 use crate::gateway::member;
 use crate::gateway::members;
@@ -32,7 +34,6 @@
 use crate::gateway::replica;
 use crate::gateway::settings;
 use crate::gateway::store_calls;
-use crate::gateway::strangers;
 
 /// Upstreams that one line of log names at most. Not measured; some 300 characters.
 const MOST_NAMED: usize = 20;
@@ -68,8 +69,8 @@
     doubt: cell::Cell<Option<(u64, Instant)>>,
     /// Whether this node watches the store itself.
     is_watching: cell::Cell<bool>,
-    /// Addresses at which nodes of other fleets were heard.
-    pub strangers: strangers::Strangers,
+    /// Addresses of other fleets' nodes.
+    pub foreign: foreign::Addresses,
     /// Counters and latencies.
     pub metrics: metrics::Metrics,
     /// Whether all of the upstreams and the configuration were ever known.
@@ -133,7 +134,7 @@
             doubt: cell::Cell::new(None),
             era_changed: Notify::new(),
             is_watching: cell::Cell::new(false),
-            strangers: strangers::Strangers::default(),
+            foreign: foreign::Addresses::default(),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
             behind: Notify::new(),
@@ -148,20 +149,6 @@
         self.routing.borrow().clone()
     }
 
-    /// Returns the number of the fleet, once it is known.
-    #[must_use]
-    pub fn fleet(&self) -> Option<id::Fleet> {
-        self.me.borrow().fleet
-    }
-
-    fn adopt_fleet(&self, fleet: Option<id::Fleet>) {
-        let before = std::mem::replace(&mut self.me.borrow_mut().fleet, fleet);
-        if let Some(fleet) = fleet.filter(|_| fleet != before) {
-            let fleet = fleet.to_string();
-            log::info!(fleet = fleet.as_str(); "fleet-known");
-        }
-    }
-
     /// Returns whether the node may be given new callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/steer/src/dispatch/fleet/repair.rs
+++ b/crates/steer/src/dispatch/fleet/repair.rs
@@ -1,6 +1,6 @@
-//! Repair: how a node learns what the others were told when it did not hear it.
+//! Repair: how a node that missed a report learns what the others know.
 //!
-//! News are sent a few times at most, so a node that was cut off or paused, started later, or is none of those that load reports go to would
+//! Reports are sent a few times at most, so a node that was cut off or paused, started later, or is none of those that load reports go to would
 //! miss them for good. Each heartbeat therefore holds a digest of what its sender knows, and a node that knows something else
 //! answers with all that it knows itself. Nothing is sent where all know the same. Owns nothing.
 
@@ -19,14 +19,14 @@
     }
 }
 
-/// Returns whether this node answers a heartbeat whose sender knows `theirs`, where it knows `own` itself and `hearers` nodes hear the heartbeat.
+/// Returns whether this node answers a heartbeat whose sender knows `theirs`, where it knows `own` itself and `receivers` nodes get the heartbeat.
 ///
 /// `draw` returns a uniform number below its argument; it is used in large regions only.
 pub fn is_answered(
     theirs: Digest,
     own: Digest,
-    hearers: usize,
+    receivers: usize,
     draw: impl FnOnce(usize) -> usize,
 ) -> bool {
-    theirs != own && (hearers <= ANSWERS || draw(hearers) < ANSWERS)
+    theirs != own && (receivers <= ANSWERS || draw(receivers) < ANSWERS)
 }
