A node that does not know the fleet's number draws one only after those that may know it

Seen by reading: where the store comes back from a copy without the number, a node that has just started could be the first to write, and draw another one. Nodes that reach the store take it over; one that does not would count all others as foreign for as long. Who knows the number writes 0.75 s after it is lacking, who does not waits four seconds longer.

--- a/crates/node/src/gateway/fleet_keeper.rs
+++ b/crates/node/src/gateway/fleet_keeper.rs
@@ -21,6 +21,9 @@
 /// Time for which the store lacks the number before the first representative of a region writes it.
 const FIRST_TURN: Duration = Duration::from_millis(750);
 
+/// Time by which a node that does not know the number waits longer, since another one may: two numbers would part the fleet.
+const UNKNOWN_TURN: Duration = Duration::from_secs(4);
+
 /// Time by which each further representative waits longer for the one before it.
 const TURN: Duration = Duration::from_millis(600);
 
@@ -35,11 +38,13 @@
             continue;
         }
         let since = *lacking_since.get_or_insert(now);
-        let is_due = |place| now.saturating_duration_since(since) >= FIRST_TURN + TURN * place;
+        let known = state.fleet();
+        let first = if known.is_some() { FIRST_TURN } else { FIRST_TURN + UNKNOWN_TURN };
+        let is_due = |place| now.saturating_duration_since(since) >= first + TURN * place;
         if !state.representative_place(now).is_some_and(is_due) {
             continue;
         }
-        let number = state.fleet().unwrap_or_else(|| id::Fleet(rand::rng().random()));
+        let number = known.unwrap_or_else(|| id::Fleet(rand::rng().random()));
         let write = fleet::creation(number);
         let call = client.write(&write, store_call::answer(state.store_bound()));
         // The record of calls logs a failure. A condition that does not hold means that another node was first.
