Soak: a request without an answer can be followed from its upstream's answer to its caller

A soak that fails keeps when each request ran at which upstream and when its answer was written, and what gateways wrote to standard error. A panic, which ends one connection while its process goes on, fails the soak: nothing asked for that before.

--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -397,6 +397,7 @@
         .arg("--settings")
         .arg(&settings)
         .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::piped())
         .spawn()
         .expect("the gateway starts");
     let stdout = child.stdout.take().expect("standard output is piped");
@@ -412,6 +413,15 @@
             kept.lock().expect("no reader panics").push(line);
         }
     });
+    // What a panic says stands there.
+    let stderr = child.stderr.take().expect("standard error is piped");
+    let kept = sync::Arc::clone(&lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            eprintln!("{line}");
+            kept.lock().expect("no reader panics").push(line);
+        }
+    });
     let field = |name: &str| {
         let mut pairs = started.split(' ').filter_map(|pair| pair.split_once('='));
         let value = pairs.find(|(key, _)| *key == name).map(|(_, value)| value);
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -158,7 +158,10 @@
     broken.extend(late);
     if !broken.is_empty() {
         let of_requests = record::of_requests(&broken, &outcomes);
-        let logs = record::keep(seed, &world.logs(), &outcomes);
+        let of_upstream = |u: &Upstream| (u.standin.id.clone(), u.standin.record());
+        let upstreams = world.upstreams.iter().map(of_upstream).collect();
+        let kept = record::Kept { logs: world.logs(), upstreams };
+        let logs = record::keep(seed, &kept, &outcomes);
         panic!("seed {seed} broke {broken:#?}\n{of_requests}logs in {logs}\nfaults {events:#?}");
     }
     let served = outcomes.iter().filter(|outcome| outcome.status == Some(200)).count();
@@ -635,6 +638,9 @@
                 if !versions.is_sorted() {
                     broken.push(format!("CONFIG: {} adopted {versions:?}", node.name));
                 }
+                // It ends the connection that it serves, and the process goes on.
+                let panics = lines.iter().filter(|line| line.contains("panicked at"));
+                broken.extend(panics.map(|line| format!("PANIC: {}: {line}", node.name)));
             }
         }
         for mut process in std::mem::take(&mut self.leaving) {
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net;
 use std::sync;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use ::platform::headers;
 use http::header;
@@ -108,6 +108,17 @@
     pub bodies: collections::BTreeMap<String, Vec<u8>>,
     /// Heads, by the request's name.
     pub heads: collections::BTreeMap<String, String>,
+    /// When each request ran last, by its name.
+    pub runs: collections::BTreeMap<String, Run>,
+}
+
+/// When a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// When it began.
+    pub began: SystemTime,
+    /// When its answer was written; none where none was, or not all of it.
+    pub answered: Option<SystemTime>,
 }
 
 /// A request as it arrived.
@@ -251,6 +262,9 @@
         }
         let (bytes, is_last) = answer(shared, &request, behavior);
         stream.write_all(&bytes).await?;
+        if let Some(run) = lock(&shared.record).runs.get_mut(&request.id) {
+            run.answered = Some(SystemTime::now());
+        }
         if is_last {
             return stream.shutdown().await;
         }
@@ -278,6 +292,8 @@
             *record.ran.entry(request.id.clone()).or_default() += 1;
             record.bodies.insert(request.id.clone(), request.body.clone());
             record.heads.insert(request.id.clone(), request.head.clone());
+            let run = Run { began: SystemTime::now(), answered: None };
+            record.runs.insert(request.id.clone(), run);
         }
     }
 }
