--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -195,8 +195,8 @@
     beats.abort();
 }
 
-/// Sends the heartbeats of a node `n-1` at `frozen` that is far ahead.
-async fn beat(frozen: net::SocketAddr, to: net::SocketAddr) {
+/// Sends the heartbeats of a node `n-1` at `frozen` that is far ahead, and does not say of which fleet it is.
+pub async fn beat(frozen: net::SocketAddr, to: net::SocketAddr) {
     let socket = UdpSocket::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
     let mut member = member::Member {
         node: id::Node::new("n-1"),
