Roll-outs: an order moves a service to another version by stages, or takes the version back

Cause: nothing read op/rollout/ or wrote status/rollout/; upstreams of a new version were used like any other from their first moment, so a bad version got its whole share, and no order was ever completed.

Change: steer::dispatch::rollout decides, pure. Each gateway limits what a new version gets by its own counts; it counts answers, failures and slow ones by route and version, and load reports carry the counts; each judges by the sum, against the old versions in the same stage. The stage is recorded in the store under a condition on the record and on the order, by representatives in turn, so there is one outcome and no coordinator. completed is recorded when nothing is in flight at the old versions. The estimate of work is not fed by a version that is judged.

--- a/crates/bench/src/choice.rs
+++ b/crates/bench/src/choice.rs
@@ -204,6 +204,7 @@
         service: id::Service::new("desk"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 80)),
         hall: id::Hall::new(&hall(number % REGIONS)),
+        version: None,
         slots: 6,
         state: discovery::State::Ready,
         cold_left: Duration::ZERO,
--- a/crates/cli/src/demo/gateways/deployment.rs
+++ b/crates/cli/src/demo/gateways/deployment.rs
@@ -169,6 +169,7 @@
             service: id::Service::new(service),
             address: standin.address,
             hall: id::Hall::new(hall),
+            version: None,
             slots: SLOTS,
             state: discovery::State::Ready,
             cold_left: Duration::ZERO,
--- a/crates/model/src/bounds.rs
+++ b/crates/model/src/bounds.rs
@@ -30,6 +30,11 @@
     /// Requests over its limit that an organisation may send per window of that limit, over the
     /// whole fleet.
     pub quota_slack: f64,
+    /// Share of a service's requests that a version may get before it is known to be good, over the
+    /// period of its roll-out and the whole fleet.
+    pub expose_share: f64,
+    /// Requests that such a version may get beyond that share.
+    pub expose_slack: f64,
 }
 
 impl Default for Bounds {
@@ -44,6 +49,8 @@
             retry_slack: 10.0,
             greatest_shift: 0.1,
             quota_slack: 0.0,
+            expose_share: 0.1,
+            expose_slack: 0.0,
         }
     }
 }
--- a/crates/model/src/discovery.rs
+++ b/crates/model/src/discovery.rs
@@ -28,6 +28,8 @@
     pub address: net::SocketAddr,
     /// Hall that the upstream is in.
     pub hall: id::Hall,
+    /// Version of the upstream's software; `None` if the source does not give it.
+    pub version: Option<id::Version>,
     /// Number of requests that the upstream can run concurrently.
     pub slots: u32,
     /// Whether the upstream accepts new requests.
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -94,6 +94,10 @@
     /// Name of an evacuation.
     Evacuation
 );
+name!(
+    /// Version of the software that an upstream runs.
+    Version
+);
 
 /// Id of a fleet: a random number that its first node draws and the store keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod resource;
 pub mod rest;
 pub mod revision;
+pub mod rollout;
 pub mod route;
 pub mod routing;
 pub mod service;
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -155,6 +155,7 @@
         service: service.clone(),
         address: upstream.address,
         hall: upstream.hall.clone(),
+        version: None,
         slots: upstream.slots,
         state: match active.iter().any(|drain| drain.target.contains(upstream)) {
             true => discovery::State::Draining,
--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -11,10 +11,12 @@
 use steer::dispatch::leaving;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
+use steer::dispatch::rollout;
 use steer::dispatch::upstream_limit::{self, announcement};
 use wire::gateway::loads as message;
 
 use crate::gateway::leaving_report;
+use crate::gateway::rollout_report;
 
 /// Most upstreams of one datagram; those of a longer report go into several. Some 8 KB.
 const MOST_UPSTREAMS: usize = 1_000;
@@ -48,6 +50,8 @@
     pub limits: upstream_limit::Report,
     /// Upstreams that said that they leave.
     pub leavings: Vec<leaving::Announcement>,
+    /// Answers by version, where a version is being rolled out.
+    pub rollouts: Vec<rollout::Report>,
 }
 
 /// What one datagram reports.
@@ -81,6 +85,10 @@
             sends: sends.get(number).map(|sends| encode_sends(sends)),
             limits: announcements.get(number).map(|part| encode_announcements(part)),
             leavings: leavings.get(number).map(|leavings| leaving_report::encode(leavings)),
+            rollouts: match number {
+                0 => content.rollouts.iter().map(rollout_report::encode).collect(),
+                _ => Vec::new(),
+            },
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -216,7 +224,11 @@
         let requests = upstreams.zip(loads.requests).collect();
         let leavings = leaving_report::read(&loads.leavings.unwrap_or_default())
             .map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
-        let content = Content { requests, usages: figures.read()?, limits, leavings };
+        let rollouts: Result<Vec<rollout::Report>, leaving_report::Uneven> =
+            loads.rollouts.iter().map(rollout_report::read).collect();
+        let rollouts =
+            rollouts.map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
+        let content = Content { requests, usages: figures.read()?, limits, leavings, rollouts };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -75,6 +75,7 @@
             usages: state.quotas.borrow_mut().report_sum(&wanted, &mut self.usages, now),
             limits: dispatcher.limits_mut().report_sum(&wanted, &mut self.limits, now),
             leavings: dispatcher.leavings().report_sum(&wanted, &mut self.leavings, now),
+            rollouts: dispatcher.rollouts().report_sum(&wanted),
         }
     }
 }
@@ -87,6 +88,7 @@
         usages: state.quotas.borrow_mut().report(now),
         limits: dispatcher.limits_mut().report(now),
         leavings: dispatcher.leavings_mut().report(now),
+        rollouts: dispatcher.rollouts().report(),
     }
 }
 
@@ -179,10 +181,11 @@
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits, leavings } = report.content;
+    let Content { requests, usages, limits, leavings, rollouts } = report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
     state.receive_leavings(&sender, &leavings, now);
+    state.receive_rollouts(&report.node, &rollouts);
     state.dispatcher.borrow_mut().set_peer_load(report.node, requests, now);
     Ok(())
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -188,6 +188,8 @@
     pub store_rulings: Counter,
     /// Writes of the number of the fleet among them.
     pub store_fleets: Counter,
+    /// Writes of stages of roll-outs among them.
+    pub store_rollouts: Counter,
     /// Such calls without an answer, or refused.
     pub store_calls_failed: Counter,
     /// Tries at upstreams whose entries have vanished.
@@ -212,7 +214,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 42] {
+    fn counters(&self) -> [(&'static str, &Counter); 43] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -255,6 +257,7 @@
             ("store_calls_renewal", &self.store_renewals),
             ("store_calls_ruling", &self.store_rulings),
             ("store_calls_fleet", &self.store_fleets),
+            ("store_calls_rollout", &self.store_rollouts),
             ("tries_lapsed", &self.tries_lapsed),
         ]
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -32,6 +32,8 @@
 pub mod quarantine_report;
 pub mod registration;
 pub mod replica;
+mod rollout_keeper;
+mod rollout_report;
 pub mod settings;
 pub mod shutdown;
 pub mod state;
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -24,6 +24,7 @@
 use crate::gateway::quarantine;
 use crate::gateway::quarantine_keeper;
 use crate::gateway::registration;
+use crate::gateway::rollout_keeper;
 use crate::gateway::settings;
 use crate::gateway::shutdown;
 use crate::gateway::state;
@@ -127,6 +128,7 @@
                 task::spawn_local(registration::run(state(), client())),
                 task::spawn_local(quarantine_keeper::run(state(), client())),
                 task::spawn_local(fleet_keeper::run(state(), client())),
+                task::spawn_local(rollout_keeper::run(state(), client())),
                 task::spawn_local(catch_up::run(state())),
             ]
         }
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -7,8 +7,11 @@
 use std::sync;
 use std::time::Instant;
 
+use http::StatusCode;
 use model::discovery;
+use model::id;
 use model::load;
+use steer::dispatch::dispatcher::rollouts;
 use steer::dispatch::outcome;
 use steer::dispatch::retry;
 use steer::dispatch::seen_objects;
@@ -21,7 +24,10 @@
     state: rc::Rc<state::State>,
     /// The upstream.
     pub upstream: sync::Arc<discovery::Entry>,
+    route: id::Route,
     object: Option<seen_objects::Object>,
+    /// Whether the upstream answered that it failed.
+    has_failed: bool,
     began: Instant,
     crowding: f64,
     deadline: Instant,
@@ -31,7 +37,12 @@
 impl Attempt {
     /// Starts a try.
     #[must_use]
-    pub fn start(state: &rc::Rc<state::State>, choice: &retry::Choice, deadline: Instant) -> Self {
+    pub fn start(
+        state: &rc::Rc<state::State>,
+        choice: &retry::Choice,
+        route: &id::Route,
+        deadline: Instant,
+    ) -> Self {
         let now = Instant::now();
         let retry::Choice { upstream, is_first, object, .. } = choice;
         let mut dispatcher = state.dispatcher.borrow_mut();
@@ -44,7 +55,9 @@
         Self {
             state: rc::Rc::clone(state),
             upstream: sync::Arc::clone(upstream),
+            route: route.clone(),
             object: *object,
+            has_failed: false,
             began: now,
             crowding,
             deadline,
@@ -52,6 +65,11 @@
         }
     }
 
+    /// Notes the status of the answer.
+    pub fn note_status(&mut self, status: StatusCode) {
+        self.has_failed = status.is_server_error();
+    }
+
     /// Ends the try with a whole answer.
     pub fn answered(self, load: Option<load::Report>) {
         let latency = self.began.elapsed();
@@ -82,7 +100,30 @@
         }
         let now = Instant::now();
         let waited = now.saturating_duration_since(self.began);
-        self.state.dispatcher.borrow_mut().ended(&self.upstream, outcome, waited, now);
+        let mut dispatcher = self.state.dispatcher.borrow_mut();
+        if let Some(answer) = self.answer(outcome) {
+            dispatcher.judge(&self.upstream, &self.route, answer, now);
+        }
+        dispatcher.ended(&self.upstream, outcome, waited, now);
+    }
+
+    /// Returns what the end tells of the upstream's version; nothing where the upstream did not run the request.
+    fn answer(&self, outcome: outcome::Outcome) -> Option<rollouts::Answer> {
+        match outcome {
+            outcome::Outcome::Answered { .. } if self.has_failed => Some(rollouts::Answer::Failure),
+            outcome::Outcome::Answered { latency, crowding, object, .. } => {
+                let familiarity = object
+                    .map_or(seen_objects::Familiarity::Preferred, |object| object.familiarity);
+                Some(rollouts::Answer::Success { latency, crowding, familiarity })
+            }
+            outcome::Outcome::Broken | outcome::Outcome::TimedOut => {
+                Some(rollouts::Answer::Failure)
+            }
+            outcome::Outcome::Refused { .. }
+            | outcome::Outcome::Replaced
+            | outcome::Outcome::NotSent
+            | outcome::Outcome::Abandoned => None,
+        }
     }
 }
 
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -113,10 +113,12 @@
             let choice = self.choose()?;
             let deadline = self.request.deadline;
             let began = Instant::now();
-            let attempt = attempt::Attempt::start(&self.server.state, &choice, deadline);
+            let route = &self.request.route.name;
+            let mut attempt = attempt::Attempt::start(&self.server.state, &choice, route, deadline);
             match self.send(&choice.upstream).await {
                 Ok((connection, answer)) if is_final(&answer) => {
                     let status = answer.head.status().as_u16();
+                    attempt.note_status(answer.head.status());
                     self.identity.record_answer(&answer);
                     self.end(retry::Outcome::Answered(status))?;
                     return Ok(self.pass_on(attempt, connection, answer));
--- a/crates/node/src/gateway/replica/changes.rs
+++ b/crates/node/src/gateway/replica/changes.rs
@@ -30,6 +30,8 @@
     pub nodes: bool,
     /// Whether rulings were added, removed or changed.
     pub rulings: bool,
+    /// Whether orders to roll out a version, or recorded stages, were added, removed or changed.
+    pub rollouts: bool,
     /// Whether there is a newer configuration.
     pub routing: bool,
     /// Items that could not be read. A configuration or an evacuation that such an item replaces stays in force, an
--- a/crates/node/src/gateway/replica/entry.rs
+++ b/crates/node/src/gateway/replica/entry.rs
@@ -5,6 +5,7 @@
 use model::discovery;
 use model::fingerprint;
 use model::id;
+use model::rollout;
 use platform::fact;
 use platform::store::item;
 use platform::upstream;
@@ -36,6 +37,10 @@
     Ruling(kept_ruling::Entry),
     /// The configuration, which is kept apart, of this version.
     Configuration(u64),
+    /// An order to roll out a version.
+    RolloutOrder(rollout::Order),
+    /// The recorded stage of a roll-out.
+    RolloutRecord(rollout::Record),
     /// The number of the fleet, which is kept apart.
     Fleet,
     /// Nothing that a gateway uses.
@@ -64,6 +69,8 @@
             Known::Evacuated(_)
             | Known::Node(_)
             | Known::Ruling(_)
+            | Known::RolloutOrder(_)
+            | Known::RolloutRecord(_)
             | Known::Fleet
             | Known::Nothing => store_restore::Content::Undated,
         }
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -16,6 +16,7 @@
 
 use model::discovery;
 use model::id;
+use model::rollout;
 use model::routing;
 use platform::fact;
 use platform::malformed;
@@ -122,6 +123,29 @@
         })
     }
 
+    /// Returns the orders to roll out a version.
+    pub fn rollout_orders(&self) -> impl Iterator<Item = &rollout::Order> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::RolloutOrder(order) => Some(order),
+            _ => None,
+        })
+    }
+
+    /// Returns the recorded stages of roll-outs.
+    pub fn rollout_records(&self) -> impl Iterator<Item = &rollout::Record> {
+        self.entries.values().filter_map(|entry| match &entry.fact {
+            Known::RolloutRecord(record) => Some(record),
+            _ => None,
+        })
+    }
+
+    /// Returns the revision of the recorded stage of a service's roll-out; 0 when there is none.
+    #[must_use]
+    pub fn rollout_revision(&self, service: &id::Service) -> u64 {
+        let entry = self.entries.get(&fact::rollout_record_key(service));
+        entry.map_or(0, |entry| entry.item.revision)
+    }
+
     /// Merges changes up to the page's position.
     ///
     /// Changes of another era say nothing: an earlier one is over, and of a later one everything has to be read first.
@@ -257,6 +281,15 @@
             }
             fact::Fact::Node(name) => entry::register(name, item, changes),
             fact::Fact::Ruling(scope) => entry::keep(scope, item, changes),
+            fact::Fact::RolloutOrder(order) => {
+                changes.rollouts = true;
+                // The store numbers the orders: each has the revision at which it was written.
+                Known::RolloutOrder(rollout::Order { number: item.revision, ..order })
+            }
+            fact::Fact::RolloutRecord(record) => {
+                changes.rollouts = true;
+                Known::RolloutRecord(record)
+            }
             fact::Fact::Fleet(number) => {
                 self.fleet = Some(number);
                 Known::Fleet
@@ -284,6 +317,7 @@
             Known::Upstream(_) => changes.upstreams = true,
             Known::Node(_) => changes.nodes = true,
             Known::Ruling(_) => changes.rulings = true,
+            Known::RolloutOrder(_) | Known::RolloutRecord(_) => changes.rollouts = true,
             Known::Configuration(_) | Known::Fleet | Known::Nothing => {}
         }
         Some(entry.content())
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -153,6 +153,10 @@
     greatest_shift: Option<f64>,
     /// Requests over its limit that an organisation may have, over the fleet.
     quota_slack: Option<f64>,
+    /// Share of a service's requests that a version may get before it is known to be good.
+    expose_share: Option<f64>,
+    /// Requests that it may get beyond that share, over the fleet.
+    expose_slack: Option<f64>,
 }
 
 /// The one field by which settings of a gateway are recognised.
@@ -202,6 +206,8 @@
             retry_slack: given.retry_slack.unwrap_or(default.retry_slack),
             greatest_shift: given.greatest_shift.unwrap_or(default.greatest_shift),
             quota_slack: given.quota_slack.unwrap_or(default.quota_slack),
+            expose_share: given.expose_share.unwrap_or(default.expose_share),
+            expose_slack: given.expose_slack.unwrap_or(default.expose_slack),
         }
     }
 
@@ -268,6 +274,8 @@
         ("bounds.retry_slack", bounds.retry_slack, f64::INFINITY),
         ("bounds.greatest_shift", bounds.greatest_shift, 1.0),
         ("bounds.quota_slack", bounds.quota_slack, f64::INFINITY),
+        ("bounds.expose_share", bounds.expose_share, 1.0),
+        ("bounds.expose_slack", bounds.expose_slack, f64::INFINITY),
     ];
     for (field, value, most) in shares {
         if !(0.0..=most).contains(&value) {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -8,6 +8,7 @@
 mod gauges;
 mod nodes;
 mod quarantine;
+mod rollouts;
 mod statements;
 mod store;
 pub mod update;
@@ -191,6 +192,9 @@
             self.beat.notify_one();
         }
         let is_complete = replica.is_complete();
+        if changes.rollouts {
+            self.adopt_rollouts(&replica);
+        }
         let rulings: Vec<kept_ruling::Entry> = match changes.rulings {
             true => replica.rulings().cloned().collect(),
             false => Vec::new(),
@@ -250,6 +254,7 @@
         dispatcher.tick(now);
         self.quotas.borrow_mut().tick(now);
         self.quarantine.borrow_mut().tick(now);
+        self.judge_rollouts(&mut dispatcher);
         let left = dispatcher.lapsed();
         drop(dispatcher);
         if left.len() < lapsed.len() {
--- a/crates/node/src/gateway/store_calls.rs
+++ b/crates/node/src/gateway/store_calls.rs
@@ -29,11 +29,13 @@
     Ruling,
     /// Writes the number of the fleet.
     Fleet,
+    /// Records a stage of a roll-out.
+    Rollout,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Watch,
         Self::Read,
         Self::Lease,
@@ -41,6 +43,7 @@
         Self::Renewal,
         Self::Ruling,
         Self::Fleet,
+        Self::Rollout,
     ];
 
     /// Returns the kind as the log key `call` holds it.
@@ -54,6 +57,7 @@
             Self::Renewal => "renewal",
             Self::Ruling => "ruling",
             Self::Fleet => "fleet",
+            Self::Rollout => "rollout",
         }
     }
 
@@ -67,6 +71,7 @@
             Self::Renewal => &metrics.store_renewals,
             Self::Ruling => &metrics.store_rulings,
             Self::Fleet => &metrics.store_fleets,
+            Self::Rollout => &metrics.store_rollouts,
         }
     }
 }
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -81,6 +81,7 @@
         sends: None,
         limits: None,
         leavings: None,
+        rollouts: Vec::new(),
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -99,6 +99,8 @@
         retry_slack: 12.0,
         greatest_shift: 0.15,
         quota_slack: 25.0,
+        expose_share: 0.05,
+        expose_slack: 40.0,
     };
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.processor, gateway_settings::Processor { cores: 1.5, share: 0.5 });
@@ -123,6 +125,8 @@
         retry_slack: 10.0,
         greatest_shift: 0.1,
         quota_slack: 0.0,
+        expose_share: 0.1,
+        expose_slack: 0.0,
     };
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.log, logging::Level::Info);
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod organisations;
 mod requests;
 mod rig;
+mod rollouts;
 mod silence;
 mod statements;
 mod stop;
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -162,6 +162,24 @@
         self.enter_at(&upstream.id, upstream.address, service, hall, state, 0);
     }
 
+    /// Starts an upstream of a version, and its entry.
+    pub async fn upstream_of(&self, id: &str, version: &str, hall: &str) -> upstream::Upstream {
+        let upstream = upstream::Upstream::start(id).await.expect("an upstream starts");
+        let entry = serde_json::json!({
+            "service": "desk",
+            "address": upstream.address.to_string(),
+            "zone": hall,
+            "version": version,
+            "slots": 4,
+            "state": "ready",
+            "cold_left": "0ms",
+            "call_seq": 1,
+        });
+        let key = format!("{}{}", fact::UPSTREAMS, id);
+        self.store.put(&key, entry.to_string().as_bytes());
+        upstream
+    }
+
     /// Writes the entry of an upstream that is reached at `address`; 0 for one that does not say when it started.
     pub fn enter_at(
         &self,
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -22,6 +22,7 @@
 use crate::dispatch::region::share;
 use crate::dispatch::region::shift;
 use crate::dispatch::request;
+use crate::dispatch::rollout;
 use crate::dispatch::seconds;
 use crate::dispatch::selection;
 use crate::dispatch::skipped;
@@ -47,6 +48,9 @@
     }
 }
 
+/// A request, and the versions that may take it.
+type Asked<'a> = (&'a request::Request<'a>, &'a rollout::Versions);
+
 impl Dispatcher {
     /// Returns the service for the next request of a route, or `None` if all weights are zero.
     pub fn pick_service(&mut self, route: &route::Route) -> Option<id::Service> {
@@ -68,16 +72,34 @@
             distance.record_request(request.route.target_latency);
             self.overflow.refill(self.bounds.greatest_shift);
         }
-        let chosen = self.choose_within_limits(request, now);
+        let chosen = self.choose_version(request, now);
         if request.is_first_try() {
             self.priorities.record(request.service, request.urgency, chosen.is_ok());
         }
         chosen
     }
 
+    /// Chooses among the versions that may take the request; the next one only where none of the first may.
+    fn choose_version(
+        &mut self,
+        request: &request::Request<'_>,
+        now: Instant,
+    ) -> Result<candidate::Candidate, refusal::Refusal> {
+        let versions = self.versions(request, now);
+        let mut chosen = Err(refusal::Refusal::NoUpstream(refusal::Exclusions::default()));
+        for versions in versions {
+            chosen = self.choose_within_limits(request, &versions, now);
+            if !matches!(chosen, Err(refusal::Refusal::NoUpstream(_))) {
+                break;
+            }
+        }
+        chosen
+    }
+
     fn choose_within_limits(
         &mut self,
         request: &request::Request<'_>,
+        versions: &rollout::Versions,
         now: Instant,
     ) -> Result<candidate::Candidate, refusal::Refusal> {
         self.limits.count(now);
@@ -85,7 +107,7 @@
         let mut regions = Regions::new(self.region_order(request, now));
         let mut skipped = skipped::Skipped::default();
         loop {
-            let chosen = self.choose_without(&skipped, &mut regions, request, now)?;
+            let chosen = self.choose_without(&skipped, &mut regions, (request, versions), now)?;
             let key = peer_load::Key::of(&chosen.entry.id);
             match self.limits.admit(key, rank, now) {
                 Ok(()) => {
@@ -103,18 +125,18 @@
         &mut self,
         skipped: &skipped::Skipped,
         regions: &mut Regions,
-        request: &request::Request<'_>,
+        asked: Asked<'_>,
         now: Instant,
     ) -> Result<candidate::Candidate, refusal::Refusal> {
+        let (request, versions) = asked;
         if skipped.is_full() {
             return Err(skipped.refusal());
         }
         let mut others = regions.0.iter_mut();
-        let Some(best) =
-            others.find_map(|region| self.best_in_region(region, request, skipped, now))
+        let Some(best) = others.find_map(|region| self.best_in_region(region, asked, skipped, now))
         else {
             return Err(match skipped.upstreams.is_empty() {
-                true => self.no_upstream_refusal(request, now),
+                true => self.no_upstream_refusal(request, versions, now),
                 false => skipped.refusal(),
             });
         };
@@ -131,7 +153,7 @@
         let others: Vec<candidate::Candidate> =
             match overflow::is_congested(&best, request.route.target_latency) {
                 true => {
-                    others.filter_map(|r| self.best_in_region(r, request, skipped, now)).collect()
+                    others.filter_map(|r| self.best_in_region(r, asked, skipped, now)).collect()
                 }
                 false => Vec::new(),
             };
@@ -166,7 +188,7 @@
     /// Returns the mean number of requests per slot of the upstreams in a region that accept requests.
     fn requests_per_slot(&self, service: &id::Service, region: &id::Region, now: Instant) -> f64 {
         let of_region = self.upstreams.of_region(service, region);
-        let working = of_region.filter(|u| eligibility::takes_work(u, &self.evacuated, now));
+        let working = of_region.filter(|u| self.carries_load(u, now));
         let requests: f64 = working.map(|u| u.load.requests(now)).sum();
         requests / self.region_slots(service, region, now).max(1.0)
     }
@@ -186,11 +208,17 @@
     /// Returns the effective slots of the upstreams in a region that accept requests.
     fn region_slots(&self, service: &id::Service, region: &id::Region, now: Instant) -> f64 {
         let of_region = self.upstreams.of_region(service, region);
-        let working = of_region.filter(|u| eligibility::takes_work(u, &self.evacuated, now));
+        let working = of_region.filter(|u| self.carries_load(u, now));
         let work = self.work.get(service).copied().unwrap_or_default().mean().0;
         working.map(|u| self.effective_slots(u, work, now)).sum()
     }
 
+    /// Returns whether an upstream accepts requests and is of the version that gets most of them.
+    fn carries_load(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        eligibility::takes_work(upstream, &self.evacuated, now)
+            && self.rollouts.is_main(&upstream.entry)
+    }
+
     /// Returns the slots that an upstream contributes to its region if a request takes `work` seconds.
     fn effective_slots(&self, upstream: &upstream::Upstream, work: f64, now: Instant) -> f64 {
         let is_cold = upstream.slow_start.is_cold(now);
@@ -202,12 +230,12 @@
     fn best_in_region(
         &mut self,
         region: &mut Region,
-        request: &request::Request<'_>,
+        (request, versions): Asked<'_>,
         skipped: &skipped::Skipped,
         now: Instant,
     ) -> Option<candidate::Candidate> {
         if region.ranking.is_none() {
-            region.ranking = Some(self.rank_upstreams(&region.name, request, now));
+            region.ranking = Some(self.rank_upstreams(&region.name, request, versions, now));
             region.avoided = self.avoided(&region.name, request, now);
         }
         let ranking = region.ranking.as_ref()?;
@@ -222,11 +250,12 @@
         &mut self,
         region: &id::Region,
         request: &request::Request<'_>,
+        versions: &rollout::Versions,
         now: Instant,
     ) -> selection::Ranking {
         self.upstreams.prepare_order(request.service, region, request.key);
         let work = self.work.get(request.service).copied().unwrap_or_default();
-        let rules = self.eligibility(now);
+        let rules = self.eligibility(versions, now);
         let preferred = self.upstreams.preferred(request.service, region, request.key);
         let eligible = preferred.filter(|u| rules.exclusion(u, request).is_none());
         selection::Ranking::new(eligible, request, work, self.priorities.rank(request), now)
@@ -248,9 +277,10 @@
     fn no_upstream_refusal(
         &mut self,
         request: &request::Request<'_>,
+        versions: &rollout::Versions,
         now: Instant,
     ) -> refusal::Refusal {
-        let exclusions = self.exclusions(request, now);
+        let exclusions = self.exclusions(request, versions, now);
         match self.retry_after_rest(request, exclusions, now) {
             Some(retry_after) => refusal::Refusal::Resting { retry_after, exclusions },
             None => refusal::Refusal::NoUpstream(exclusions),
@@ -259,7 +289,7 @@
 
     /// Returns the retry delay for a request if all upstreams that could take it are resting.
     pub fn all_rest(&mut self, request: &request::Request<'_>, now: Instant) -> Option<Duration> {
-        self.retry_after_rest(request, self.exclusions(request, now), now)
+        self.retry_after_rest(request, self.exclusions(request, &rollout::Versions::Any, now), now)
     }
 
     fn retry_after_rest(
@@ -271,7 +301,7 @@
         if !exclusions.all_rest() {
             return None;
         }
-        let rules = self.eligibility(now);
+        let rules = self.eligibility(&rollout::Versions::Any, now);
         let of_service = self.upstreams.of_service(request.service);
         let is_resting = |upstream: &&upstream::Upstream| {
             rules.exclusion(upstream, request) == Some(eligibility::Exclusion::Resting)
@@ -281,11 +311,21 @@
     }
 
     /// Counts the upstreams of the service by the reason why they may not take the request.
-    fn exclusions(&self, request: &request::Request<'_>, now: Instant) -> refusal::Exclusions {
-        self.eligibility(now).count(self.upstreams.of_service(request.service), request)
+    fn exclusions(
+        &self,
+        request: &request::Request<'_>,
+        versions: &rollout::Versions,
+        now: Instant,
+    ) -> refusal::Exclusions {
+        let rules = self.eligibility(versions, now);
+        rules.count(self.upstreams.of_service(request.service), request)
     }
 
-    fn eligibility(&self, now: Instant) -> eligibility::Rules<'_> {
-        eligibility::Rules { evacuated: &self.evacuated, routing: &self.routing, now }
+    fn eligibility<'a>(
+        &'a self,
+        versions: &'a rollout::Versions,
+        now: Instant,
+    ) -> eligibility::Rules<'a> {
+        eligibility::Rules { evacuated: &self.evacuated, versions, routing: &self.routing, now }
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod peers;
+pub mod rollouts;
 pub mod statements;
 mod tries;
 mod upstreams;
@@ -33,6 +34,7 @@
 use crate::dispatch::region::shift;
 use crate::dispatch::rest;
 use crate::dispatch::retry_budget;
+use crate::dispatch::rollout;
 use crate::dispatch::route;
 use crate::dispatch::slow_start_owner;
 use crate::dispatch::upstream;
@@ -59,6 +61,7 @@
     limits: upstream_limit::Limits,
     leavings: leaving::LeavingProcesses,
     rests: rest::RestPeriods,
+    rollouts: rollout::Rollouts,
     max_nodes: usize,
 }
 
@@ -87,6 +90,7 @@
             limits,
             leavings: leaving::LeavingProcesses::default(),
             rests: rest::RestPeriods::default(),
+            rollouts: rollout::Rollouts::default(),
             max_nodes: 1,
         }
     }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -34,6 +34,7 @@
         let crowding = upstream.crowding(now);
         upstream.health.record_sent(upstream.load.in_flight(), now);
         upstream.load.record_sent();
+        self.rollouts.record_sent(&upstream.entry, is_first);
         let service = &upstream.entry.service;
         if let Some(rate) = slow_start::rate(&self.routing, service)
             && upstream.slow_start.is_cold(now)
@@ -70,8 +71,12 @@
                 let familiarity = object
                     .map_or(seen_objects::Familiarity::Preferred, |object| object.familiarity);
                 upstream.health.record_answer(time, work.mean_for(familiarity), in_flight, now);
-                let distance = self.distances.entry(upstream.entry.service.clone()).or_default();
-                record_time(work, distance, &upstream.region, familiarity, time);
+                // A version that is judged is compared with the others, so it does not set what is usual.
+                if !self.rollouts.is_judged(&upstream.entry) {
+                    let service = upstream.entry.service.clone();
+                    let distance = self.distances.entry(service).or_default();
+                    record_time(work, distance, &upstream.region, familiarity, time);
+                }
                 if let Some(object) = object {
                     upstream.objects.record(object.key);
                 }
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -14,6 +14,7 @@
 
 use crate::dispatch::refusal;
 use crate::dispatch::request;
+use crate::dispatch::rollout;
 use crate::dispatch::slow_start;
 use crate::dispatch::upstream;
 
@@ -29,6 +30,8 @@
     Evacuated,
     /// The upstream asked this node to send no requests for a while.
     Resting,
+    /// The upstream runs a version that does not take the request during a roll-out.
+    Version,
     /// The upstream was already chosen for the request.
     Tried,
     /// The upstream is cold and slow start does not allow this node another request now.
@@ -40,6 +43,8 @@
 pub struct Rules<'a> {
     /// Evacuated halls.
     pub evacuated: &'a collections::BTreeSet<id::Hall>,
+    /// Versions that may take the request.
+    pub versions: &'a rollout::Versions,
     /// Current configuration.
     pub routing: &'a routing::Routing,
     /// Current time.
@@ -62,6 +67,7 @@
             () if !upstream.is_usable(self.now) => Some(Exclusion::Leaving),
             () if self.evacuated.contains(&upstream.entry.hall) => Some(Exclusion::Evacuated),
             () if upstream.is_resting(self.now) => Some(Exclusion::Resting),
+            () if !self.versions.contains(&upstream.entry) => Some(Exclusion::Version),
             () if request.tried.contains(&upstream.entry.id) => Some(Exclusion::Tried),
             () if !self.slow_start_allows(upstream) => Some(Exclusion::Cold),
             () => None,
@@ -82,6 +88,7 @@
                 Some(Exclusion::Leaving) => counts.leaving += 1,
                 Some(Exclusion::Evacuated) => counts.evacuated += 1,
                 Some(Exclusion::Resting) => counts.resting += 1,
+                Some(Exclusion::Version) => counts.version += 1,
                 Some(Exclusion::Tried) => counts.tried += 1,
                 Some(Exclusion::Cold) => counts.cold += 1,
                 None => {}
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -53,6 +53,7 @@
 pub mod rest;
 pub mod retry;
 pub mod retry_budget;
+pub mod rollout;
 pub mod route;
 pub mod seconds;
 pub mod seen_objects;
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -57,6 +57,8 @@
     pub resting: usize,
     /// Cold ones to which this node must not send another request now.
     pub cold: usize,
+    /// Those of a version that does not take the request during a roll-out.
+    pub version: usize,
     /// Those that the request was already sent to.
     pub tried: usize,
 }
@@ -80,7 +82,7 @@
     /// Returns whether rest periods are the only reason why no upstream is eligible.
     #[must_use]
     pub fn all_rest(&self) -> bool {
-        let unavailable = self.outside + self.leaving + self.evacuated;
+        let unavailable = self.outside + self.leaving + self.evacuated + self.version;
         self.resting > 0 && self.resting + unavailable == self.known
     }
 }
@@ -109,12 +111,24 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NoUpstream(exclusions) | Self::Resting { exclusions, .. } => {
-                let Exclusions { known, outside, leaving, evacuated, resting, cold, tried } =
-                    exclusions;
+                let Exclusions {
+                    known,
+                    outside,
+                    leaving,
+                    evacuated,
+                    resting,
+                    cold,
+                    version,
+                    tried,
+                } = exclusions;
                 write!(
                     formatter,
                     "known={known} outside={outside} leaving={leaving} evacuated={evacuated} resting={resting} cold={cold} tried={tried}"
-                )
+                )?;
+                match version {
+                    0 => Ok(()),
+                    _ => write!(formatter, " version={version}"),
+                }
             }
             Self::Limited { upstreams, .. } => {
                 let names: Vec<&str> = upstreams.iter().map(id::Upstream::as_str).collect();
--- a/crates/steer/tests/dispatch/setup.rs
+++ b/crates/steer/tests/dispatch/setup.rs
@@ -31,6 +31,7 @@
         service: id::Service::new("desk"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 80)),
         hall: id::Hall::new(hall),
+        version: None,
         slots: 4,
         state: discovery::State::Ready,
         cold_left: Duration::ZERO,
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -450,6 +450,7 @@
             service: id::Service::new("desk"),
             address: net::SocketAddr::from(([127, 0, 0, 1], 80)),
             hall: id::Hall::new(region.name),
+            version: None,
             slots,
             state: discovery::State::Ready,
             cold_left: Duration::ZERO,
--- a/crates/steer/tests/quarantine/fleet.rs
+++ b/crates/steer/tests/quarantine/fleet.rs
@@ -458,6 +458,7 @@
         service: model::id::Service::new("desk"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
         hall: model::id::Hall::new("north-1"),
+        version: None,
         slots: 4,
         state: discovery::State::Ready,
         cold_left: Duration::ZERO,
--- a/crates/steer/tests/selection.rs
+++ b/crates/steer/tests/selection.rs
@@ -85,6 +85,7 @@
         service: id::Service::new("desk"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 80)),
         hall: id::Hall::new("n-1"),
+        version: None,
         slots: 4,
         state: discovery::State::Ready,
         cold_left: Duration::ZERO,
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -45,6 +45,39 @@
     /// Upstreams that stated that they are leaving.
     #[prost(message, optional, tag = "11")]
     pub leavings: Option<LeavingProcesses>,
+    /// Counts of answers by version, for services whose version is being rolled out.
+    #[prost(message, repeated, tag = "12")]
+    pub rollouts: Vec<RolloutAnswers>,
+}
+
+/// Counts of answers of a new version and of the old ones in one stage of a roll-out, by route, as
+/// parallel lists.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RolloutAnswers {
+    /// Hash of the service, the order and the stage.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// Hashes of the route names.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub routes: Vec<u32>,
+    /// Answers of the new version on each route.
+    #[prost(uint32, repeated, tag = "3")]
+    pub new_answers: Vec<u32>,
+    /// Failures among them.
+    #[prost(uint32, repeated, tag = "4")]
+    pub new_failed: Vec<u32>,
+    /// Slow answers among them.
+    #[prost(uint32, repeated, tag = "5")]
+    pub new_slow: Vec<u32>,
+    /// Answers of the old versions on each route.
+    #[prost(uint32, repeated, tag = "6")]
+    pub old_answers: Vec<u32>,
+    /// Failures among them.
+    #[prost(uint32, repeated, tag = "7")]
+    pub old_failed: Vec<u32>,
+    /// Slow answers among them.
+    #[prost(uint32, repeated, tag = "8")]
+    pub old_slow: Vec<u32>,
 }
 
 /// Request rates to upstreams that announce rate limits, in the units of [`Loads`], as parallel
