Load reports: a fourth figure, the pace of the machine, no longer makes a report count as absent

Cause: on deployments whose upstreams share their machines a report has four numbers, and one of four was malformed, so every load there was thrown away. Change: the fourth is read and kept as the pace; nothing uses it yet. More than four numbers, none, or a fourth that is no number are malformed as before.

--- a/crates/node/tests/forms/headers.rs
+++ b/crates/node/tests/forms/headers.rs
@@ -283,7 +283,7 @@
 
 #[test]
 fn an_upstream_s_load() {
-    let load = load::Report { running: 3, waiting: 1, slots: 8 };
+    let load = load::Report { running: 3, waiting: 1, slots: 8, pace: None };
     for (dialect, name) in
         [(Dialect::Platform, "yokespoke-server-load"), (Dialect::Own, "yokespoke-load")]
     {
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -432,7 +432,7 @@
 impl Upstream {
     fn load(&self, slots: u32) -> model::load::Report {
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-        model::load::Report { running: cmp::min(self.running, slots), waiting, slots }
+        model::load::Report { running: cmp::min(self.running, slots), waiting, slots, pace: None }
     }
 }
 
