--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,10 +2,11 @@
 //!
 //! The users' bench measures gateways only: what a request costs through one, and how a fleet of them
 //! grows. It has no nodes that own upstreams, so [`cost`] and [`scale`] measure those here; and it charges a
-//! process as a whole, so [`choice`] and [`organisations`]
-//! measure a gateway's decisions alone. This file owns the arguments; it relies on [`output`] for the forms of a result.
+//! process as a whole, so [`choice`], [`control`] and
+//! [`organisations`] measure a gateway's decisions and control alone. This file owns the arguments; it relies on [`output`] for the forms of a result.
 
 mod choice;
+mod control;
 mod cost;
 mod organisations;
 mod output;
@@ -41,6 +42,8 @@
 enum Command {
     /// Decisions of a gateway beside 10 to 10,000 upstreams.
     Choice,
+    /// Control of a gateway beside 300 to 16,000 others and 1,000 to 100,000 upstreams.
+    Control,
     /// Keys and quotas beside 10 to 10,000 organisations.
     Organisations,
     /// Requests and look-ups through real nodes against the upstream itself.
@@ -53,6 +56,7 @@
     let args = Args::parse();
     let result = match args.command {
         Command::Choice => choice::run(args.seed)?,
+        Command::Control => control::run()?,
         Command::Organisations => organisations::run()?,
         Command::Cost => cost::run()?,
         Command::Scale => scale::run(args.seed)?,
