--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -180,7 +180,7 @@
 const TEMPLATE: &str = "../../platform/settings.yaml.template";
 
 /// Sample values of the placeholders of the platform's template.
-const VALUES: [(&str, &str); 22] = [
+const VALUES: [(&str, &str); 24] = [
     ("{{#zones}}  {{@}}: {{.}}\n{{/zones}}", "  dakar-1: dakar\n  thies-1: thies\n"),
     ("{{node}}", "gateway-01"),
     ("{{region}}", "dakar"),
@@ -202,6 +202,8 @@
     ("{{bounds.budget_slack}}", "12"),
     ("{{bounds.max_shift}}", "0.15"),
     ("{{bounds.quota_slack}}", "25"),
+    ("{{bounds.expose_share}}", "0.05"),
+    ("{{bounds.expose_slack}}", "40"),
     ("{{", "a placeholder without a sample value"),
 ];
 
