A change of one upstream touches that one, at every gateway

Cause: each change of any upstream made every gateway collect all entries of its copy, compare each, take its index apart and build it anew; each heartbeat walked all upstreams for the digest of those that leave, each load report for those in flight, each tick for lapsed ones. That is processor time of all gateways times all upstreams, in a fleet whose requests do not grow.

Change: merges name the upstreams that changed, and only those reach the dispatcher; the index keeps positions and takes single upstreams in and out, cached orders of preference among them; the digest, the lapsed and the busy ones are kept as they change. set_upstreams stays for whole lists, by the same code. Owners of cold upstreams are found again only when the nodes changed.

Tests of dispatch, eras and quickchecks of copies unchanged but for the type of Changes::upstreams, a set in place of a flag; platform_names allows the bench's module to make items of the store, as it does for stand-ins and the demo.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -152,7 +152,7 @@
     }
 
     fn report(&self) {
-        hint::black_box(self.state.dispatcher.borrow().in_flight());
+        hint::black_box(self.state.dispatcher.borrow_mut().in_flight());
     }
 
     fn look_up(&self) {
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -107,7 +107,7 @@
         source: update::Source::Declarations,
         revision: snapshot.revision.0,
         routing: Some(sync::Arc::new(routing(snapshot))),
-        upstreams: Some(upstreams(snapshot, &active)),
+        upstreams: Some(update::Upstreams::All(upstreams(snapshot, &active))),
         evacuated: Some(halls),
     });
 }
--- a/crates/node/src/gateway/replica/changes.rs
+++ b/crates/node/src/gateway/replica/changes.rs
@@ -1,5 +1,8 @@
 //! Changes: what a merge changed in a copy of the store, and which items could not be read.
 
+use std::collections;
+
+use model::id;
 use platform::store::item;
 
 /// An item that could not be read.
@@ -22,8 +25,8 @@
 /// What a merge changed.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
-    /// Whether upstreams were added, removed or changed.
-    pub upstreams: bool,
+    /// Upstreams that were added, removed or changed.
+    pub upstreams: collections::BTreeSet<id::Upstream>,
     /// Whether evacuations began or ended.
     pub evacuations: bool,
     /// Whether entries of nodes were added, removed or changed.
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -99,6 +99,15 @@
         })
     }
 
+    /// Returns the upstream with this name.
+    #[must_use]
+    pub fn upstream(&self, name: &id::Upstream) -> Option<&sync::Arc<discovery::Entry>> {
+        match &self.entries.get(&fact::upstream_key(name))?.fact {
+            Known::Upstream(upstream) => Some(upstream),
+            _ => None,
+        }
+    }
+
     /// Returns the evacuated halls.
     pub fn evacuated(&self) -> impl Iterator<Item = &id::Hall> {
         self.entries.values().filter_map(|entry| match &entry.fact {
@@ -251,8 +260,8 @@
     /// An entry that cannot be read is another writer's, and names no upstream to use.
     fn standing_despite(&self, key: &str, changes: &mut Changes) -> Known {
         match self.entries.get(key).map(|before| &before.fact) {
-            Some(Known::Upstream(_)) => {
-                changes.upstreams = true;
+            Some(Known::Upstream(upstream)) => {
+                changes.upstreams.insert(upstream.id.clone());
                 Known::Nothing
             }
             Some(before) => before.clone(),
@@ -276,7 +285,7 @@
                 Known::Evacuated(hall)
             }
             fact::Fact::Upstream(upstream) => {
-                changes.upstreams = true;
+                changes.upstreams.insert(upstream.id.clone());
                 Known::Upstream(sync::Arc::new(upstream))
             }
             fact::Fact::Node(name) => entry::register(name, item, changes),
@@ -312,9 +321,9 @@
     fn forget(&mut self, key: &str, changes: &mut Changes) -> Option<store_restore::Content> {
         self.outdated.remove(key);
         let entry = self.entries.remove(key)?;
-        match entry.fact {
+        match &entry.fact {
             Known::Evacuated(_) => changes.evacuations = true,
-            Known::Upstream(_) => changes.upstreams = true,
+            Known::Upstream(upstream) => _ = changes.upstreams.insert(upstream.id.clone()),
             Known::Node(_) => changes.nodes = true,
             Known::Ruling(_) => changes.rulings = true,
             Known::RolloutOrder(_) | Known::RolloutRecord(_) => changes.rollouts = true,
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -12,6 +12,7 @@
 mod statements;
 mod store;
 pub mod update;
+mod upstreams;
 
 use std::cell;
 use std::rc;
@@ -183,7 +184,7 @@
             source,
             revision: replica.at().revision,
             routing: replica.routing().filter(|_| changes.routing).cloned(),
-            upstreams: changes.upstreams.then(|| replica.upstreams().cloned().collect()),
+            upstreams: self.changed_upstreams(&replica, &changes),
             evacuated: changes.evacuations.then(|| replica.evacuated().cloned().collect()),
         };
         let at = replica.at();
@@ -224,10 +225,11 @@
             self.metrics.organisations.configure(&routing);
             *self.routing.borrow_mut() = Some(routing);
         }
-        if let Some(upstreams) = upstreams.filter(|e| dispatcher.differs(e)) {
-            log::info!(endpoints = upstreams.len(), revision, source; "endpoints-changed");
-            let lapsed_before = dispatcher.lapsed();
-            dispatcher.set_upstreams(upstreams.into_iter(), now);
+        if let Some(upstreams) = upstreams {
+            let lapsed_before = dispatcher.lapsed().clone();
+            if upstreams::adopt(&mut dispatcher, upstreams, now) {
+                log::info!(endpoints = dispatcher.count(), revision, source; "endpoints-changed");
+            }
             let lapsed = dispatcher.lapsed();
             if lapsed.len() > lapsed_before.len() {
                 let upstreams = names(lapsed.difference(&lapsed_before));
@@ -250,12 +252,12 @@
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
         let mut dispatcher = self.dispatcher.borrow_mut();
-        let lapsed = dispatcher.lapsed();
+        let lapsed = dispatcher.lapsed().clone();
         dispatcher.tick(now);
         self.quotas.borrow_mut().tick(now);
         self.quarantine.borrow_mut().tick(now);
         self.judge_rollouts(&mut dispatcher);
-        let left = dispatcher.lapsed();
+        let left = dispatcher.lapsed().clone();
         drop(dispatcher);
         if left.len() < lapsed.len() {
             let dropped = lapsed.len() - left.len();
--- a/crates/node/src/gateway/state/update.rs
+++ b/crates/node/src/gateway/state/update.rs
@@ -33,6 +33,20 @@
     }
 }
 
+/// A change of upstreams.
+#[derive(Clone, Debug)]
+pub enum Upstreams {
+    /// All that there are.
+    All(Vec<sync::Arc<discovery::Entry>>),
+    /// Those that changed; the others stay as they are.
+    Changed {
+        /// Entries that were written.
+        written: Vec<sync::Arc<discovery::Entry>>,
+        /// Upstreams whose entries were removed.
+        removed: Vec<id::Upstream>,
+    },
+}
+
 /// A change of configuration, upstreams or evacuations.
 #[derive(Clone, Debug)]
 pub struct Update {
@@ -42,8 +56,8 @@
     pub revision: u64,
     /// The configuration, if it changed.
     pub routing: Option<sync::Arc<routing::Routing>>,
-    /// All upstreams, if any changed.
-    pub upstreams: Option<Vec<sync::Arc<discovery::Entry>>>,
+    /// The upstreams, if any changed.
+    pub upstreams: Option<Upstreams>,
     /// All evacuated halls, if any changed.
     pub evacuated: Option<collections::BTreeSet<id::Hall>>,
 }
--- a/crates/node/tests/platform_names.rs
+++ b/crates/node/tests/platform_names.rs
@@ -58,7 +58,7 @@
 }
 
 /// Parts of the adapter that hold the platform's forms undecoded, and the sources that may name them:
-/// the stand-ins and the demo, which play the platform's upstreams, callers and store, and the modules
+/// the stand-ins, the demo and the bench, which play the platform's upstreams, callers and store, and the modules
 /// that pass items on as they are.
 const UNDECODED: [(&str, &[&str]); 3] = [
     ("headers", &["standin/src/platform", "cli/src/demo/gateways"]),
@@ -70,6 +70,7 @@
             "node/src/gateway/replica/",
             "node/src/gateway/registration.rs",
             "wire/src/gateway/extract.rs",
+            "bench/src/control.rs",
         ],
     ),
 ];
--- a/crates/node/tests/replica.rs
+++ b/crates/node/tests/replica.rs
@@ -44,7 +44,7 @@
     let first = vec![item("servers/a", 1, Some(&entry(1))), item("servers/b", 2, Some(&entry(2)))];
     replica.replace(page(first, 2));
     let changes = replica.replace(page(vec![item("servers/b", 2, Some(&entry(2)))], 5));
-    assert!(changes.upstreams);
+    assert!(!changes.upstreams.is_empty());
     assert_eq!(names(&replica), ["b"]);
 }
 
@@ -86,10 +86,10 @@
             vec![item("servers/a", 1, Some(&entry(1))), item("servers/b", 1, Some(&entry(2)))];
         replica.replace(page(both, 1));
         let changes = replica.merge(page(vec![item("servers/a", 2, Some(text))], 2));
-        assert_eq!((changes.faults.len(), changes.upstreams), (1, true), "{text}");
+        assert_eq!((changes.faults.len(), changes.upstreams.len()), (1, 1), "{text}");
         assert_eq!(names(&replica), ["b"], "{text}");
         let again = replica.merge(page(vec![item("servers/a", 3, Some(&entry(1)))], 3));
-        assert!(again.upstreams && again.faults.is_empty(), "{text}");
+        assert!(!again.upstreams.is_empty() && again.faults.is_empty(), "{text}");
         assert_eq!(names(&replica), ["a", "b"], "{text}");
     }
 }
--- a/crates/node/tests/replica_eras.rs
+++ b/crates/node/tests/replica_eras.rs
@@ -103,7 +103,7 @@
     replica.replace(copy(2));
     assert_eq!(replica.doubtful_era(), Some(2));
     let changes = replica.end_doubt();
-    assert!(changes.upstreams && changes.evacuations);
+    assert!(!changes.upstreams.is_empty() && changes.evacuations);
     assert_eq!(names(&replica), ["leaves:Draining", "stays:Ready"]);
     assert!(halls(&replica).is_empty());
     assert_eq!((version(&replica), replica.doubtful_era()), (Some(7), None));
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::common::split;
 use crate::dispatch::expected_processing_time;
+use crate::dispatch::fleet::repair;
 use crate::dispatch::index;
 use crate::dispatch::lapsed;
 use crate::dispatch::leaving;
@@ -48,6 +49,12 @@
     routing: sync::Arc<routing::Routing>,
     evacuated: collections::BTreeSet<id::Hall>,
     upstreams: index::Index,
+    /// Upstreams that are used although their entries lapsed.
+    lapsed: collections::BTreeSet<id::Upstream>,
+    /// Upstreams that this node has or had requests in flight at.
+    busy: collections::BTreeSet<id::Upstream>,
+    /// Digest of the known upstreams that leave.
+    leaving_digest: repair::Digest,
     work: collections::BTreeMap<id::Service, expected_processing_time::ProcessingTimes>,
     budgets: collections::BTreeMap<id::Service, retry_budget::Budget>,
     routes: route::Rotations,
@@ -77,6 +84,9 @@
             routing: sync::Arc::default(),
             evacuated: collections::BTreeSet::new(),
             upstreams: index::Index::default(),
+            lapsed: collections::BTreeSet::new(),
+            busy: collections::BTreeSet::new(),
+            leaving_digest: repair::Digest::default(),
             work: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             routes: route::Rotations::default(),
@@ -108,8 +118,10 @@
     /// when other nodes die.
     pub fn set_nodes(&mut self, owners: slow_start_owner::Owners, known: usize, now: Instant) {
         self.max_nodes = self.max_nodes.max(owners.near.len()).max(known);
-        self.owners = owners;
-        self.assign_slow_start_owners(now);
+        if self.owners != owners {
+            self.owners = owners;
+            self.assign_slow_start_owners(now);
+        }
     }
 
     /// Applies time-based changes: lapsed entries, outdated reports and moving splits.
--- a/crates/steer/src/dispatch/dispatcher/peers.rs
+++ b/crates/steer/src/dispatch/dispatcher/peers.rs
@@ -10,8 +10,11 @@
 impl Dispatcher {
     /// Returns this node's requests in flight, by upstream.
     #[must_use]
-    pub fn in_flight(&self) -> Vec<(peer_load::Key, u32)> {
-        let busy = self.upstreams.iter().filter(|u| u.load.in_flight() > 0);
+    pub fn in_flight(&mut self) -> Vec<(peer_load::Key, u32)> {
+        let upstreams = &self.upstreams;
+        let in_flight = |name: &id::Upstream| upstreams.get(name).map_or(0, |u| u.load.in_flight());
+        self.busy.retain(|name| in_flight(name) > 0);
+        let busy = self.busy.iter().filter_map(|name| upstreams.get(name));
         busy.map(|u| (u.key, u.load.in_flight())).collect()
     }
 
--- a/crates/steer/src/dispatch/dispatcher/statements.rs
+++ b/crates/steer/src/dispatch/dispatcher/statements.rs
@@ -121,7 +121,7 @@
     /// Returns a digest of the known upstreams that are leaving.
     #[must_use]
     pub fn leaving_digest(&self) -> repair::Digest {
-        repair::Digest::of(self.leaving_incarnations().map(|incarnation| incarnation.hash()))
+        self.leaving_digest
     }
 
     /// Returns announcements of all known upstreams that are leaving, for a node that may have missed
@@ -158,8 +158,9 @@
         let is_new = self.leavings.record(incarnation, at, by, now);
         if let Some(known) = self.upstreams.get_mut(&incarnation.upstream)
             && known.entry.born == incarnation.born
+            && !std::mem::replace(&mut known.announced_leaving, true)
         {
-            known.announced_leaving = true;
+            self.leaving_digest.toggle(incarnation.hash());
         }
         is_new
     }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -34,6 +34,7 @@
         let crowding = upstream.crowding(now);
         upstream.health.record_sent(upstream.load.in_flight(), now);
         upstream.load.record_sent();
+        self.busy.insert(upstream.entry.id.clone());
         self.rollouts.record_sent(&upstream.entry, is_first);
         let service = &upstream.entry.service;
         if let Some(rate) = slow_start::rate(&self.routing, service)
--- a/crates/steer/src/dispatch/fleet/repair.rs
+++ b/crates/steer/src/dispatch/fleet/repair.rs
@@ -19,6 +19,11 @@
     pub fn of(facts: impl Iterator<Item = u64>) -> Self {
         Self(facts.fold(0, |digest, fact| digest ^ fact))
     }
+
+    /// Adds a fact that is not in the set, or takes out one that is.
+    pub fn toggle(&mut self, fact: u64) {
+        self.0 ^= fact;
+    }
 }
 
 /// Returns whether this node, whose digest is `own`, answers a heartbeat with the digest `theirs`
--- a/crates/steer/src/dispatch/index.rs
+++ b/crates/steer/src/dispatch/index.rs
@@ -1,8 +1,8 @@
 //! Index: the upstreams known to a node, by name, by key, and by service and region.
 //!
 //! Owns the upstreams. Groups hold positions in one vector, so that a request visits its few
-//! candidates instead of all upstreams. The index is rebuilt whenever entries change, which is rare
-//! compared to requests. [`preference`] orders the members of a group.
+//! candidates instead of all upstreams. A position stays that of its upstream until this is removed, so
+//! that a change of one upstream touches its own group only. [`preference`] orders the members of a group.
 
 use std::collections;
 
@@ -18,10 +18,13 @@
 /// The upstreams known to a node.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
-    upstreams: Vec<upstream::Upstream>,
+    /// By position; `None` where one was removed.
+    upstreams: Vec<Option<upstream::Upstream>>,
+    /// Positions that the next upstreams take.
+    free: Vec<usize>,
     by_name: collections::HashMap<id::Upstream, usize>,
-    /// Sorted by key. A vector rather than a map, because the keys of two upstreams may collide.
-    by_key: Vec<(peer_load::Key, usize)>,
+    /// The keys of two upstreams may collide.
+    by_key: collections::BTreeSet<(peer_load::Key, usize)>,
     services: collections::BTreeMap<id::Service, GroupsByRegion>,
 }
 
@@ -29,55 +32,86 @@
     /// Creates an index of `upstreams`, whose names must be unique.
     #[must_use]
     pub fn new(upstreams: Vec<upstream::Upstream>) -> Self {
-        let names = upstreams.iter().map(|u| u.entry.id.clone());
-        let by_name = names.zip(0..).collect();
-        let mut by_key: Vec<_> = upstreams.iter().map(|u| u.key).zip(0..).collect();
-        by_key.sort_unstable();
-        let services = group_by_service(&upstreams);
-        Self { upstreams, by_name, by_key, services }
+        let mut index = Self::default();
+        index.upstreams.reserve_exact(upstreams.len());
+        upstreams.into_iter().for_each(|upstream| index.insert(upstream));
+        index
+    }
+
+    /// Adds an upstream, whose name must not be in the index.
+    pub fn insert(&mut self, upstream: upstream::Upstream) {
+        let position = self.free.pop().unwrap_or(self.upstreams.len());
+        self.by_name.insert(upstream.entry.id.clone(), position);
+        self.by_key.insert((upstream.key, position));
+        let regions = self.services.entry(upstream.entry.service.clone()).or_default();
+        let group = regions.entry(upstream.region.clone()).or_default();
+        let upstreams = &self.upstreams;
+        let name_of = |known: usize| Some(&upstreams.get(known)?.as_ref()?.entry.id);
+        group.add(upstream.entry.id.clone(), position, name_of);
+        match self.upstreams.get_mut(position) {
+            Some(free) => *free = Some(upstream),
+            None => self.upstreams.push(Some(upstream)),
+        }
+    }
+
+    /// Removes the upstream with this name and returns it.
+    pub fn remove(&mut self, name: &id::Upstream) -> Option<upstream::Upstream> {
+        let position = self.by_name.remove(name)?;
+        let upstream = self.upstreams.get_mut(position)?.take()?;
+        self.free.push(position);
+        self.by_key.remove(&(upstream.key, position));
+        if let Some(regions) = self.services.get_mut(&upstream.entry.service)
+            && let Some(group) = regions.get_mut(&upstream.region)
+        {
+            group.remove(position);
+            regions.retain(|_, group| !group.is_empty());
+            if regions.is_empty() {
+                self.services.remove(&upstream.entry.service);
+            }
+        }
+        Some(upstream)
     }
 
     /// Returns the number of upstreams.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.upstreams.len()
+        self.by_name.len()
     }
 
     /// Returns whether the index holds no upstreams.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.upstreams.is_empty()
+        self.by_name.is_empty()
     }
 
     /// Returns the upstream with this name.
     #[must_use]
     pub fn get(&self, name: &id::Upstream) -> Option<&upstream::Upstream> {
-        self.upstreams.get(*self.by_name.get(name)?)
+        self.at(*self.by_name.get(name)?)
     }
 
     /// Returns a mutable reference to the upstream with this name.
     ///
     /// The name, service and region must not be changed, because the index is built from them.
     pub fn get_mut(&mut self, name: &id::Upstream) -> Option<&mut upstream::Upstream> {
-        self.upstreams.get_mut(*self.by_name.get(name)?)
+        self.upstreams.get_mut(*self.by_name.get(name)?)?.as_mut()
     }
 
     /// Returns an upstream with this key.
     #[must_use]
     pub fn get_by_key(&self, key: peer_load::Key) -> Option<&upstream::Upstream> {
-        let position = self.by_key.binary_search_by_key(&key, |(known, _)| *known).ok()?;
-        self.upstreams.get(self.by_key[position].1)
+        self.at(self.positions(key).next()?)
     }
 
     /// Iterates over all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &upstream::Upstream> {
-        self.upstreams.iter()
+        self.upstreams.iter().flatten()
     }
 
     /// Iterates over mutable references to all upstreams, with the same restriction as
     /// [`get_mut`](Self::get_mut).
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut upstream::Upstream> {
-        self.upstreams.iter_mut()
+        self.upstreams.iter_mut().flatten()
     }
 
     /// Updates all upstreams with this key, with the same restriction as [`get_mut`](Self::get_mut).
@@ -86,10 +120,11 @@
         key: peer_load::Key,
         mut update: impl FnMut(&mut upstream::Upstream),
     ) {
-        let start = self.by_key.partition_point(|(known, _)| *known < key);
-        let same = self.by_key[start..].iter().take_while(|(known, _)| *known == key);
-        for (_, position) in same {
-            update(&mut self.upstreams[*position]);
+        let positions: Vec<usize> = self.positions(key).collect();
+        for position in positions {
+            if let Some(Some(upstream)) = self.upstreams.get_mut(position) {
+                update(upstream);
+            }
         }
     }
 
@@ -97,7 +132,7 @@
     pub fn of_service(&self, service: &id::Service) -> impl Iterator<Item = &upstream::Upstream> {
         let regions =
             self.services.get(service).into_iter().flat_map(collections::BTreeMap::values);
-        regions.flat_map(preference::Group::members).map(|position| &self.upstreams[position])
+        regions.flat_map(preference::Group::members).filter_map(|position| self.at(position))
     }
 
     /// Iterates over the upstreams of a service in a region.
@@ -107,7 +142,7 @@
         region: &id::Region,
     ) -> impl Iterator<Item = &upstream::Upstream> {
         let group = self.group(service, region).into_iter();
-        group.flat_map(preference::Group::members).map(|position| &self.upstreams[position])
+        group.flat_map(preference::Group::members).filter_map(|position| self.at(position))
     }
 
     /// Computes and caches the order of preference of the object `key` among the upstreams of a
@@ -130,41 +165,18 @@
         key: u64,
     ) -> impl Iterator<Item = &upstream::Upstream> {
         let group = self.group(service, region).into_iter();
-        group.flat_map(move |group| group.order(key)).map(|position| &self.upstreams[position])
+        group.flat_map(move |group| group.order(key)).filter_map(|position| self.at(position))
     }
 
-    /// Removes all upstreams and returns them by name.
-    pub fn take(&mut self) -> collections::BTreeMap<id::Upstream, upstream::Upstream> {
-        let upstreams = std::mem::take(self).upstreams;
-        upstreams.into_iter().map(|upstream| (upstream.entry.id.clone(), upstream)).collect()
+    fn at(&self, position: usize) -> Option<&upstream::Upstream> {
+        self.upstreams.get(position)?.as_ref()
     }
 
-    /// Retains only the upstreams for which `keep` returns true; returns whether any was removed.
-    pub fn retain(&mut self, keep: impl Fn(&upstream::Upstream) -> bool) -> bool {
-        let keeps_all = self.upstreams.iter().all(&keep);
-        if !keeps_all {
-            let mut upstreams = std::mem::take(self).upstreams;
-            upstreams.retain(keep);
-            *self = Self::new(upstreams);
-        }
-        !keeps_all
+    fn positions(&self, key: peer_load::Key) -> impl Iterator<Item = usize> {
+        self.by_key.range((key, 0)..=(key, usize::MAX)).map(|(_, position)| *position)
     }
 
     fn group(&self, service: &id::Service, region: &id::Region) -> Option<&preference::Group> {
         self.services.get(service)?.get(region)
     }
 }
-
-/// Groups upstreams by service and region.
-fn group_by_service(
-    upstreams: &[upstream::Upstream],
-) -> collections::BTreeMap<id::Service, GroupsByRegion> {
-    let mut services: collections::BTreeMap<id::Service, GroupsByRegion> =
-        collections::BTreeMap::new();
-    for (position, upstream) in upstreams.iter().enumerate() {
-        let regions = services.entry(upstream.entry.service.clone()).or_default();
-        let group = regions.entry(upstream.region.clone()).or_default();
-        group.add(upstream.entry.id.clone(), position);
-    }
-    services
-}
--- a/crates/steer/src/dispatch/preference.rs
+++ b/crates/steer/src/dispatch/preference.rs
@@ -31,10 +31,41 @@
 }
 
 impl Group {
-    /// Adds the upstream at `position` of the index.
-    pub fn add(&mut self, name: id::Upstream, position: usize) {
+    /// Adds the upstream at `position` of the index; `name_of` returns the names of the other members.
+    ///
+    /// Cached orders stay and take it in, so that a change costs no visit of all members.
+    pub fn add<'a>(
+        &mut self,
+        name: id::Upstream,
+        position: usize,
+        name_of: impl Fn(usize) -> Option<&'a id::Upstream>,
+    ) {
+        for (key, order) in &mut self.orders {
+            let added = rank(*key, &name, position);
+            let of = |position: usize| name_of(position).map(|name| rank(*key, name, position));
+            let place = order.partition_point(|known| of(*known).is_some_and(|rank| rank < added));
+            if place < MAX_CACHED_MEMBERS {
+                let mut changed = order.to_vec();
+                changed.insert(place, position);
+                changed.truncate(MAX_CACHED_MEMBERS);
+                *order = changed.into();
+            }
+        }
         self.members.push((name, position));
-        self.orders.clear();
+    }
+
+    /// Removes the upstream at `position` of the index.
+    pub fn remove(&mut self, position: usize) {
+        if let Some(index) = self.members.iter().position(|(_, known)| *known == position) {
+            self.members.swap_remove(index);
+        }
+        self.orders.retain(|_, order| !order.contains(&position));
+    }
+
+    /// Returns whether the group has no members.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
     }
 
     /// Iterates over the positions of all members, in no particular order.
@@ -65,10 +96,8 @@
     }
 
     fn most_preferred(&self, key: u64) -> Box<[usize]> {
-        let rank = |(name, position): &(id::Upstream, usize)| {
-            (cmp::Reverse(affinity::upstream_score(key, name)), *position)
-        };
-        let mut ranked: Vec<_> = self.members.iter().map(rank).collect();
+        let mut ranked: Vec<Rank> =
+            self.members.iter().map(|(name, position)| rank(key, name, *position)).collect();
         if ranked.len() > MAX_CACHED_MEMBERS {
             ranked.select_nth_unstable(MAX_CACHED_MEMBERS);
             ranked.truncate(MAX_CACHED_MEMBERS);
@@ -77,3 +106,10 @@
         ranked.into_iter().map(|(_, position)| position).collect()
     }
 }
+
+/// Place of a member in an order: by its score, and by its position where scores are equal.
+type Rank = (cmp::Reverse<u64>, usize);
+
+fn rank(key: u64, name: &id::Upstream, position: usize) -> Rank {
+    (cmp::Reverse(affinity::upstream_score(key, name)), position)
+}
--- a/crates/steer/src/dispatch/slow_start_owner.rs
+++ b/crates/steer/src/dispatch/slow_start_owner.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3;
 
 /// The nodes over which cold upstreams are distributed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Owners {
     /// Live nodes of this node's region, including itself.
     pub near: Vec<id::Node>,
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -418,7 +418,7 @@
     }
 
     fn report(&mut self, now: Instant) {
-        let reports: Vec<_> = self.gateways.iter().map(|(g, _)| g.in_flight()).collect();
+        let reports: Vec<_> = self.gateways.iter_mut().map(|(g, _)| g.in_flight()).collect();
         for (to, (gateway, _)) in self.gateways.iter_mut().enumerate() {
             for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
                 let report: Vec<(peer_load::Key, u32)> = report.clone();
