A whole read of the store keeps the history before it, so that nodes behind need no whole copy

Cause: where the store drops its history, its watchers read everything, and from then on told everyone behind a whole copy, since one that was read lacks what came and went meanwhile.

Change: replica::history knows the gaps. Only a node whose copy ended between two whole reads needs everything; one as far as either is told what changed, and what was found gone.

Test: a_node_as_far_as_before_a_whole_copy_is_told_what_changed; with the rule as it was (the floor raised at each read) it fails, "assertion failed: !extract.is_whole". Quickchecks of copies and of eras pass.

--- a/crates/node/src/gateway/replica/era.rs
+++ b/crates/node/src/gateway/replica/era.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::replica::changes::Changes;
 use crate::gateway::replica::entry::{self, Entry};
+use crate::gateway::replica::history;
 use crate::gateway::replica::{MOST_REMOVED, Replica, redacted};
 
 impl Replica {
@@ -23,7 +24,7 @@
         self.outdated.clear();
         self.is_in_doubt = !self.entries.is_empty();
         self.at = page.position();
-        self.floor = page.at;
+        self.history = history::History::since(page.at);
         for item in page.items {
             self.is_in_doubt |= item.era < self.at.era;
             self.reconcile(item, changes);
--- a/crates/node/src/gateway/replica/extract.rs
+++ b/crates/node/src/gateway/replica/extract.rs
@@ -10,7 +10,7 @@
     /// Returns what has changed after `after`; everything when that is no longer known.
     #[must_use]
     pub fn extract(&self, after: position::Position) -> extract::Extract {
-        let is_known = after.era == self.at.era && after.revision >= self.floor;
+        let is_known = after.era == self.at.era && self.history.contains(after.revision);
         let is_whole = !is_known || after.revision == 0;
         let items = self.entries.values().map(|e| &e.item);
         let is_news = |i: &&item::Item| is_whole || i.position() > after;
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod era;
 mod extract;
+mod history;
 
 use std::collections;
 use std::sync;
@@ -48,7 +49,8 @@
     /// The number of the fleet; it outlasts its item, which the store may lose.
     fleet: Option<id::Fleet>,
     at: position::Position,
-    floor: u64,
+    /// Which changes of this era this copy knows one by one.
+    history: history::History,
     is_complete: bool,
     is_in_doubt: bool,
 }
@@ -201,9 +203,9 @@
         }
         // Else what the store no longer holds would come into force with the end of the doubt.
         self.outdated.retain(|key, item| item.revision > page.at || present.contains(key.as_str()));
-        // A whole copy does not list what was removed before it.
-        self.floor = self.floor.max(page.at);
         let at = page.position();
+        // A whole copy does not list what came and went since this one.
+        self.history.skip(self.at.revision, page.at);
         for item in page.items {
             match item.era == self.at.era {
                 true => self.take(item, changes),
@@ -312,7 +314,7 @@
         self.removed.insert((revision, key.to_owned()), content);
         while self.removed.len() > MOST_REMOVED {
             if let Some(((revision, _), _)) = self.removed.pop_first() {
-                self.floor = self.floor.max(revision);
+                self.history.forget(revision);
             }
         }
     }
--- a/crates/node/tests/replica.rs
+++ b/crates/node/tests/replica.rs
@@ -180,6 +180,31 @@
     assert_eq!((names(&behind), behind.at()), (names(&ahead), position(3)));
 }
 
+#[test]
+fn a_node_as_far_as_before_a_whole_copy_is_told_what_changed() {
+    let mut ahead = replica::Replica::default();
+    ahead.replace(page(
+        vec![item("servers/a", 1, Some(&entry(1))), item("servers/b", 2, Some(&entry(2)))],
+        2,
+    ));
+    let (mut behind, mut between) = (ahead.clone(), ahead.clone());
+    // Only this one sees an entry that comes and goes while the store drops its history.
+    between.merge(page(vec![item("servers/c", 3, Some(&entry(3)))], 3));
+    ahead.replace(page(
+        vec![item("servers/b", 2, Some(&entry(2))), item("servers/d", 5, Some(&entry(4)))],
+        6,
+    ));
+    let extract = ahead.extract(behind.at());
+    assert!(!extract.is_whole);
+    assert_eq!(extract.page.items.len(), 2);
+    behind.merge_extract(extract);
+    assert_eq!((names(&behind), behind.at()), (names(&ahead), position(6)));
+    let extract = ahead.extract(between.at());
+    assert!(extract.is_whole);
+    between.merge_extract(extract);
+    assert_eq!((names(&between), between.at()), (names(&ahead), position(6)));
+}
+
 #[test]
 fn a_node_that_knows_nothing_is_told_everything() {
     let mut ahead = replica::Replica::default();
