What a gateway knows of the nodes is counted as it changes, and handed over once a tick

Cause: each heartbeat sent, and each node that became known, copied the names of all listed nodes, counted them in sets by name, and sorted the region's by a hash made anew at each comparison: at a start that is the members times the members. A heartbeat was decoded twice.

--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -90,11 +90,13 @@
         };
         let _timer = metrics::Timer::start(&state.metrics.control_micros);
         state.metrics.control_bytes_received.add(length as u64);
-        if is_foreign(&state, from, &buffer[..length], Instant::now()) {
+        let datagram = &buffer[..length];
+        let member = datagram::read(datagram);
+        if is_foreign(&state, from, member.as_ref(), Instant::now()) {
             state.metrics.foreign.add(1);
             continue;
         }
-        if let Err(error) = apply(&state, &socket, &buffer[..length]) {
+        if let Err(error) = apply(&state, &socket, datagram, member) {
             state.metrics.malformed_datagrams.add(1);
             faults.log(Some(from), &error, Instant::now());
         }
@@ -102,8 +104,13 @@
 }
 
 /// Returns whether a datagram comes from a node of another fleet; only heartbeats say so, and other datagrams from there count as its.
-fn is_foreign(state: &state::State, from: net::SocketAddr, datagram: &[u8], now: Instant) -> bool {
-    let Some(member) = datagram::read(datagram) else {
+fn is_foreign(
+    state: &state::State,
+    from: net::SocketAddr,
+    member: Option<&member::Member>,
+    now: Instant,
+) -> bool {
+    let Some(member) = member else {
         return state.foreign.contains(from, now);
     };
     if membership::is_of(state.fleet(), member.fleet) {
@@ -118,16 +125,20 @@
     true
 }
 
-/// Applies a datagram of another node.
-fn apply(state: &state::State, socket: &UdpSocket, datagram: &[u8]) -> anyhow::Result<()> {
+/// Applies a datagram of another node, `member` if it is a heartbeat.
+fn apply(
+    state: &state::State,
+    socket: &UdpSocket,
+    datagram: &[u8],
+    member: Option<member::Member>,
+) -> anyhow::Result<()> {
     anyhow::ensure!(datagram.len() <= LARGEST, "longer than {LARGEST} bytes");
     match datagram {
         [wire::gateway::loads::MARK, loads @ ..] => Ok(loads::receive(state, loads)?),
         [wire::gateway::quarantine::MARK, report @ ..] => Ok(quarantine::receive(state, report)?),
         [wire::gateway::facts::MARK, facts @ ..] => Ok(facts::receive(state, facts)?),
         [wire::gateway::heartbeat::MARK, ..] => {
-            let member = datagram::read(datagram).context("no heartbeat")?;
-            take_heartbeat(state, socket, member);
+            take_heartbeat(state, socket, member.context("no heartbeat")?);
             Ok(())
         }
         [mark, ..] => anyhow::bail!("unknown mark {mark}, perhaps of a later version"),
@@ -147,7 +158,8 @@
     let is_new = state.members.borrow_mut().record(member, Instant::now());
     if is_new {
         log::info!(peer = name.as_str(); "peer-alive");
-        state.update_nodes();
+        // The next tick tells the dispatcher: at a start, hundreds become known at once.
+        state.has_new_nodes.set(true);
     }
 }
 
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -6,6 +6,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time::{Duration, Instant};
 
 use model::id;
@@ -39,6 +40,11 @@
     region: id::Region,
     known: collections::BTreeMap<id::Node, Known>,
     listed: collections::BTreeMap<id::Node, Listed>,
+    /// Names of the listed nodes, by region.
+    listed_names: sync::Arc<collections::BTreeMap<id::Region, Vec<id::Node>>>,
+    /// Other nodes, living or listed.
+    count: usize,
+    /// Those of this node's region among them.
     near_count: usize,
 }
 
@@ -50,6 +56,8 @@
             region,
             known: collections::BTreeMap::new(),
             listed: collections::BTreeMap::new(),
+            listed_names: sync::Arc::default(),
+            count: 0,
             near_count: 0,
         }
     }
@@ -64,9 +72,17 @@
             return false;
         }
         let was_alive = before.is_some_and(|known| self.is_alive(known, now));
+        let is_near = member.region == self.region;
+        let before = before.map(|known| known.member.region == self.region);
+        let listed = self.listed.get(&member.node).map(|listed| listed.region == self.region);
         self.known.insert(member.node.clone(), Known { member, received: now });
-        if !was_alive {
-            self.near_count = self.count_near();
+        match (before, listed) {
+            (None, None) => {
+                self.count += 1;
+                self.near_count += usize::from(is_near);
+            }
+            (before, listed) if before.or(listed) != Some(is_near) => self.count_again(),
+            _ => {}
         }
         !was_alive
     }
@@ -74,7 +90,13 @@
     /// Replaces the nodes that the store lists.
     pub fn set_listed(&mut self, listed: collections::BTreeMap<id::Node, Listed>) {
         self.listed = listed;
-        self.near_count = self.count_near();
+        let mut names: collections::BTreeMap<id::Region, Vec<id::Node>> =
+            collections::BTreeMap::new();
+        for (node, listed) in &self.listed {
+            names.entry(listed.region.clone()).or_default().push(node.clone());
+        }
+        self.listed_names = sync::Arc::new(names);
+        self.count_again();
     }
 
     /// Returns the nodes that the store lists.
@@ -82,12 +104,21 @@
         self.listed.iter()
     }
 
+    /// Returns the names of the nodes that the store lists, by region.
+    #[must_use]
+    pub fn listed_names(&self) -> &sync::Arc<collections::BTreeMap<id::Region, Vec<id::Node>>> {
+        &self.listed_names
+    }
+
     /// Forgets nodes that have long been silent.
     pub fn forget(&mut self, now: Instant) {
         let is_recent =
             |known: &Known| now.saturating_duration_since(known.received) < gossip::FORGOTTEN_AFTER;
+        let before = self.known.len();
         self.known.retain(|_, known| is_recent(known));
-        self.near_count = self.count_near();
+        if self.known.len() < before {
+            self.count_again();
+        }
     }
 
     /// Returns the living nodes.
@@ -109,9 +140,7 @@
     /// Returns how many other nodes there are, living or listed.
     #[must_use]
     pub fn count(&self) -> usize {
-        let names: collections::BTreeSet<&id::Node> =
-            self.known.keys().chain(self.listed.keys()).collect();
-        names.len()
+        self.count
     }
 
     /// Returns how many other nodes of this node's region there are, living or listed.
@@ -120,11 +149,16 @@
         self.near_count
     }
 
-    fn count_near(&self) -> usize {
+    /// Counts the nodes; one that is both known and listed counts once.
+    fn count_again(&mut self) {
         let known = self.known.values().map(|k| (&k.member.node, &k.member.region));
-        let listed = self.listed.iter().map(|(node, listed)| (node, &listed.region));
-        let near = known.chain(listed).filter(|(_, region)| **region == self.region);
-        near.map(|(node, _)| node).collect::<collections::BTreeSet<_>>().len()
+        let unknown = self.listed.iter().filter(|(node, _)| !self.known.contains_key(*node));
+        let listed = unknown.map(|(node, listed)| (node, &listed.region));
+        let (near, far): (Vec<&id::Region>, Vec<&id::Region>) = known
+            .chain(listed)
+            .map(|(_, region)| region)
+            .partition(|region| **region == self.region);
+        (self.count, self.near_count) = (near.len() + far.len(), near.len());
     }
 
     /// Returns the time between two heartbeats.
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -71,6 +71,8 @@
     doubt: cell::Cell<Option<(u64, Instant)>>,
     /// Whether this node watches the store itself.
     is_watching: cell::Cell<bool>,
+    /// Whether nodes became known since the dispatcher was told the nodes.
+    pub has_new_nodes: cell::Cell<bool>,
     /// Addresses of other fleets' nodes.
     pub foreign: foreign::Addresses,
     /// Counters and latencies.
@@ -136,6 +138,7 @@
             doubt: cell::Cell::new(None),
             era_changed: Notify::new(),
             is_watching: cell::Cell::new(false),
+            has_new_nodes: cell::Cell::new(false),
             foreign: foreign::Addresses::default(),
             metrics: metrics::Metrics::default(),
             is_complete: cell::Cell::new(false),
@@ -251,6 +254,9 @@
     /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
+        if self.has_new_nodes.take() {
+            self.update_nodes();
+        }
         let mut dispatcher = self.dispatcher.borrow_mut();
         let lapsed = dispatcher.lapsed().clone();
         dispatcher.tick(now);
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -2,7 +2,7 @@
 //!
 //! Relies on [`steer::dispatch::fleet`] for each decision; here the members only become its inputs.
 
-use std::collections;
+use std::sync;
 use std::time::{Duration, Instant};
 
 use model::id;
@@ -79,13 +79,10 @@
         let now = Instant::now();
         let members = self.members.borrow();
         let me = self.me.borrow();
-        let mut owners = slow_start_owner::Owners {
+        let owners = slow_start_owner::Owners {
             near: members.active(&me, now).into_iter().map(|m| m.node.clone()).collect(),
-            listed: collections::BTreeMap::new(),
+            listed: sync::Arc::clone(members.listed_names()),
         };
-        for (node, listed) in members.listed() {
-            owners.listed.entry(listed.region.clone()).or_default().push(node.clone());
-        }
         let others = members.count();
         self.dispatcher.borrow_mut().set_nodes(owners, others + 1, now);
         drop(members);
--- a/crates/steer/src/dispatch/fleet/active_set.rs
+++ b/crates/steer/src/dispatch/fleet/active_set.rs
@@ -53,22 +53,25 @@
     }
 
     /// Sort key: highest capacity first, ties broken by a hash of the ID so that the order
-    /// interleaves halls.
-    fn sort_key(&self) -> (cmp::Reverse<u32>, u64, &id::Node) {
+    /// interleaves halls. Equal keys are ordered by ID.
+    fn sort_key(&self) -> (cmp::Reverse<u32>, u64) {
         let hash = xxh3::xxh3_64(self.name.as_str().as_bytes());
         let capacity = if self.capacity == 0 { DEFAULT_CAPACITY } else { self.capacity };
-        (cmp::Reverse(capacity), hash, self.name)
+        (cmp::Reverse(capacity), hash)
     }
 }
 
 /// Returns the active set of a region, given its serving `nodes`.
 ///
 /// `report` returns what a node reports about itself.
-pub fn select<T>(mut nodes: Vec<T>, report: impl Fn(&T) -> Node<'_>) -> Vec<T> {
+pub fn select<T>(nodes: Vec<T>, report: impl Fn(&T) -> Node<'_>) -> Vec<T> {
     if nodes.len() <= MIN_NODES {
         return nodes;
     }
-    nodes.sort_by(|a, b| report(a).sort_key().cmp(&report(b).sort_key()));
+    let mut keyed: Vec<_> =
+        nodes.into_iter().map(|node| (report(&node).sort_key(), node)).collect();
+    keyed.sort_by(|(a, x), (b, y)| a.cmp(b).then_with(|| report(x).name.cmp(report(y).name)));
+    let mut nodes: Vec<T> = keyed.into_iter().map(|(_, node)| node).collect();
     let count = active_count(&nodes.iter().map(report).collect::<Vec<_>>());
     nodes.truncate(count);
     nodes
--- a/crates/steer/src/dispatch/slow_start_owner.rs
+++ b/crates/steer/src/dispatch/slow_start_owner.rs
@@ -5,6 +5,7 @@
 //! nodes are distributed over the listed nodes of all regions.
 
 use std::collections;
+use std::sync;
 
 use model::id;
 use xxhash_rust::xxh3;
@@ -15,7 +16,7 @@
     /// Live nodes of this node's region, including itself.
     pub near: Vec<id::Node>,
     /// Listed nodes, by region.
-    pub listed: collections::BTreeMap<id::Region, Vec<id::Node>>,
+    pub listed: sync::Arc<collections::BTreeMap<id::Region, Vec<id::Node>>>,
 }
 
 impl Owners {
--- a/crates/steer/tests/dispatch/slow_start.rs
+++ b/crates/steer/tests/dispatch/slow_start.rs
@@ -54,7 +54,7 @@
     let (north, south) = (id::Region::new("north"), id::Region::new("south"));
     let listed: collections::BTreeMap<_, _> =
         [(north.clone(), names(&["n-1", "n-2"])), (south.clone(), names(&["s-1"]))].into();
-    let owners = slow_start_owner::Owners { near: names(&["n-1", "n-2"]), listed };
+    let owners = slow_start_owner::Owners { near: names(&["n-1", "n-2"]), listed: listed.into() };
     for index in 0..50 {
         let upstream = id::Upstream::new(&format!("i-{index}"));
         let owner = |region| owners.of(&upstream, region, &north);
