An extract for a node that is a little behind looks at what was written, not at every entry

Cause: each position that a node asks from made the one that is asked walk all entries of its copy: 170 µs at 10,000 upstreams, 7 ms at 100,000, for each node of the region that is behind at another revision.

Change: replica::history keeps the keys of the latest 2,048 writes; whoever is further behind has all entries looked through, as before.

--- a/crates/node/src/gateway/replica/extract.rs
+++ b/crates/node/src/gateway/replica/extract.rs
@@ -4,6 +4,7 @@
 use platform::store::{item, position};
 use wire::gateway::extract;
 
+use crate::gateway::replica::entry::Entry;
 use crate::gateway::replica::{Changes, Replica};
 
 impl Replica {
@@ -12,9 +13,14 @@
     pub fn extract(&self, after: position::Position) -> extract::Extract {
         let is_known = after.era == self.at.era && self.history.contains(after.revision);
         let is_whole = !is_known || after.revision == 0;
-        let items = self.entries.values().map(|e| &e.item);
+        let written = if is_whole { None } else { self.history.written_after(after.revision) };
+        let entries: Box<dyn Iterator<Item = &Entry>> = match written {
+            Some(keys) => Box::new(keys.into_iter().filter_map(|key| self.entries.get(key))),
+            None => Box::new(self.entries.values()),
+        };
         let is_news = |i: &&item::Item| is_whole || i.position() > after;
-        let mut items: Vec<item::Item> = items.filter(is_news).cloned().collect();
+        let mut items: Vec<item::Item> =
+            entries.map(|entry| &entry.item).filter(is_news).cloned().collect();
         match is_whole {
             true => items.extend(self.outdated.values().map(|i| self.marked(i))),
             false => items.extend(self.removed_after(after.revision)),
--- a/crates/node/src/gateway/replica/history.rs
+++ b/crates/node/src/gateway/replica/history.rs
@@ -9,6 +9,9 @@
 /// Gaps that are remembered; the oldest are forgotten with all that was before them.
 const MAX_GAPS: usize = 32;
 
+/// Writes that are remembered; whoever is further behind has all entries looked through.
+const MAX_WRITES: usize = 2_048;
+
 /// What a copy knows of the changes of one era.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -16,13 +19,17 @@
     floor: u64,
     /// Revisions between which changes are not known, without the first and the last of each.
     gaps: collections::VecDeque<(u64, u64)>,
+    /// The latest writes: their revisions, and the keys that were written.
+    writes: collections::BTreeSet<(u64, String)>,
+    /// Revision after which every write is among them.
+    writes_after: u64,
 }
 
 impl History {
     /// Returns a history that begins at a revision.
     #[must_use]
     pub fn since(revision: u64) -> Self {
-        Self { floor: revision, gaps: collections::VecDeque::new() }
+        Self { floor: revision, writes_after: revision, ..Self::default() }
     }
 
     /// Returns whether every change after `revision` is known.
@@ -45,6 +52,27 @@
         }
     }
 
+    /// Notes that a key was written.
+    pub fn write(&mut self, revision: u64, key: &str) {
+        if revision <= self.writes_after {
+            return;
+        }
+        self.writes.insert((revision, key.to_owned()));
+        if self.writes.len() > MAX_WRITES
+            && let Some((revision, _)) = self.writes.pop_first()
+        {
+            self.writes_after = revision;
+        }
+    }
+
+    /// Returns the keys that were written after `revision`, some of them more than once or removed since; none
+    /// where that is no longer known.
+    #[must_use]
+    pub fn written_after(&self, revision: u64) -> Option<collections::BTreeSet<&str>> {
+        let writes = self.writes.range((revision + 1, String::new())..);
+        (revision >= self.writes_after).then(|| writes.map(|(_, key)| key.as_str()).collect())
+    }
+
     /// Forgets what was before a revision.
     pub fn forget(&mut self, revision: u64) {
         self.floor = self.floor.max(revision);
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -254,6 +254,9 @@
         };
         self.removed_before.remove(&item.key);
         self.outdated.remove(&item.key);
+        if item.era == self.at.era {
+            self.history.write(item.revision, &item.key);
+        }
         self.entries.insert(item.key.clone(), Entry { item, fact: known });
     }
 
