Wording: heartbeats, members, the copy of the store and the state of a gateway

Whole files that the fleet touches: heartbeat, members, catch_up, extracts, peer, facts, replica, state and state::nodes.

--- a/crates/node/src/common/log_writer.rs
+++ b/crates/node/src/common/log_writer.rs
@@ -10,19 +10,19 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Lines that may wait for the output; one more is dropped and counted. Not measured.
+/// Lines that may wait for the output; one more is dropped and counted.
 const WAITING: usize = 1_024;
 
-/// Lines a second in the long run; more are dropped and counted. Not measured.
+/// Lines a second in the long run; more are dropped and counted.
 const RATE: f64 = 200.0;
 
-/// Lines that may be logged at once. Not measured.
+/// Lines that may be logged at once.
 const BURST: f64 = 600.0;
 
-/// Longest time that a flush waits for the output. Not measured.
+/// Longest time that a flush waits for the output.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
-/// Period at which a flush checks whether the output has caught up. Not measured.
+/// Period at which a flush checks whether the output has caught up.
 const FLUSH_LOOK: Duration = Duration::from_millis(2);
 
 /// Collects lines and hands them to a thread of its own.
--- a/crates/node/src/common/socket.rs
+++ b/crates/node/src/common/socket.rs
@@ -11,13 +11,13 @@
 use tokio::net::TcpStream;
 use tower::util;
 
-/// Time after which bytes that a client does not acknowledge end its connection. Not measured.
+/// Time after which bytes that a client does not acknowledge end its connection.
 pub const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
 
-/// Time between two pings on an HTTP/2 connection whose client is silent. Not measured.
+/// Time between two pings on an HTTP/2 connection whose client is silent.
 pub const PING_EVERY: Duration = Duration::from_secs(5);
 
-/// Time after which a ping without an answer ends the connection. Not measured.
+/// Time after which a ping without an answer ends the connection.
 pub const PING_TIME: Duration = Duration::from_secs(5);
 
 /// Silence on a connection to an upstream after which it is probed.
@@ -30,7 +30,7 @@
 /// Time between two such probes; the operating system takes whole seconds. Measured with [`PROBE_AFTER`].
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
-/// Probes without an answer after which the connection breaks. Not measured alone.
+/// Probes without an answer after which the connection breaks.
 const MOST_PROBES: u32 = 3;
 
 /// A socket as the HTTP library holds it.
--- a/crates/node/src/common/store/accept.rs
+++ b/crates/node/src/common/store/accept.rs
@@ -20,11 +20,10 @@
 /// Key of the configuration.
 pub const KEY: &str = "config";
 
-/// Times a change is tried against other operators' changes, or read back after a lost answer. Not
-/// measured.
+/// Times a change is tried against other operators' changes, or read back after a lost answer.
 const TRIES: u32 = 6;
 
-/// Pause before the configuration is read again after a lost answer; it doubles. Not measured.
+/// Pause before the configuration is read again after a lost answer; it doubles.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// What became of a change.
--- a/crates/node/src/common/store/client.rs
+++ b/crates/node/src/common/store/client.rs
@@ -18,16 +18,16 @@
 
 use crate::common::store::edge;
 
-/// Time for an answer, beside what a watch waits. Not measured.
+/// Time for an answer, beside what a watch waits.
 const CALL_TIME: Duration = Duration::from_secs(2);
 
-/// Time to make a connection. Not measured.
+/// Time to make a connection.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 
 /// Most connections that rest. Few, since each of them may have fallen silent, and costs the time of a call then.
 const MOST_RESTING: usize = 1;
 
-/// Largest value that is read, in bytes. Not measured.
+/// Largest value that is read, in bytes.
 const LARGEST_VALUE: usize = 2 << 20;
 
 /// Header that carries a value's revision.
--- a/crates/node/src/gateway/catch_up.rs
+++ b/crates/node/src/gateway/catch_up.rs
@@ -1,4 +1,4 @@
-//! Fetches changes of the store from other nodes while this one is behind.
+//! Fetches changes of the store from other nodes while this node's copy is behind theirs.
 //!
 //! Owns the exchanges in progress. Relies on [`steer::dispatch::fleet::catch_up`] for when nodes are asked, which
 //! ones, and how many at a time.
@@ -21,10 +21,10 @@
 use crate::gateway::state;
 use crate::gateway::state::update;
 
-/// A node that may be asked, and what its answer counts as.
+/// Address of a node that may be asked, and the source that its response counts as.
 type Asked = (net::SocketAddr, update::Source);
 
-/// Exchanges in progress, by the node that is asked, with when each began.
+/// Start times of the exchanges in progress, by the address of the node that is asked.
 #[derive(Debug, Default)]
 struct Exchanges(cell::RefCell<collections::BTreeMap<net::SocketAddr, Instant>>);
 
@@ -41,7 +41,7 @@
         self.0.borrow().contains_key(&node)
     }
 
-    /// Returns whether one more node may be asked.
+    /// Returns whether another exchange may start.
     fn has_room(&self, now: Instant) -> bool {
         let began = self.0.borrow();
         let latest = began.values().max().map(|began| now.saturating_duration_since(*began));
@@ -72,7 +72,7 @@
         if sources.is_empty() {
             continue;
         }
-        // Any of them: the nodes of a region are behind together, and one alone could not serve all.
+        // A random one, because the nodes of a region are behind at the same time and would overload a single node.
         let source = sources[rand::rng().random_range(0..sources.len())];
         exchanges.begin(source.0, now);
         let (state, exchanges) = (rc::Rc::clone(&state), rc::Rc::clone(&exchanges));
@@ -87,14 +87,14 @@
     }
 }
 
-/// Returns whether another node has a newer copy, or this node has none at all.
+/// Returns whether another node has a newer copy, or this node's copy is incomplete.
 fn is_behind(state: &state::State, now: Instant) -> bool {
     let at = state.replica.borrow().at();
     let is_ahead = |m: &member::Member| m.position() > at;
     !state.replica.borrow().is_complete() || state.members.borrow().alive(now).any(is_ahead)
 }
 
-/// Returns the nodes that may be asked for changes, those left out that are being asked.
+/// Returns the nodes that may be asked for changes, except those being asked already.
 fn sources(state: &state::State, exchanges: &Exchanges, now: Instant) -> Vec<Asked> {
     let at = state.replica.borrow().at();
     let members = state.members.borrow();
--- a/crates/node/src/gateway/control_server.rs
+++ b/crates/node/src/gateway/control_server.rs
@@ -21,10 +21,10 @@
 use crate::gateway::directory;
 use crate::gateway::state;
 
-/// Pause after a failure to accept, such as too many open files. Not measured.
+/// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest time a connection may rest or take to send a head. Not measured.
+/// Longest time a connection may rest or take to send a head.
 const HEAD_TIME: Duration = Duration::from_secs(30);
 
 /// Serves short answers until the task ends.
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -24,13 +24,13 @@
 
 /// Longest time one watch waits.
 ///
-/// One that the store never answers delays a configuration until it is given up. Not measured.
+/// One that the store never answers delays a configuration until it is given up.
 const WAIT: Duration = Duration::from_secs(3);
 
-/// Period at which drains are checked, which begin and end by the time of day. Not measured.
+/// Period at which drains are checked, which begin and end by the time of day.
 const DRAIN_LOOK: Duration = Duration::from_secs(1);
 
-/// Pause after a call that failed. Not measured.
+/// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_secs(1);
 
 /// Follows the declarations until the task ends.
--- a/crates/node/src/gateway/extracts.rs
+++ b/crates/node/src/gateway/extracts.rs
@@ -1,4 +1,4 @@
-//! Extracts of the store's copy as other nodes get them: compressed when long, and cached.
+//! Extracts: encoded changes of this node's copy of the store for other nodes, compressed and cached.
 //!
 //! Owns the encoding and a small cache, since many nodes ask for the same changes at once.
 
@@ -11,20 +11,19 @@
 
 use crate::gateway::replica;
 
-/// Extracts that are cached; nodes that are behind ask from a few revisions. Not measured.
+/// Number of cached extracts; the nodes that are behind ask from only a few revisions.
 const MOST_KEPT: usize = 4;
 
-/// Largest extract after decompression, in bytes, so that a small answer cannot fill the memory. Not
-/// measured.
+/// Maximum size of a decompressed extract, in bytes, so that a small response cannot exhaust memory.
 const LARGEST: u64 = 64 * 1_024 * 1_024;
 
-/// Length from which extracts are compressed, in bytes. Not measured.
+/// Minimum size of an extract that is compressed, in bytes.
 const SMALLEST_COMPRESSED: usize = 16 * 1_024;
 
-/// First bytes of what is compressed (RFC 1952, section 2.3.1).
+/// First bytes of a compressed extract (RFC 1952, section 2.3.1).
 const COMPRESSED: [u8; 2] = [0x1f, 0x8b];
 
-/// An extract, and the positions between which it holds the changes.
+/// An encoded extract with the range of positions that it covers.
 #[derive(Clone, Debug)]
 struct Kept {
     after: position::Position,
@@ -32,18 +31,18 @@
     bytes: Bytes,
 }
 
-/// Extracts that were asked for lately.
+/// Recently requested extracts.
 #[derive(Clone, Debug, Default)]
 pub struct Extracts {
     kept: collections::VecDeque<Kept>,
 }
 
 impl Extracts {
-    /// Returns what changed in `replica` after `after`, encoded.
+    /// Returns the encoded changes of `replica` after `after`.
     ///
     /// # Errors
     ///
-    /// Fails when it cannot be encoded, which would be a bug.
+    /// Fails if the extract cannot be encoded, which would be a bug.
     pub fn get(
         &mut self,
         replica: &replica::Replica,
@@ -62,11 +61,11 @@
     }
 }
 
-/// Encodes an extract as JSON, compressed when it is long.
+/// Encodes an extract as JSON, compressed if it is at least [`SMALLEST_COMPRESSED`] bytes long.
 ///
 /// # Errors
 ///
-/// Fails when it cannot be encoded, which would be a bug.
+/// Fails if the extract cannot be encoded, which would be a bug.
 pub fn encode(extract: &extract::Extract) -> io::Result<Vec<u8>> {
     let text = serde_json::to_vec(extract)?;
     if text.len() < SMALLEST_COMPRESSED {
@@ -77,11 +76,11 @@
     encoder.finish()
 }
 
-/// Reads what [`encode`] wrote.
+/// Decodes the output of [`encode`].
 ///
 /// # Errors
 ///
-/// Fails when `bytes` are not an extract, or one that is too large.
+/// Fails if `bytes` do not contain an extract or it exceeds the maximum size.
 pub fn decode(bytes: &[u8]) -> io::Result<extract::Extract> {
     if !bytes.starts_with(&COMPRESSED) {
         return Ok(serde_json::from_slice(bytes)?);
--- a/crates/node/src/gateway/facts.rs
+++ b/crates/node/src/gateway/facts.rs
@@ -1,6 +1,7 @@
-//! Facts: datagrams with all that a node knows, for another one that missed some of it.
+//! Facts: datagrams with all leaving upstreams known to a node, for a node that missed some.
 //!
-//! Owns their form, and sends them where a heartbeat shows a difference. Relies on [`repair`] for which nodes answer.
+//! Defines their format and sends them when a heartbeat contains a different digest. [`repair`] decides which
+//! nodes respond.
 
 use std::error;
 use std::fmt;
@@ -18,10 +19,10 @@
 use crate::gateway::member;
 use crate::gateway::state;
 
-/// Most upstreams of one datagram; some 3 KB.
+/// Maximum number of upstreams in one datagram, about 3 KB.
 const MOST_LEAVING: usize = 64;
 
-/// Answers the heartbeat of a node that does not know the same, if it is this node's turn.
+/// Responds to a heartbeat with a different digest, if this node is among the responders.
 pub fn answer(state: &state::State, socket: &UdpSocket, sender: &member::Member) {
     let own = state.dispatcher.borrow().leaving_digest();
     let is_near = sender.region == state.me.borrow().region;
@@ -35,14 +36,14 @@
     }
     let leavings = state.dispatcher.borrow().all_leavings(Instant::now());
     for datagram in encode(&state.me.borrow().node, &leavings) {
-        // As good as a lost datagram: the next heartbeat shows the difference again.
+        // A send error is treated like a lost datagram: the next heartbeat contains the difference again.
         let _ = socket.try_send_to(&datagram, sender.peers);
         state.metrics.control_bytes.add(datagram.len() as u64);
         state.metrics.repairs.add(1);
     }
 }
 
-/// Writes what `node` knows as one datagram, or as several when it is long; as none when it is nothing.
+/// Encodes the leaving upstreams known to `node` as datagrams of at most [`MOST_LEAVING`] upstreams each.
 #[must_use]
 pub fn encode(node: &id::Node, leavings: &[leaving::Announcement]) -> Vec<Vec<u8>> {
     let part = |leavings: &[leaving::Announcement]| {
@@ -57,11 +58,11 @@
     leavings.chunks(MOST_LEAVING).map(part).collect()
 }
 
-/// Applies what another node knows; the datagram comes without its mark.
+/// Applies a datagram of another node, without its mark.
 ///
 /// # Errors
 ///
-/// Fails when it cannot be read; nothing is lost, since the next heartbeat shows the difference again.
+/// Fails if the datagram is malformed; the next heartbeat shows the difference again.
 pub fn receive(state: &state::State, datagram: &[u8]) -> Result<(), Malformed> {
     let message = message::Facts::decode(datagram).map_err(Malformed::NotReadable)?;
     let sender = id::Node::new(&message.node);
@@ -74,14 +75,14 @@
     Ok(())
 }
 
-/// Why a datagram cannot be applied.
+/// Reason why a datagram cannot be applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Malformed {
-    /// Its bytes are no such message.
+    /// The bytes cannot be decoded.
     NotReadable(prost::DecodeError),
-    /// It has so many names, and so many figures for them.
+    /// Parallel lists differ in length: the number of names and of values.
     Uneven(usize, usize),
-    /// No heartbeat came from its sender, and the store does not list it.
+    /// The sender is neither known from heartbeats nor registered in the store.
     Unknown(id::Node),
 }
 
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -20,13 +20,13 @@
 use crate::gateway::quarantine;
 use crate::gateway::state;
 
-/// Pause after a failed receive, so that a lasting failure does not spin. Not measured.
+/// Pause after a failed receive, so that a persistent failure does not keep the thread busy.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time in which one malformed datagram is logged; the others are counted. Not measured.
+/// Interval in which one malformed datagram is logged; the others are counted.
 const FAULT_PERIOD: Duration = Duration::from_secs(1);
 
-/// Largest datagram that is read, in bytes. Not measured; above any heartbeat or load report.
+/// Maximum size of a datagram, in bytes; larger than any heartbeat or load report.
 const LARGEST: usize = 16_384;
 
 /// Sends heartbeats until the task ends.
@@ -50,7 +50,7 @@
         if gossip::is_pause_due(index) {
             tokio::time::sleep(gossip::BURST_PAUSE).await;
         }
-        // As good as a lost datagram: the next heartbeat replaces it.
+        // A send error is treated like a lost datagram: the next heartbeat replaces it.
         let _ = socket.send_to(&datagram, *address).await;
         state.metrics.heartbeats.add(1);
         state.metrics.control_bytes.add(datagram.len() as u64);
@@ -66,7 +66,7 @@
     let (members, me) = (state.members.borrow(), state.me.borrow());
     let now = Instant::now();
     let mut addresses = members.addresses(&me.node, me.sequence, now);
-    // Seeds help to find the others; afterwards they are nodes like any other.
+    // The seeds are only needed until enough other nodes are known.
     if members.alive(now).count() < settings.seeds.len() {
         addresses.extend(settings.seeds.iter().copied());
     }
@@ -76,7 +76,7 @@
 
 /// Receives heartbeats until the task ends.
 pub async fn receive(state: rc::Rc<state::State>, socket: rc::Rc<UdpSocket>) {
-    // One byte more than the largest, so that a longer datagram is not taken for what its beginning says.
+    // One byte more than the maximum, so that a truncated datagram is recognized as too long.
     let mut buffer = vec![0; LARGEST + 1];
     let mut faults = Faults::default();
     loop {
@@ -103,7 +103,9 @@
     }
 }
 
-/// Returns whether a datagram comes from a node of another fleet; only heartbeats say so, and other datagrams from there count as its.
+/// Returns whether a datagram was sent by a node of another fleet.
+///
+/// Only heartbeats contain the fleet number; other datagrams are attributed by their source address.
 fn is_foreign(
     state: &state::State,
     from: net::SocketAddr,
@@ -125,7 +127,7 @@
     true
 }
 
-/// Applies a datagram of another node, `member` if it is a heartbeat.
+/// Applies a datagram of another node; `member` is its content if it is a heartbeat.
 fn apply(
     state: &state::State,
     socket: &UdpSocket,
@@ -158,12 +160,12 @@
     let is_new = state.members.borrow_mut().record(member, Instant::now());
     if is_new {
         log::info!(peer = name.as_str(); "peer-alive");
-        // The next tick tells the dispatcher: at a start, hundreds become known at once.
+        // The next tick updates the dispatcher: when a fleet starts, hundreds of nodes become known together.
         state.has_new_nodes.set(true);
     }
 }
 
-/// Faults of receiving, of which one line a period is logged.
+/// Receive errors and malformed datagrams, of which one per [`FAULT_PERIOD`] is logged.
 #[derive(Debug, Default)]
 struct Faults {
     logged: Option<Instant>,
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -1,4 +1,4 @@
-//! Members: the nodes of the fleet as this node knows them, and which of them are alive.
+//! Members: the other nodes of the fleet that this node knows, and which of them are alive.
 //!
 //! Owns the latest heartbeat of each node and the nodes that the store lists. Relies on
 //! [`steer::dispatch::fleet`] for periods, for when a node counts as dead, and for the representatives of a
@@ -16,40 +16,40 @@
 
 use crate::gateway::member;
 
-/// A node, and when its latest heartbeat arrived.
+/// A node and the time of its latest heartbeat.
 #[derive(Clone, Debug)]
 struct Known {
     member: member::Member,
     received: Instant,
 }
 
-/// A node that the store lists, alive or not.
+/// A node registered in the store, alive or not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
-    /// Its region.
+    /// Region of the node.
     pub region: id::Region,
-    /// Its address for callers.
+    /// Address for callers.
     pub callers: net::SocketAddr,
-    /// Its address for peers.
+    /// Address for other nodes.
     pub peers: net::SocketAddr,
 }
 
-/// The nodes of the fleet as this node knows them, itself left out.
+/// The other nodes of the fleet that this node knows.
 #[derive(Clone, Debug)]
 pub struct Members {
     region: id::Region,
     known: collections::BTreeMap<id::Node, Known>,
     listed: collections::BTreeMap<id::Node, Listed>,
-    /// Names of the listed nodes, by region.
+    /// Names of the registered nodes, by region.
     listed_names: sync::Arc<collections::BTreeMap<id::Region, Vec<id::Node>>>,
-    /// Other nodes, living or listed.
+    /// Number of nodes that are known or registered.
     count: usize,
-    /// Those of this node's region among them.
+    /// Number of such nodes in this node's region.
     near_count: usize,
 }
 
 impl Members {
-    /// Makes the members of a node of `region` that knows no other yet.
+    /// Creates the members of a node of `region` without any other node.
     #[must_use]
     pub fn new(region: id::Region) -> Self {
         Self {
@@ -64,7 +64,7 @@
 
     /// Records a heartbeat; returns whether the node was not alive before.
     ///
-    /// A heartbeat that is older than the latest one changes nothing.
+    /// A heartbeat older than the latest one is ignored.
     pub fn record(&mut self, member: member::Member, now: Instant) -> bool {
         let before = self.known.get(&member.node);
         let order = |m: &member::Member| (m.incarnation, m.sequence);
@@ -81,13 +81,13 @@
                 self.count += 1;
                 self.near_count += usize::from(is_near);
             }
-            (before, listed) if before.or(listed) != Some(is_near) => self.count_again(),
+            (before, listed) if before.or(listed) != Some(is_near) => self.recount(),
             _ => {}
         }
         !was_alive
     }
 
-    /// Replaces the nodes that the store lists.
+    /// Replaces the nodes registered in the store.
     pub fn set_listed(&mut self, listed: collections::BTreeMap<id::Node, Listed>) {
         self.listed = listed;
         let mut names: collections::BTreeMap<id::Region, Vec<id::Node>> =
@@ -96,61 +96,61 @@
             names.entry(listed.region.clone()).or_default().push(node.clone());
         }
         self.listed_names = sync::Arc::new(names);
-        self.count_again();
+        self.recount();
     }
 
-    /// Returns the nodes that the store lists.
+    /// Iterates over the nodes registered in the store.
     pub fn listed(&self) -> impl Iterator<Item = (&id::Node, &Listed)> {
         self.listed.iter()
     }
 
-    /// Returns the names of the nodes that the store lists, by region.
+    /// Returns the names of the nodes registered in the store, by region.
     #[must_use]
     pub fn listed_names(&self) -> &sync::Arc<collections::BTreeMap<id::Region, Vec<id::Node>>> {
         &self.listed_names
     }
 
-    /// Forgets nodes that have long been silent.
+    /// Removes nodes without a heartbeat for [`gossip::FORGOTTEN_AFTER`].
     pub fn forget(&mut self, now: Instant) {
         let is_recent =
             |known: &Known| now.saturating_duration_since(known.received) < gossip::FORGOTTEN_AFTER;
         let before = self.known.len();
         self.known.retain(|_, known| is_recent(known));
         if self.known.len() < before {
-            self.count_again();
+            self.recount();
         }
     }
 
-    /// Returns the living nodes.
+    /// Iterates over the live nodes.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &member::Member> {
         self.known.values().filter(move |known| self.is_alive(known, now)).map(|k| &k.member)
     }
 
-    /// Returns the living nodes of this node's region.
+    /// Iterates over the live nodes of this node's region.
     pub fn near(&self, now: Instant) -> impl Iterator<Item = &member::Member> {
         self.alive(now).filter(|member| member.region == self.region)
     }
 
-    /// Returns whether a heartbeat of a node came lately, or the store lists it.
+    /// Returns whether a node sent a heartbeat recently or is registered in the store.
     #[must_use]
     pub fn is_known(&self, node: &id::Node) -> bool {
         self.known.contains_key(node) || self.listed.contains_key(node)
     }
 
-    /// Returns how many other nodes there are, living or listed.
+    /// Returns the number of other nodes that are known or registered.
     #[must_use]
     pub fn count(&self) -> usize {
         self.count
     }
 
-    /// Returns how many other nodes of this node's region there are, living or listed.
+    /// Returns the number of such nodes in this node's region.
     #[must_use]
     pub fn near_count(&self) -> usize {
         self.near_count
     }
 
-    /// Counts the nodes; one that is both known and listed counts once.
-    fn count_again(&mut self) {
+    /// Recomputes the counts; a node that is both known and registered counts once.
+    fn recount(&mut self) {
         let known = self.known.values().map(|k| (&k.member.node, &k.member.region));
         let unknown = self.listed.iter().filter(|(node, _)| !self.known.contains_key(*node));
         let listed = unknown.map(|(node, listed)| (node, &listed.region));
@@ -161,7 +161,7 @@
         (self.count, self.near_count) = (near.len() + far.len(), near.len());
     }
 
-    /// Returns the time between two heartbeats.
+    /// Returns the heartbeat interval.
     #[must_use]
     pub fn period(&self) -> Duration {
         gossip::heartbeat(self.near_count)
@@ -179,31 +179,31 @@
         representatives::is_first(me, self.staying(now).map(|m| &m.node))
     }
 
-    /// Returns the living nodes of this region that do not leave.
+    /// Iterates over the live nodes of this region that are not leaving.
     pub fn staying(&self, now: Instant) -> impl Iterator<Item = &member::Member> {
         self.near(now).filter(|member| !member.is_leaving)
     }
 
-    /// Returns the nodes of this region that look-ups name, `me` among the candidates.
+    /// Returns the active set of this region, with `me` among the candidates.
     #[must_use]
     pub fn active<'a>(&'a self, me: &'a member::Member, now: Instant) -> Vec<&'a member::Member> {
         let serving = self.near(now).chain([me]).filter(|member| member.is_serving());
         active_set::select(serving.collect(), |member| member.said())
     }
 
-    /// Returns the living representatives of this region, this node left out.
+    /// Iterates over the live representatives of this region other than this node.
     pub fn near_representatives(&self, now: Instant) -> impl Iterator<Item = &member::Member> {
         self.staying(now).take(representatives::PER_REGION)
     }
 
-    /// Returns the living representatives of other regions; one that leaves is none in its own region either.
+    /// Returns the live representatives of other regions; a leaving node does not represent its region.
     #[must_use]
     pub fn far_representatives(&self, now: Instant) -> Vec<&member::Member> {
         let far = self.alive(now).filter(|m| m.region != self.region && !m.is_leaving);
         representatives::of_regions(far.map(|m| (&m.region, m)))
     }
 
-    /// Returns the addresses to send the `turn`-th heartbeat of `me` to.
+    /// Returns the addresses that the `turn`-th heartbeat of `me` is sent to.
     #[must_use]
     pub fn addresses(
         &self,
@@ -222,7 +222,7 @@
         addresses
     }
 
-    /// Returns listed nodes of regions whose representatives are not all known, others at each turn.
+    /// Returns registered nodes of regions whose representatives are not all known; different ones at each turn.
     fn contacts(&self, turn: u64, now: Instant) -> Vec<net::SocketAddr> {
         let regions: collections::BTreeSet<&id::Region> =
             self.listed.values().map(|listed| &listed.region).collect();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -11,10 +11,10 @@
 use crate::gateway::organisation_metrics;
 use crate::gateway::unknown_headers;
 
-/// Largest latency that the histogram distinguishes, in microseconds: a minute. Not measured.
+/// Largest latency that the histogram distinguishes, in microseconds: a minute.
 const LONGEST_MICROS: u64 = 60_000_000;
 
-/// Significant digits of the histogram; more of them take more memory. Not measured.
+/// Significant digits of the histogram; more of them take more memory.
 const DIGITS: u8 = 2;
 
 /// Quantiles that are shown.
--- a/crates/node/src/gateway/peer.rs
+++ b/crates/node/src/gateway/peer.rs
@@ -1,6 +1,6 @@
-//! The client of other nodes: fetches changes of their copies of the store.
+//! Client of other nodes: fetches changes from their copies of the store.
 //!
-//! Owns the call and its bounds; [`extracts`] decodes the answer.
+//! Makes the call and limits its time and size; [`extracts`] decodes the response.
 
 use std::net;
 use std::time::Duration;
@@ -16,20 +16,20 @@
 
 use crate::gateway::extracts;
 
-/// Path of the changes of a node's copy; the query is the position to start after.
+/// Path under which nodes serve changes; the query is the position to start after.
 pub const CHANGES: &str = "/peer/changes";
 
-/// Longest time an exchange may take. Not measured.
+/// Timeout of an exchange, including the connection.
 const EXCHANGE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Largest answer that is read, in bytes. Not measured.
+/// Maximum size of a response, in bytes.
 const LARGEST_ANSWER: usize = 16 * 1_024 * 1_024;
 
-/// Fetches what has changed after `after` from the node at `peer`.
+/// Fetches the changes after `after` from the node at `peer`.
 ///
 /// # Errors
 ///
-/// Fails when the node does not answer in time or its answer cannot be read.
+/// Fails if the node does not respond in time or its response cannot be decoded.
 pub async fn fetch(
     peer: net::SocketAddr,
     after: position::Position,
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -30,13 +30,13 @@
 use crate::gateway::state;
 use crate::gateway::sync;
 
-/// Time between two ticks of the dispatcher. Not measured.
+/// Time between two ticks of the dispatcher.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Gap between two ticks that shows that the process stood still. Not measured; six ticks.
+/// Gap between two ticks that shows that the process stood still. Six ticks.
 const STANDSTILL: Duration = Duration::from_millis(1_500);
 
-/// Ports tried when any free one will do, since it must be free for datagrams too. Not measured.
+/// Ports tried when any free one will do, since it must be free for datagrams too.
 const FREE_PORT_TRIES: usize = 16;
 
 /// A running gateway.
--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -13,10 +13,10 @@
 use crate::common::body;
 use crate::common::socket;
 
-/// Longest time a connection may take to come up. Not measured.
+/// Longest time a connection may take to come up.
 const CONNECT_TIME: Duration = Duration::from_millis(350);
 
-/// Time after which bytes that the upstream does not acknowledge break the connection. Not measured.
+/// Time after which bytes that the upstream does not acknowledge break the connection.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(2);
 
 /// A connection to an upstream; dropping it resets it at once, so that nothing more of a request arrives.
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -22,13 +22,13 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Largest answer that is read whole before it is passed on, in bytes; the rest of a larger one is
-/// streamed. Not measured.
+/// streamed.
 const LARGEST_KEPT: usize = 512 * 1_024;
 
-/// Time that a connection may rest whose upstream names no limit. Not measured.
+/// Time that a connection may rest whose upstream names no limit.
 const USUAL_REST: Duration = Duration::from_secs(4);
 
-/// Time before an upstream's limit from which a resting connection is no longer used. Not measured.
+/// Time before an upstream's limit from which a resting connection is no longer used.
 const REST_MARGIN: Duration = Duration::from_millis(1_200);
 
 /// How an exchange ended without an answer to the request.
--- a/crates/node/src/gateway/proxy/listener.rs
+++ b/crates/node/src/gateway/proxy/listener.rs
@@ -16,10 +16,10 @@
 use crate::gateway::proxy::handler;
 use crate::gateway::proxy::server;
 
-/// Pause after a failure to accept, such as too many open files. Not measured.
+/// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Most callers' connections at once, so that descriptors are left for upstreams. Not measured.
+/// Most callers' connections at once, so that descriptors are left for upstreams.
 const MOST_CONNECTIONS: usize = 2_000;
 
 /// Smallest buffer that the HTTP library takes, in bytes.
--- a/crates/node/src/gateway/proxy/pool.rs
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -12,11 +12,10 @@
 
 use crate::gateway::proxy::connection;
 
-/// Most connections that rest for one upstream. Not measured.
+/// Most connections that rest for one upstream.
 const MOST_RESTING: usize = 16;
 
-/// Most connections that rest for all upstreams, so that descriptors are left for callers. Not
-/// measured.
+/// Most connections that rest for all upstreams, so that descriptors are left for callers.
 const MOST_RESTING_IN_ALL: usize = 1_000;
 
 /// One start of an upstream: its name, and when it started. A connection to an earlier start is of no use.
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -21,7 +21,7 @@
 use crate::gateway::proxy::head;
 use crate::gateway::state;
 
-/// Pieces of a body that wait for the caller; when they are full the upstream waits. Not measured.
+/// Pieces of a body that wait for the caller; when they are full the upstream waits.
 const WAITING: usize = 4;
 
 /// A try whose answer is passed on while it arrives.
--- a/crates/node/src/gateway/proxy/request_body.rs
+++ b/crates/node/src/gateway/proxy/request_body.rs
@@ -9,14 +9,13 @@
 
 use crate::common::body;
 
-/// Largest body that is read whole before it is sent on, in bytes. Not measured.
+/// Largest body that is read whole before it is sent on, in bytes.
 const LARGEST_KEPT: usize = 1_024 * 1_024;
 
-/// Largest body that is read whole while many requests are in flight, in bytes. Not measured.
+/// Largest body that is read whole while many requests are in flight, in bytes.
 const LARGEST_KEPT_IN_CROWD: usize = 64 * 1_024;
 
-/// Requests in flight above which only small bodies are buffered, so that memory stays bounded. Not
-/// measured.
+/// Requests in flight above which only small bodies are buffered, so that memory stays bounded.
 const CROWD: usize = 64;
 
 /// Why a body could not be read.
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -16,16 +16,16 @@
 use crate::gateway::state;
 use crate::gateway::store_calls;
 
-/// Life of the lease without a renewal. Not measured; three renewals.
+/// Life of the lease without a renewal. Three renewals.
 const LEASE_TIME: Duration = Duration::from_secs(12);
 
-/// Time between two renewals. Not measured.
+/// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(4);
 
-/// Pause after a failed call. Not measured.
+/// Pause after a failed call.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Time between two checks whether the store's copy has arrived, at the start. Not measured.
+/// Time between two checks whether the store's copy has arrived, at the start.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// Registers and renews until the task ends.
--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -1,10 +1,9 @@
-//! This node's copy of what the store holds, from the store itself or from other nodes.
+//! Replica: this node's copy of the store's contents, read from the store or from other nodes.
 //!
-//! Owns the typed facts by their keys and merges them by the store's positions, so that copies merge in
-//! any order and nothing older replaces what is newer. A store that was restored from a copy begins another era: until what it lost has been
-//! written again, [`store_restore`] decides by what the values say of themselves. Relies on [`fact`] to decode an item. An item's
-//! bytes stay beside its fact for extracts only: other nodes get them as the store gave them, with digests in place of
-//! the keys of organisations.
+//! Stores the decoded facts by key and merges them by the store's positions, so that the order of merges does not
+//! matter and an older value never replaces a newer one. A store that was restored from a backup starts a new era;
+//! until the lost values are written again, [`store_restore`] compares values by their content. [`fact`] decodes an
+//! item. The bytes of an item are kept for extracts only, with the keys of organisations replaced by digests.
 
 pub mod changes;
 mod entry;
@@ -30,45 +29,43 @@
 pub use crate::gateway::replica::entry::Node;
 use crate::gateway::replica::entry::{Entry, Known};
 
-/// Removed keys that are remembered; a node that is further behind gets a whole copy.
-///
-/// Not measured; it bounds memory while a fleet's entries come and go.
+/// Maximum number of removed keys that are remembered; a node that is further behind gets a whole copy.
 const MOST_REMOVED: usize = 4_096;
 
-/// This node's copy of what the store holds.
+/// This node's copy of the store's contents.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     entries: collections::BTreeMap<String, Entry>,
-    /// Keys that were removed in this era, by the revisions at which they were, with what their values said of their age.
+    /// Keys removed in this era, by the revision of their removal, with the age of their last values.
     removed: collections::BTreeMap<(u64, String), store_restore::Content>,
-    /// Keys that were removed in earlier eras, and may stand in the store once more.
+    /// Keys removed in earlier eras, which the restored store may contain again.
     removed_before: collections::BTreeMap<String, store_restore::Content>,
-    /// What the store holds of this era and what does not stand, since something newer was known.
+    /// Items of this era that are not in force, because a newer value was known before the restore.
     outdated: collections::BTreeMap<String, item::Item>,
     routing: Option<sync::Arc<routing::Routing>>,
-    /// The number of the fleet; it outlasts its item, which the store may lose.
+    /// Number of the fleet, kept even if the store loses the item.
     fleet: Option<id::Fleet>,
     at: position::Position,
-    /// Which changes of this era this copy knows one by one.
+    /// Range of revisions for which every change is known.
     history: history::History,
     is_complete: bool,
     is_in_doubt: bool,
 }
 
 impl Replica {
-    /// Returns the store's position up to which this copy is complete.
+    /// Returns the position of the store up to which this copy is complete.
     #[must_use]
     pub fn at(&self) -> position::Position {
         self.at
     }
 
-    /// Returns the era that is in doubt: the store was restored from a copy, and what it lost may not be written again yet.
+    /// Returns the current era if the store was restored and the lost values may not be written again yet.
     #[must_use]
     pub fn doubtful_era(&self) -> Option<u64> {
         self.is_in_doubt.then_some(self.at.era)
     }
 
-    /// Returns whether a whole copy was ever merged.
+    /// Returns whether a whole copy was merged at least once.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.is_complete
@@ -80,20 +77,20 @@
         self.routing.as_ref()
     }
 
-    /// Returns the number of the fleet, once it is known.
+    /// Returns the number of the fleet, if known.
     #[must_use]
     pub fn fleet(&self) -> Option<id::Fleet> {
         self.fleet
     }
 
-    /// Returns whether the store lacks the number of the fleet, as far as this copy says.
+    /// Returns whether the fleet number is missing from the store, according to this copy.
     #[must_use]
     pub fn lacks_fleet(&self) -> bool {
         let item = self.entries.get(fact::FLEET).map(|entry| &entry.item);
         self.is_complete && item.is_none_or(|item| item.era < self.at.era)
     }
 
-    /// Returns all upstreams.
+    /// Iterates over all upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &sync::Arc<discovery::Entry>> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::Upstream(upstream) => Some(upstream),
@@ -110,7 +107,7 @@
         }
     }
 
-    /// Returns the evacuated halls.
+    /// Iterates over the evacuated halls.
     pub fn evacuated(&self) -> impl Iterator<Item = &id::Hall> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::Evacuated(hall) => Some(hall),
@@ -118,7 +115,7 @@
         })
     }
 
-    /// Returns the nodes of this system that are registered in the store.
+    /// Iterates over the nodes registered in the store.
     pub fn nodes(&self) -> impl Iterator<Item = &Node> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::Node(node) => Some(node),
@@ -126,7 +123,7 @@
         })
     }
 
-    /// Returns the rulings that the store keeps.
+    /// Iterates over the quarantine rulings in the store.
     pub fn rulings(&self) -> impl Iterator<Item = &kept_ruling::Entry> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::Ruling(ruling) => Some(ruling),
@@ -134,7 +131,7 @@
         })
     }
 
-    /// Returns the orders to roll out a version.
+    /// Iterates over the orders to roll out a version.
     pub fn rollout_orders(&self) -> impl Iterator<Item = &rollout::Order> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::RolloutOrder(order) => Some(order),
@@ -142,7 +139,7 @@
         })
     }
 
-    /// Returns the recorded stages of roll-outs.
+    /// Iterates over the recorded stages of roll-outs.
     pub fn rollout_records(&self) -> impl Iterator<Item = &rollout::Record> {
         self.entries.values().filter_map(|entry| match &entry.fact {
             Known::RolloutRecord(record) => Some(record),
@@ -150,16 +147,16 @@
         })
     }
 
-    /// Returns the revision of the recorded stage of a service's roll-out; 0 when there is none.
+    /// Returns the revision of the recorded stage of a service's roll-out, or 0 if there is no record.
     #[must_use]
     pub fn rollout_revision(&self, service: &id::Service) -> u64 {
         let entry = self.entries.get(&fact::rollout_record_key(service));
         entry.map_or(0, |entry| entry.item.revision)
     }
 
-    /// Merges changes up to the page's position.
+    /// Merges the changes up to the page's position.
     ///
-    /// Changes of another era say nothing: an earlier one is over, and of a later one everything has to be read first.
+    /// Changes of another era are ignored: a new era requires a whole copy first.
     pub fn merge(&mut self, page: item::Page) -> Changes {
         let mut changes = Changes::default();
         match self.is_complete {
@@ -175,7 +172,7 @@
         changes
     }
 
-    /// Merges a whole copy: whatever it lacks, and is not newer, was removed.
+    /// Merges a whole copy; known keys that it lacks and that are not newer were removed.
     pub fn replace(&mut self, page: item::Page) -> Changes {
         let mut changes = Changes::default();
         match self.is_complete {
@@ -188,7 +185,7 @@
     }
 
     fn replace_in_era(&mut self, page: item::Page, changes: &mut Changes) {
-        // Items of an earlier era are what another node has in doubt; the store does not hold them.
+        // Items of an earlier era come from another node that awaits them; the store does not contain them.
         let held = page.items.iter().filter(|item| item.era == page.era);
         let present: collections::BTreeSet<&str> = held.map(|item| item.key.as_str()).collect();
         let is_older = |item: &item::Item| match item.era == page.era {
@@ -201,10 +198,10 @@
         for key in gone {
             self.remove(&key, page.at, changes);
         }
-        // Else what the store no longer holds would come into force with the end of the doubt.
+        // Otherwise an item that the store no longer contains could come into force later.
         self.outdated.retain(|key, item| item.revision > page.at || present.contains(key.as_str()));
         let at = page.position();
-        // A whole copy does not list what came and went since this one.
+        // The whole copy does not show keys that were added and removed since this copy's position.
         self.history.skip(self.at.revision, page.at);
         for item in page.items {
             match item.era == self.at.era {
@@ -224,7 +221,7 @@
         if outdated.is_some_and(|outdated| outdated.position() >= item.position()) {
             return;
         }
-        // The copy is complete up to its position: what it lacks of that time was removed since.
+        // The copy is complete up to its position: a missing key of that time was removed since.
         let is_obsolete = self.is_complete && item.position() <= self.at;
         if is_obsolete && known.is_none() {
             return;
@@ -237,7 +234,7 @@
         self.put(item, fact, changes);
     }
 
-    /// Puts an item into force.
+    /// Stores an item with its decoded fact.
     fn put(
         &mut self,
         item: item::Item,
@@ -260,9 +257,9 @@
         self.entries.insert(item.key.clone(), Entry { item, fact: known });
     }
 
-    /// Returns what an item says that cannot be read: what its key said before, but for upstreams.
+    /// Returns the fact for a malformed item: the previous one, except for upstreams.
     ///
-    /// An entry that cannot be read is another writer's, and names no upstream to use.
+    /// A malformed upstream entry was written by another program and is not used.
     fn standing_despite(&self, key: &str, changes: &mut Changes) -> Known {
         match self.entries.get(key).map(|before| &before.fact) {
             Some(Known::Upstream(upstream)) => {
@@ -322,7 +319,7 @@
         }
     }
 
-    /// Drops a key; returns what its value said of its age, if it was known.
+    /// Removes a key; returns the age of its value if the key was known.
     fn forget(&mut self, key: &str, changes: &mut Changes) -> Option<store_restore::Content> {
         self.outdated.remove(key);
         let entry = self.entries.remove(key)?;
@@ -338,7 +335,7 @@
     }
 }
 
-/// Returns an item without secrets.
+/// Replaces the secrets of an item by digests.
 fn redacted(mut item: item::Item) -> item::Item {
     fact::redact(&item.key, &mut item.value);
     item
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -1,4 +1,4 @@
-//! State that the tasks of a gateway share; all of them run on one thread.
+//! State shared by the tasks of a gateway, which all run on one thread.
 //!
 //! Owns the configuration in force, the copy of the store, the members and the dispatcher, and applies each change to
 //! them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
@@ -37,51 +37,51 @@
 use crate::gateway::settings;
 use crate::gateway::store_calls;
 
-/// Upstreams that one line of log names at most. Not measured; some 300 characters.
+/// Maximum number of upstreams named in one log line, about 300 characters.
 const MOST_NAMED: usize = 20;
 
-/// What the tasks of a gateway share.
+/// State shared by the tasks of a gateway.
 #[derive(Debug)]
 pub struct State {
-    /// Settings in force.
+    /// Current settings.
     pub settings: cell::RefCell<rc::Rc<settings::Settings>>,
-    /// Chooses upstreams.
+    /// Selects upstreams.
     pub dispatcher: cell::RefCell<dispatcher::Dispatcher>,
-    /// Keeps organisations to their quotas.
+    /// Enforces the quotas of organisations.
     pub quotas: cell::RefCell<quota::Quotas>,
-    /// Holds back requests that crash upstreams.
+    /// Quarantines requests that crash upstreams.
     pub quarantine: cell::RefCell<Quarantine>,
-    /// Configuration in force; none until the first update.
+    /// Current configuration; `None` until the first update.
     pub routing: cell::RefCell<Option<sync::Arc<routing::Routing>>>,
-    /// Copy of what the store holds.
+    /// Copy of the store's contents.
     pub replica: cell::RefCell<replica::Replica>,
-    /// Extracts of it that other nodes ask for.
+    /// Cached extracts of the copy for other nodes.
     pub extracts: cell::RefCell<extracts::Extracts>,
-    /// Other nodes.
+    /// The other nodes of the fleet.
     pub members: cell::RefCell<members::Members>,
-    /// What this node reports of itself.
+    /// This node as it reports itself in heartbeats.
     pub me: cell::RefCell<member::Member>,
-    /// Requests that it takes a second.
+    /// Rate of requests at this node.
     rate: cell::Cell<request_rate::Rate>,
-    /// Calls to the store.
+    /// Pending calls to the store.
     pub calls: store_calls::Calls,
-    /// The highest era that the store named to this node, or another node has.
+    /// Highest era of the store in any response or heartbeat.
     store_era: cell::Cell<u64>,
-    /// The era that is in doubt, and since when.
+    /// Era whose content may still be incomplete, and the time of its start.
     doubt: cell::Cell<Option<(u64, Instant)>>,
-    /// Whether this node watches the store itself.
+    /// Whether this node watches the store.
     is_watching: cell::Cell<bool>,
-    /// Whether nodes became known since the dispatcher was told the nodes.
+    /// Whether nodes became known since the last [`State::update_nodes`].
     pub has_new_nodes: cell::Cell<bool>,
-    /// Addresses of other fleets' nodes.
+    /// Addresses of nodes of other fleets.
     pub foreign: foreign::Addresses,
-    /// Counters and latencies.
+    /// Counters and latency histogram.
     pub metrics: metrics::Metrics,
-    /// Whether all of the upstreams and the configuration were ever known.
+    /// Whether the copy of the store was complete at least once.
     is_complete: cell::Cell<bool>,
-    /// The headers that callers and upstreams use.
+    /// Header names used by callers and upstreams.
     pub dialect: dialect::Dialect,
-    /// Wakes the task that sends heartbeats.
+    /// Wakes the task that sends heartbeats, so that a change is announced immediately.
     pub beat: Notify,
     /// Wakes the task that keeps this node's entry in the store when the store was restored from a copy.
     pub era_changed: Notify,
@@ -92,7 +92,7 @@
 }
 
 impl State {
-    /// Makes the state of a node without configuration and upstreams.
+    /// Creates the state of a node without configuration and upstreams.
     #[must_use]
     pub fn new(settings: settings::Settings, incarnation: u64) -> Self {
         let position = position::Position {
@@ -148,25 +148,27 @@
         }
     }
 
-    /// Returns the configuration in force.
+    /// Returns the current configuration.
     #[must_use]
     pub fn routing(&self) -> Option<sync::Arc<routing::Routing>> {
         self.routing.borrow().clone()
     }
 
-    /// Returns whether the node may be given new callers.
+    /// Returns whether the node accepts new callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.routing.borrow().is_some() && self.replica.borrow().is_complete()
     }
 
-    /// Returns whether the node is stopping.
+    /// Returns whether the node is shutting down.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
         self.me.borrow().is_leaving
     }
 
-    /// Changes the copy of the store by `merge` and puts what changed into force; `source` decides on the announcement.
+    /// Updates the copy of the store with `merge` and applies the changes.
+    ///
+    /// Whether they are announced to other nodes immediately depends on `source`.
     pub fn apply(
         &self,
         source: update::Source,
@@ -211,7 +213,7 @@
         }
     }
 
-    /// Puts an update into force; what is in force already changes nothing.
+    /// Applies an update; the parts that are already in force are ignored.
     pub fn adopt(&self, update: update::Update) {
         let now = Instant::now();
         let update::Update { source, revision, routing, upstreams, evacuated } = update;
@@ -251,7 +253,7 @@
         self.update_ready();
     }
 
-    /// Applies what time alone changes, and logs which lapsed upstreams are used no longer.
+    /// Applies time-based changes and logs the lapsed upstreams that were dropped.
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
         if self.has_new_nodes.take() {
@@ -273,7 +275,7 @@
         self.calls.log_unanswered(store_call::longest_gap(self.store_bound()), now);
     }
 
-    /// Brings what this node reports of itself up to date, for its next heartbeat.
+    /// Updates the fields of this node for its next heartbeat.
     pub fn update_me(&self, now: Instant) {
         let mut rate = self.rate.get();
         let requests = rate.update(self.metrics.requests.get(), now);
@@ -285,7 +287,7 @@
         me.sequence += 1;
     }
 
-    /// Marks the node as stopping.
+    /// Marks the node as shutting down.
     pub fn leave(&self) {
         self.me.borrow_mut().is_leaving = true;
         self.update_ready();
@@ -301,7 +303,7 @@
     }
 }
 
-/// Joins the first names of upstreams for a line of log.
+/// Joins at most [`MOST_NAMED`] upstream names for a log line.
 fn names<'a>(upstreams: impl Iterator<Item = &'a id::Upstream>) -> String {
     let first: Vec<&str> = upstreams.take(MOST_NAMED).map(id::Upstream::as_str).collect();
     first.join(",")
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -1,6 +1,6 @@
-//! Other nodes: what this node does for the fleet, by the members that it knows.
+//! Duties of this node in the fleet, derived from the known members.
 //!
-//! Relies on [`steer::dispatch::fleet`] for each decision; here the members only become its inputs.
+//! [`steer::dispatch::fleet`] makes each decision; this module provides the members as its inputs.
 
 use std::sync;
 use std::time::{Duration, Instant};
@@ -17,9 +17,9 @@
 use crate::gateway::state::update;
 
 impl State {
-    /// Replaces the members that the store lists.
+    /// Replaces the nodes registered in the store.
     pub(super) fn list_nodes(&self, replica: &replica::Replica) {
-        // An entry that cannot be read was logged when it was merged; its node is found by heartbeats.
+        // A malformed entry was logged when it was merged; heartbeats still make its node known.
         let listed = replica.nodes().filter_map(|listed| {
             let member::Member { node, region, callers, peers, .. } = listed.member.clone()?;
             Some((node, members::Listed { region, callers, peers }))
@@ -29,27 +29,27 @@
         self.members.borrow_mut().set_listed(listed);
     }
 
-    /// Returns whether this node announces a change from `source` at once.
+    /// Returns whether this node announces a change from `source` immediately.
     pub(super) fn announces(&self, source: update::Source) -> bool {
         let near = self.members.borrow().near_count();
         let draw = |nodes| rand::rng().random_range(0..nodes);
         announcement::is_immediate(source == update::Source::NearPeer, near, draw)
     }
 
-    /// Returns whether the settings name another node to ask first.
+    /// Returns whether the settings contain a seed other than this node.
     #[must_use]
     pub fn has_seeds(&self) -> bool {
         let settings = self.settings.borrow();
         settings.seeds.iter().any(|seed| *seed != settings.listen.peers)
     }
 
-    /// Returns the place of this node among those that watch the store; none when it should not watch.
+    /// Returns the place of this node among the watchers of the store; `None` if it should not watch.
     #[must_use]
     pub fn watcher_place(&self) -> Option<watchers::Place> {
         watchers::place(&self.me.borrow().node, self.reaching().iter())
     }
 
-    /// Returns whether this node is among the first to watch the store while no node reaches it.
+    /// Returns this node's turn to call the store while no node reaches the store.
     #[must_use]
     pub fn turn(&self) -> store_call::Turn {
         let members = self.members.borrow();
@@ -57,7 +57,7 @@
         watchers::turn(&self.me.borrow().node, others)
     }
 
-    /// Returns how long this node waits before it reads everything in a new era of the store.
+    /// Returns the delay before this node reads the whole store in a new era.
     #[must_use]
     pub fn read_turn(&self) -> Duration {
         let members = self.members.borrow();
@@ -65,7 +65,7 @@
         watchers::read_delay(&self.me.borrow().node, others)
     }
 
-    /// Returns the other living nodes of the region that say they reach the store.
+    /// Returns the other live nodes of the region that report that they reach the store.
     pub(super) fn reaching(&self) -> Vec<id::Node> {
         let members = self.members.borrow();
         let reaching = members.staying(Instant::now()).filter(|m| m.is_store_reached);
@@ -74,7 +74,7 @@
 
     /// Passes the known nodes to the dispatcher, for slow start and the retry budget, and to the quotas.
     ///
-    /// Cold upstreams are owned by nodes that look-ups name: others have no requests for them.
+    /// Only nodes of the active set own cold upstreams, since the others receive few requests.
     pub fn update_nodes(&self) {
         let now = Instant::now();
         let members = self.members.borrow();
