--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -10,7 +10,7 @@
 
 use model::{discovery, id};
 use node::gateway::state::{self, update};
-use node::gateway::{datagram, member, settings};
+use node::gateway::{datagram, extracts, member, settings};
 use platform::store::item;
 use platform::{fact, upstream};
 use steer::dispatch::fleet::repair;
@@ -33,12 +33,15 @@
 /// Times that each part is measured; the median counts.
 const ROUNDS: usize = 101;
 
+/// Times that a whole copy is made and taken in.
+const COPIES: usize = 5;
+
 const TEXT: &str = "# Cost of a gateway's control\n\n\
     Regenerate with `cargo run --release -p yokespoke-bench -- control --out docs/measurements`.\n\n\
     One gateway that knows the named number of others and of upstreams, both in three regions, without input or output. A heartbeat \
     is one that is read, compared and recorded; members is what a change of membership or a second of time costs; a change is one \
     upstream that the store lists anew, from the merge until it is in force; an extract is what a node one change behind is sent; \
-    a report is the collection of the requests in flight here. Medians, in microseconds of the machine that ran it.";
+    a report is the collection of the requests in flight here; a copy is made for a node that starts, and taken in by it. Medians, in microseconds of the machine that ran it.";
 
 /// Measures the control of a gateway in fleets of several sizes.
 ///
@@ -57,6 +60,8 @@
             median(|_| fleet.extract()),
             median(|_| fleet.report()),
             median(|_| fleet.look_up()),
+            median_of(COPIES, |_| _ = fleet.copy_out()),
+            fleet.copy_in(),
         ];
         let times = times.map(|time| format!("{:.1}", time.as_secs_f64() * 1e6));
         rows.push([vec![nodes.to_string(), upstreams.to_string()], times.to_vec()].concat());
@@ -71,6 +76,8 @@
         "extract µs",
         "report µs",
         "look-up µs",
+        "copy out µs",
+        "copy in µs",
     ];
     let columns = columns.map(str::to_owned).to_vec();
     let table = output::Table { title: "Time of a gateway".to_owned(), columns, rows };
@@ -83,15 +90,19 @@
 }
 
 /// Returns the median time of what is measured.
-fn median(mut measured: impl FnMut(usize)) -> Duration {
+fn median(measured: impl FnMut(usize)) -> Duration {
+    median_of(ROUNDS, measured)
+}
+
+fn median_of(rounds: usize, mut measured: impl FnMut(usize)) -> Duration {
     let time = |round| {
         let began = Instant::now();
         measured(round);
         began.elapsed()
     };
-    let mut times: Vec<Duration> = (0..ROUNDS).map(time).collect();
+    let mut times: Vec<Duration> = (0..rounds).map(time).collect();
     times.sort_unstable();
-    times[ROUNDS / 2]
+    times[rounds / 2]
 }
 
 /// A gateway that knows its fleet.
@@ -151,6 +162,22 @@
         hint::black_box(replica.extract(after));
     }
 
+    fn copy_out(&self) -> Vec<u8> {
+        let replica = self.state.replica.borrow();
+        let extract = replica.extract(platform::store::position::Position::default());
+        extracts::encode(&extract).expect("an extract is encoded")
+    }
+
+    /// Returns the time in which another gateway that starts takes a whole copy in and puts it into force.
+    fn copy_in(&self) -> Duration {
+        let bytes = self.copy_out();
+        median_of(COPIES, |_| {
+            let started = state::State::new(gateway_settings().expect("they are valid"), 2);
+            let extract = extracts::decode(&bytes).expect("it was encoded so");
+            started.apply(update::Source::NearPeer, |replica| replica.merge_extract(extract));
+        })
+    }
+
     fn report(&self) {
         hint::black_box(self.state.dispatcher.borrow_mut().in_flight());
     }
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -66,25 +66,39 @@
     ///
     /// A heartbeat older than the latest one is ignored.
     pub fn record(&mut self, member: member::Member, now: Instant) -> bool {
-        let before = self.known.get(&member.node);
         let order = |m: &member::Member| (m.incarnation, m.sequence);
-        if before.is_some_and(|known| order(&known.member) >= order(&member)) {
-            return false;
+        let dead_after = self.dead_after(&member.region);
+        match self.known.get_mut(&member.node) {
+            Some(known) if order(&known.member) >= order(&member) => false,
+            Some(known) => {
+                let was_alive = now.saturating_duration_since(known.received) < dead_after;
+                let has_moved = known.member.region != member.region;
+                *known = Known { member, received: now };
+                if has_moved {
+                    self.recount();
+                }
+                !was_alive
+            }
+            None => {
+                self.insert(member, now);
+                true
+            }
         }
-        let was_alive = before.is_some_and(|known| self.is_alive(known, now));
+    }
+
+    /// Adds a node that was not known.
+    fn insert(&mut self, member: member::Member, now: Instant) {
         let is_near = member.region == self.region;
-        let before = before.map(|known| known.member.region == self.region);
         let listed = self.listed.get(&member.node).map(|listed| listed.region == self.region);
         self.known.insert(member.node.clone(), Known { member, received: now });
-        match (before, listed) {
-            (None, None) => {
+        match listed {
+            Some(was_near) if was_near == is_near => {}
+            Some(_) => self.recount(),
+            None => {
                 self.count += 1;
                 self.near_count += usize::from(is_near);
             }
-            (before, listed) if before.or(listed) != Some(is_near) => self.recount(),
-            _ => {}
         }
-        !was_alive
     }
 
     /// Replaces the nodes registered in the store.
@@ -243,10 +257,15 @@
     }
 
     fn is_alive(&self, known: &Known, now: Instant) -> bool {
-        let dead_after = match known.member.region == self.region {
+        let dead_after = self.dead_after(&known.member.region);
+        now.saturating_duration_since(known.received) < dead_after
+    }
+
+    /// Returns the time without a heartbeat after which a node of `region` counts as dead.
+    fn dead_after(&self, region: &id::Region) -> Duration {
+        match *region == self.region {
             true => gossip::near_dead_after(self.near_count),
             false => gossip::far_dead_after(),
-        };
-        now.saturating_duration_since(known.received) < dead_after
+        }
     }
 }
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -1,5 +1,7 @@
 //! Heartbeats and who is alive by them.
 
+use std::collections;
+use std::net;
 use std::time::{Duration, Instant};
 
 use model::id;
@@ -155,3 +157,39 @@
         members.far_representatives(now).iter().map(|member| member.node.as_str()).collect();
     assert_eq!(named, &of_south[1..]);
 }
+
+quickcheck! {
+    /// Counts that are kept as nodes come, move and go are those of the names.
+    fn counts_of_nodes_are_those_of_their_names(steps: Vec<(u8, bool)>) -> bool {
+        let now = Instant::now();
+        let mut members = members::Members::new(id::Region::new("north"));
+        let mut known = collections::BTreeMap::new();
+        let mut listed = collections::BTreeMap::new();
+        (1_u64..).zip(&steps).all(|(sequence, (step, is_near))| {
+            let node = id::Node::new(&format!("n-{}", step % 5));
+            let region = id::Region::new(if *is_near { "north" } else { "south" });
+            let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
+            match step / 5 % 3 {
+                0 => {
+                    let entry = members::Listed { region: region.clone(), callers: address, peers: address };
+                    listed.insert(node, entry);
+                    members.set_listed(listed.clone());
+                }
+                1 => {
+                    listed.remove(&node);
+                    members.set_listed(listed.clone());
+                }
+                _ => {
+                    let of_node = member::Member { node: node.clone(), region: region.clone(), sequence, ..member("n-0", 1, 1) };
+                    members.record(of_node, now);
+                    known.insert(node, region);
+                }
+            }
+            let mut regions: collections::BTreeMap<_, _> =
+                listed.iter().map(|(node, listed)| (node, &listed.region)).collect();
+            regions.extend(&known);
+            let near = regions.values().filter(|region| region.as_str() == "north").count();
+            (members.count(), members.near_count()) == (regions.len(), near)
+        })
+    }
+}
