--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -1,6 +1,6 @@
-//! What a gateway answers to other nodes and to operators: changes, metrics, a state dump.
+//! Responses to other nodes and operators: changes, metrics and the state dump.
 //!
-//! Owns the paths of the last two and the dump's form; relies on [`state`] for all that is shown.
+//! Defines the paths of the metrics and the dump, and the dump's format.
 
 use std::time::Instant;
 
@@ -24,16 +24,16 @@
 /// Path of the metrics.
 pub const METRICS: &str = "/metrics";
 
-/// Organisations that the state dump names at most.
+/// Maximum number of organisations in the state dump.
 const MOST_NAMED: usize = 50;
 
 /// Path of the state dump.
 pub const DUMP: &str = "/dump";
 
-/// Path by which operators let requests through again; the query is their fingerprint.
+/// Path that ends the quarantine of requests; the query is their fingerprint.
 pub const RELEASE: &str = "/quarantine/release";
 
-/// Answers a request to the address for peers.
+/// Responds to a request at the address for peers.
 #[must_use]
 pub fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     match request.uri().path() {
@@ -80,7 +80,7 @@
     status(StatusCode::OK)
 }
 
-/// Returns which requests are held back.
+/// Returns the quarantined requests.
 fn held(state: &state::State, now: Instant) -> Vec<serde_json::Value> {
     let millis = |at: Instant| field::whole_millis(now.saturating_duration_since(at));
     let quarantine = state.quarantine.borrow();
@@ -95,7 +95,7 @@
     quarantine.held(now).map(ruling).collect()
 }
 
-/// Returns what the node knows and believes.
+/// Returns the state dump.
 fn dump(state: &state::State) -> Vec<u8> {
     let now = Instant::now();
     let dispatcher = state.dispatcher.borrow();
@@ -123,13 +123,13 @@
     })
 }
 
-/// Returns organisations that are near their limits by what is asked of this node.
+/// Returns the organisations that are near their limits at this node.
 fn near_limit(state: &state::State) -> Vec<String> {
     let quotas = state.quotas.borrow();
     quotas.near().take(MOST_NAMED).map(ToString::to_string).collect()
 }
 
-/// Returns what this node waits for at the store, and when it last got an answer.
+/// Returns the pending calls to the store and the time since its latest response.
 fn store_calls(state: &state::State, now: Instant) -> serde_json::Value {
     let waited = |kind| state.calls.waiting(kind, now).map(field::whole_millis);
     let waiting =
@@ -163,8 +163,7 @@
     dispatcher.upstreams().map(upstream).collect()
 }
 
-/// Returns the limit that an upstream names, since when, who reported it when, and what would go and goes there from here; null where
-/// it names none.
+/// Returns the limit that an upstream announces, its origin, and this node's usage; null if there is no limit.
 fn limit(
     dispatcher: &dispatcher::Dispatcher,
     upstream: &upstream::Upstream,
@@ -187,7 +186,7 @@
     })
 }
 
-/// Returns when an upstream was observed to leave, and which node reported it; null where it was not.
+/// Returns when an upstream announced that it is leaving, and the node that reported it; null if it did not.
 fn leaving(
     dispatcher: &dispatcher::Dispatcher,
     upstream: &upstream::Upstream,
@@ -211,7 +210,7 @@
     splits.collect()
 }
 
-/// Logs an answer that could not be encoded, which would be a bug: all of it is this node's own.
+/// Logs a response that could not be encoded, which would be a bug.
 fn log_not_written(answer: &str, error: &dyn std::error::Error) {
     let error = error.to_string();
     log::error!(answer, error = error.as_str(); "answer-not-written");
--- a/crates/node/src/gateway/leaving_report.rs
+++ b/crates/node/src/gateway/leaving_report.rs
@@ -1,4 +1,4 @@
-//! Form of what load reports say of upstreams that leave.
+//! Format of leaving upstreams in load reports and facts.
 
 use std::time::Duration;
 
@@ -7,16 +7,16 @@
 use steer::dispatch::leaving;
 use wire::gateway::loads as message;
 
-/// Lists that belong together and differ in length.
+/// Error for parallel lists that differ in length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Uneven {
-    /// Names.
+    /// Number of names.
     pub names: usize,
-    /// Figures for them.
+    /// Number of values.
     pub figures: usize,
 }
 
-/// Writes announcements.
+/// Encodes announcements.
 pub(super) fn encode(leavings: &[leaving::Announcement]) -> message::LeavingProcesses {
     let name = |announced: &leaving::Announcement| announced.incarnation.upstream.to_string();
     message::LeavingProcesses {
@@ -26,11 +26,11 @@
     }
 }
 
-/// Reads announcements.
+/// Decodes announcements.
 ///
 /// # Errors
 ///
-/// Fails when the lists do not have the same length.
+/// Fails if the lists differ in length.
 pub(super) fn read(
     leavings: &message::LeavingProcesses,
 ) -> Result<Vec<leaving::Announcement>, Uneven> {
@@ -50,7 +50,7 @@
     Ok((0..names).map(announcement).collect())
 }
 
-/// Returns a time in milliseconds; the longest that a message holds for a longer one.
+/// Returns a time in milliseconds, limited to the range of the message field.
 pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -1,6 +1,6 @@
-//! Form of a load report: one datagram, or several when it is long.
+//! Format of load reports: one datagram, or several if the report is long.
 //!
-//! Owns the way between the reports of [`loads`](crate::gateway::loads) and [`wire::gateway::loads`].
+//! Converts between the reports of [`loads`](crate::gateway::loads) and the messages of [`wire::gateway::loads`].
 
 use std::error;
 use std::fmt;
@@ -18,54 +18,55 @@
 use crate::gateway::leaving_report;
 use crate::gateway::rollout_report;
 
-/// Most upstreams of one datagram; those of a longer report go into several. Some 8 KB.
+/// Maximum number of upstreams in one datagram, about 8 KB.
 const MOST_UPSTREAMS: usize = 1_000;
 
-/// Most organisations of one datagram, beside its upstreams. Some 4 KB.
+/// Maximum number of organisations in one datagram, about 4 KB.
 const MOST_ORGANISATIONS: usize = 500;
 
-/// Most upstreams with limits of one datagram, beside the others; some 8 KB.
+/// Maximum number of upstreams with limits in one datagram, about 8 KB.
 const MOST_LIMITED: usize = 250;
 
-/// Most upstreams that leave of one datagram, beside the others; some 3 KB.
+/// Maximum number of leaving upstreams in one datagram, about 3 KB.
 const MOST_LEAVING: usize = 100;
 
-/// Stands for the rate of an upstream that names no limit any more.
+/// Encodes that an upstream has withdrawn its limit.
 const NO_LIMIT: f64 = -1.0;
 
-/// Mark before the number of a further part of a report; names of nodes have none.
+/// Separator between a node name and the number of a further part of its report; node names do not contain it.
 pub const PART_MARK: char = '#';
 
-/// Parts of a request, or of one a second, in which usages are written.
+/// Fraction of a request, or of a request per second, that is the unit of encoded usages.
 const SCALE: f64 = 100.0;
 
-/// What a node, or the sum of several, reports.
+/// Content of a report by one node, or of the sum of several nodes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Content {
-    /// Requests in flight by upstream.
+    /// Requests in flight, by upstream.
     pub requests: Vec<(peer_load::Key, u32)>,
-    /// What organisations ask.
+    /// Usage by organisation.
     pub usages: Vec<usage::Usage>,
-    /// What upstreams name as their limits, and what is sent to those.
+    /// Limits that upstreams announce, and the usage of those upstreams.
     pub limits: upstream_limit::Report,
-    /// Upstreams that said that they leave.
+    /// Upstreams that announced that they are leaving.
     pub leavings: Vec<leaving::Announcement>,
-    /// Answers by version, where a version is being rolled out.
+    /// Answers by version, for each roll-out in progress.
     pub rollouts: Vec<rollout::Report>,
 }
 
-/// What one datagram reports.
+/// Content of one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
-    /// Its sender, or a name for the sum of several, with the number of the part.
+    /// Name of the sender or of the sum, followed by the number of the part.
     pub node: id::Node,
-    /// What it reports.
+    /// Content of the report.
     pub content: Content,
 }
 
-/// Writes a report as one datagram, or as several when it is long; an empty one too, so that it replaces another.
+/// Encodes a report as one or more datagrams.
 ///
-/// Each part is applied like the report of a node of its own; one that is no longer sent soon counts no more.
+/// An empty report takes one datagram, since it replaces the previous one. Receivers treat each part like the report
+/// of a separate node, so a part that is no longer sent expires.
 #[must_use]
 pub fn encode(node: &id::Node, content: &Content) -> Vec<Vec<u8>> {
     let name = |number| match number {
@@ -132,7 +133,7 @@
     }
 }
 
-/// Usages as the lists of a message.
+/// Usages as the parallel lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
     keys: Vec<u32>,
@@ -153,10 +154,10 @@
         }
     }
 
-    /// Reads usages.
+    /// Decodes usages.
     ///
-    /// A node of an earlier version, as there are some while a fleet is rolled, does not say what it admits: it counts as admitting
-    /// all that is asked, which errs toward refusals.
+    /// A node of an earlier version does not report what it admits. It is assumed to admit all requests, which errs on
+    /// the side of refusals.
     fn read(&self) -> Result<Vec<usage::Usage>, Malformed> {
         let names = self.keys.len();
         let is_earlier = [&self.admitted, &self.excess, &self.debts].iter().all(|l| l.is_empty());
@@ -183,7 +184,7 @@
     }
 }
 
-/// Returns what is asked in hundredths, twice, and one more where the organisation is near its limit.
+/// Returns the requested rate in hundredths, shifted left by one bit; the lowest bit is set near the limit.
 fn asked(usage: &usage::Usage) -> u32 {
     hundredths(usage.asked).min(u32::MAX / 2) * 2 + u32::from(usage.is_near)
 }
@@ -199,11 +200,11 @@
 }
 
 impl Report {
-    /// Reads a datagram without its mark.
+    /// Decodes a datagram without its mark.
     ///
     /// # Errors
     ///
-    /// Fails when it is no load report.
+    /// Fails if the datagram is not a load report.
     pub fn read(datagram: &[u8]) -> Result<Self, Malformed> {
         let loads = message::Loads::decode(datagram).map_err(Malformed::NotReadable)?;
         if loads.upstreams.len() != loads.requests.len() {
@@ -261,16 +262,16 @@
     (0..names).map(announcement).collect()
 }
 
-/// Why a load report cannot be applied.
+/// Reason why a load report cannot be applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Malformed {
-    /// Its bytes are no load report.
+    /// The bytes cannot be decoded.
     NotReadable(prost::DecodeError),
-    /// It has so many names, and so many figures for them.
+    /// Parallel lists differ in length: the number of names and of values.
     Uneven(usize, usize),
-    /// It names a limit that is no rate.
+    /// A limit is not a valid rate.
     Rate,
-    /// No heartbeat came from its sender, and the store does not list it.
+    /// The sender is neither known from heartbeats nor registered in the store.
     Unknown(id::Node),
 }
 
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -1,9 +1,8 @@
-//! Load reports: datagrams by which nodes report their requests in flight, and what organisations ask, to each other.
+//! Load reports: datagrams with a node's requests in flight and the usage of organisations.
 //!
-//! Owns what is reported, and to whom; the datagram's form stands in [`load_report`]. Relies on [`steer::dispatch::fleet`]
-//! for the period and for who reports to whom, on the dispatcher for the counts, and on the quotas for what organisations
-//! ask. Reports go to the nodes that callers use and to representatives only: in a region of a hundred the others would
-//! read over a hundred of them a second for nothing.
+//! Collects the content of the reports and sends them; [`load_report`] defines their format, and
+//! [`steer::dispatch::fleet`] the interval and the receivers. Reports are sent to the active set and to representatives
+//! only, since the other nodes of a large region would receive over a hundred per second without using them.
 
 use std::collections;
 use std::net;
@@ -25,7 +24,7 @@
 
 pub use crate::gateway::load_report::{Content, Malformed, encode};
 
-/// First character of a report that sums several nodes; names of nodes do not begin with it.
+/// First character of the name of a sum of several nodes; node names do not start with it.
 const SUM_MARK: &str = "+";
 
 /// Sends load reports until the task ends.
@@ -37,7 +36,7 @@
         tokio::time::sleep(gossip::load_report(active.saturating_sub(1))).await;
         let _timer = metrics::Timer::start(&state.metrics.control_micros);
         let own = own(&state, Instant::now());
-        // One empty report follows the last one that was not, so that the others stop counting it.
+        // An empty report follows the last one with content, so that its requests do not count any longer.
         if had_any || own != Content::default() {
             report_own(&state, &socket, &own);
         }
@@ -46,14 +45,14 @@
     }
 }
 
-/// What this node reported last of other nodes.
+/// Latest sums that this node forwarded.
 #[derive(Debug, Default)]
 struct Sums {
     for_far: Sum,
     for_rest: Sum,
 }
 
-/// What this node reported last of some other nodes together.
+/// Latest forwarded sum of one group of nodes.
 #[derive(Debug, Default)]
 struct Sum {
     usages: forwarder::Forwarder,
@@ -62,7 +61,7 @@
 }
 
 impl Sum {
-    /// Returns what is to be reported now of the `wanted` nodes.
+    /// Returns the sum of the `wanted` nodes that is due now.
     fn report(
         &mut self,
         state: &state::State,
@@ -80,7 +79,7 @@
     }
 }
 
-/// Returns what this node has to report of itself.
+/// Returns the content of this node's own report.
 fn own(state: &state::State, now: Instant) -> Content {
     let mut dispatcher = state.dispatcher.borrow_mut();
     Content {
@@ -92,8 +91,8 @@
     }
 }
 
-/// Reports this node's load to those of its region that callers use, and to its representatives; a representative
-/// reports it to those of other regions too.
+/// Sends this node's report to the active set and the representatives of its region; a representative also sends it
+/// to the representatives of other regions.
 fn report_own(state: &state::State, socket: &UdpSocket, own: &Content) {
     let datagrams = encode(&state.me.borrow().node, own);
     let now = Instant::now();
@@ -108,8 +107,8 @@
     send_all(state, socket, &datagrams, &addresses);
 }
 
-/// As the first representative, forwards the summed load of the rest of its region to other regions'
-/// representatives, and that of other regions to the rest of its region.
+/// Forwards sums, if this node is the first representative: that of the other nodes of its region to the
+/// representatives of other regions, and that of other regions to the other active nodes of its region.
 fn forward_sums(state: &state::State, socket: &UdpSocket, sums: &mut Sums) {
     let now = Instant::now();
     let members = state.members.borrow();
@@ -138,7 +137,7 @@
     send_all(state, socket, &for_rest, &peers_of(active_rest));
 }
 
-/// Returns whether a report of `node` sums several nodes.
+/// Returns whether `node` is the name of a sum of several nodes.
 fn is_sum(node: &id::Node) -> bool {
     node.as_str().starts_with(SUM_MARK)
 }
@@ -149,7 +148,7 @@
     members.map(|member| member.peers).collect()
 }
 
-/// Returns the name of the node or sum of which a report, or a further part of it, is.
+/// Returns the name of the node or sum, without the number of the part.
 fn origin(node: &id::Node) -> &str {
     let name = node.as_str();
     name.split_once(load_report::PART_MARK).map_or(name, |(origin, _)| origin)
@@ -163,7 +162,7 @@
 ) {
     for (address, datagram) in addresses.iter().flat_map(|a| datagrams.iter().map(move |d| (a, d)))
     {
-        // As good as a lost datagram: the next report replaces it.
+        // A send error is treated like a lost datagram: the next report replaces it.
         let _ = socket.try_send_to(datagram, *address);
         state.metrics.control_bytes.add(datagram.len() as u64);
     }
@@ -173,7 +172,7 @@
 ///
 /// # Errors
 ///
-/// Fails when it cannot be read; nothing is lost, since the next report replaces it.
+/// Fails if the report is malformed or its sender is unknown; the next report replaces it.
 pub fn receive(state: &state::State, datagram: &[u8]) -> Result<(), Malformed> {
     let report = load_report::Report::read(datagram)?;
     let sender = id::Node::new(origin(&report.node));
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -1,6 +1,6 @@
-//! A gateway process: its tasks, started together and stopped together.
+//! Gateway process: starts and stops the tasks of a gateway.
 //!
-//! Owns the listening sockets and the tasks. Relies on [`state`] for what they share.
+//! Owns the listening sockets and the tasks, which share a [`state::State`].
 
 use std::net;
 use std::rc;
@@ -30,19 +30,19 @@
 use crate::gateway::state;
 use crate::gateway::sync;
 
-/// Time between two ticks of the dispatcher.
+/// Interval between ticks of the dispatcher.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Gap between two ticks that shows that the process stood still. Six ticks.
+/// Gap between ticks that is logged as a pause of the process; six intervals.
 const STANDSTILL: Duration = Duration::from_millis(1_500);
 
-/// Ports tried when any free one will do, since it must be free for datagrams too.
+/// Number of attempts to find a port that is free for both TCP and UDP.
 const FREE_PORT_TRIES: usize = 16;
 
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    /// What its tasks share.
+    /// State shared by the tasks.
     pub state: rc::Rc<state::State>,
     open: rc::Rc<server::Open>,
     close: watch::Sender<bool>,
@@ -54,7 +54,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when an address cannot be listened on.
+    /// Fails if an address cannot be bound.
     pub async fn start(settings: settings::Settings) -> anyhow::Result<Self> {
         let callers = listen("listen.callers", settings.listen.callers).await?;
         let ready = listen("listen.ready", settings.listen.ready).await?;
@@ -94,7 +94,7 @@
         Ok(Self { state, open, close, tasks })
     }
 
-    /// Applies the settings that may change while the process runs: seeds and bounds.
+    /// Applies the settings that may change at run time: seeds and bounds.
     pub fn reload(&self, new: settings::Settings) {
         let mut settings = self.state.settings.borrow_mut();
         let mut changed = (**settings).clone();
@@ -105,7 +105,7 @@
         log::info!(changed = is_changed; "settings-reloaded");
     }
 
-    /// Stops as planned; returns whether every request had ended.
+    /// Shuts down gracefully; returns whether every request has ended.
     pub async fn stop(self) -> bool {
         let is_done = shutdown::run(&self.state, &self.open, &self.close).await;
         for task in &self.tasks {
@@ -115,12 +115,12 @@
     }
 }
 
-/// Starts the tasks that follow the source of configuration and upstreams.
+/// Starts the tasks that follow the source of the configuration and the upstreams.
 fn follow(state: &rc::Rc<state::State>, source: settings::Source) -> Vec<task::JoinHandle<()>> {
     let state = || rc::Rc::clone(state);
     match source {
         settings::Source::Platform(address) => {
-            // Each task has its own connections, so that neither reuses one that fell silent for the other.
+            // Separate connections, so that a task does not reuse a connection that is unresponsive.
             let first = client::Client::new(address);
             let client = || first.beside();
             vec![
@@ -145,7 +145,7 @@
         .map_err(|error| anyhow::anyhow!("{field}: cannot listen on {address}: {error}"))
 }
 
-/// Listens on the same port for connections and for datagrams.
+/// Listens on the same port for TCP and UDP.
 async fn listen_both(
     field: &str,
     address: net::SocketAddr,
@@ -163,7 +163,7 @@
     anyhow::bail!("{field}: cannot receive datagrams on {address}: {cause}")
 }
 
-/// Returns a number that grows with each start; a clock before 1970 counts as 1970.
+/// Returns the current time in milliseconds since the Unix epoch, which increases with each start.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/gateway/registration.rs
+++ b/crates/node/src/gateway/registration.rs
@@ -1,7 +1,7 @@
-//! Registration: this node's entry in the store, under a lease, by which other nodes find it.
+//! Registration: this node's entry in the store, by which other nodes discover it.
 //!
-//! Owns the lease. A process that starts again soon takes over the entry and the lease of the one before it, since
-//! writes are dear to the store. Relies on the state for the entry's value, and for whether the store still lists it.
+//! Owns the lease of the entry. A process that restarts soon takes over the entry and lease of its predecessor, which
+//! saves writes to the store.
 
 use std::rc;
 use std::time::{Duration, Instant};
@@ -16,16 +16,16 @@
 use crate::gateway::state;
 use crate::gateway::store_calls;
 
-/// Life of the lease without a renewal. Three renewals.
+/// Time to live of the lease; three renewal intervals.
 const LEASE_TIME: Duration = Duration::from_secs(12);
 
-/// Time between two renewals.
+/// Interval between renewals.
 const RENEWAL: Duration = Duration::from_secs(4);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Time between two checks whether the store's copy has arrived, at the start.
+/// Interval between checks for the copy of the store at the start.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// Registers and renews until the task ends.
@@ -37,7 +37,7 @@
     loop {
         match register(&state, &client).await {
             Ok(lease) => renew(&state, &client, lease, RENEWAL).await,
-            // The record of calls has logged it.
+            // `call_store` has logged the failure.
             Err(_) => {
                 tokio::time::sleep(PAUSE).await;
             }
@@ -45,9 +45,9 @@
     }
 }
 
-/// Returns the lease of an entry that this node's former process wrote and whose addresses still hold.
+/// Returns the lease of the entry of this node's previous process, if its addresses are unchanged.
 ///
-/// Waits for the copy of the store, but no longer than a read of it may take.
+/// Waits for the copy of the store, but not longer than the timeout of a read.
 async fn left_behind(state: &state::State) -> Option<lease::Held> {
     let began = Instant::now();
     while !state.replica.borrow().is_complete() {
@@ -63,7 +63,7 @@
     (is_true && own.lease != 0 && own.era == replica.at().era).then_some(held)
 }
 
-/// Returns the lease in the present era: none where the store was restored from a copy that lacks this node's entry under it.
+/// Returns the lease in the current era; `None` if the restored store lacks this node's entry under it.
 fn carried_over(state: &state::State, lease: lease::Held) -> Option<lease::Held> {
     let (replica, me) = (state.replica.borrow(), state.me.borrow());
     let era = replica.at().era;
@@ -75,7 +75,7 @@
     (own.era == era).then_some(lease::Held { era, ..lease })
 }
 
-/// Writes the entry under a new lease.
+/// Writes the entry with a new lease.
 async fn register(
     state: &state::State,
     client: &client::Client,
@@ -95,7 +95,7 @@
     Ok(lease)
 }
 
-/// Renews the lease after `pause`, and again and again, until it has expired or the entry is gone.
+/// Renews the lease after `pause` and then periodically, until it has expired or the entry is removed.
 async fn renew(state: &state::State, client: &client::Client, lease: lease::Held, pause: Duration) {
     let me = state.me.borrow().node.clone();
     let key = fact::node_key(&me);
@@ -107,7 +107,7 @@
         }
         pause = RENEWAL;
         if state.store_era() > state.replica.borrow().at().era {
-            // Whether the lease stands is known when the copy has been read.
+            // The copy of the store shows later whether the lease is still valid.
             pause = CHECK_PERIOD;
             continue;
         }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -1,7 +1,7 @@
-//! Follows the platform's store: reads it whole, then watches it.
+//! Follows the platform's store: reads the whole store, then watches it.
 //!
-//! Relies on [`steer::dispatch::fleet`] for whether this node watches, how long it waits for an answer, and when
-//! it calls again after a failure; and on the state to apply what it reads.
+//! [`steer::dispatch::fleet`] decides whether this node watches, how long it waits for a response, and when it calls
+//! again after a failure. The state applies the changes.
 
 use std::rc;
 use std::time::{Duration, Instant};
@@ -19,14 +19,14 @@
 /// Prefix of all keys.
 const ALL_KEYS: &str = "";
 
-/// What an answer of the store brought.
+/// Content of a response of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Brought {
     /// Changes.
     Changes,
-    /// Everything, since the history that was asked for is gone or of an earlier era.
+    /// The whole store, because the requested history is compacted or of an earlier era.
     Everything,
-    /// No change within the time of the watch.
+    /// No change before the watch ended.
     Nothing,
 }
 
@@ -52,8 +52,8 @@
                 let wait = wait(&state, place, brought, &backoff);
                 watch_or_read(&state, &client, place, wait).await
             }
-            // An old copy will do to begin with: the watch, or other nodes, bring what changed since. A fleet that
-            // starts together reads all items once for each node, which was half of its calls of a calm day.
+            // A stale read is sufficient, since the watch or other nodes deliver later changes. It costs a tenth of
+            // a linearizable one, and a starting fleet makes many.
             (false, _) => read(&state, &client, client::Freshness::Stale).await,
         };
         state.hear_store(&client);
@@ -61,7 +61,7 @@
         let before =
             std::mem::replace(&mut brought, outcome.as_ref().copied().unwrap_or(Brought::Changes));
         match outcome {
-            // A store that drops its history again and again gets no more calls than one that fails.
+            // Repeated compaction is treated like a failure, to limit the calls to the store.
             Ok(Brought::Everything) if before == Brought::Everything => {
                 pause(&state, &mut backoff).await;
             }
@@ -77,7 +77,7 @@
     tokio::time::sleep(pause).await;
 }
 
-/// Returns how long the next watch waits for a change: not at all after a failure.
+/// Returns the maximum duration of the next watch; zero after a failure.
 fn wait(
     state: &state::State,
     place: watchers::Place,
@@ -94,7 +94,7 @@
     }
 }
 
-/// Watches; reads everything when the store dropped the history since the last watch, or was restored from a copy.
+/// Watches the store; reads the whole store if the history since the last watch is compacted or the era is new.
 async fn watch_or_read(
     state: &state::State,
     client: &client::Client,
@@ -116,7 +116,7 @@
     }
 }
 
-/// Reads everything, unless another node has read a new era meanwhile and this one has taken it from there.
+/// Reads the whole store, unless this node has got the new era from another node meanwhile.
 async fn read_once(state: &state::State, client: &client::Client) -> Result<(), error::Error> {
     if !is_followed(state, client) {
         tokio::time::sleep(state.read_turn()).await;
@@ -127,7 +127,7 @@
     read(state, client, client::Freshness::Latest).await.map(|_| ())
 }
 
-/// Returns whether this node's copy is of the store's era.
+/// Returns whether this node's copy belongs to the current era of the store.
 fn is_followed(state: &state::State, client: &client::Client) -> bool {
     client.era() <= state.replica.borrow().at().era
 }
@@ -144,7 +144,7 @@
     Ok(Brought::Changes)
 }
 
-/// Checks that an answer was not long on its way: one of an earlier era says nothing to a node that knows more.
+/// Checks that a response does not belong to an earlier era than this node's copy.
 fn is_current(state: &state::State, answered: position::Position) -> Result<(), error::Error> {
     let is_over = answered.era < state.store_era() && state.replica.borrow().is_complete();
     match is_over {
@@ -153,7 +153,7 @@
     }
 }
 
-/// Asks for changes, and waits for one for as long as `wait`.
+/// Requests changes and waits for one for up to `wait`.
 async fn watch(
     state: &state::State,
     client: &client::Client,
