--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -1,4 +1,4 @@
-//! What one gateway's control costs beside 300 to 16,000 others and 1,000 to 100,000 upstreams.
+//! Cost of control at one gateway in fleets of 300 to 16,000 gateways and 1,000 to 100,000 upstreams.
 //!
 //! It stays because the users' bench charges a process as a whole, and a day with a thousand gateways takes a quarter of an hour:
 //! this names the parts that every gateway pays whether it takes requests or not, and shows how each grows. It owns the
@@ -17,7 +17,7 @@
 
 use crate::output;
 
-/// Other gateways, beside 10,000 upstreams, and upstreams, beside 1,000 gateways.
+/// Numbers of other gateways and of upstreams.
 const SIZES: [(usize, usize); 6] = [
     (300, 10_000),
     (1_000, 10_000),
--- a/crates/node/src/gateway/replica/history.rs
+++ b/crates/node/src/gateway/replica/history.rs
@@ -1,32 +1,32 @@
-//! History of a copy: after which revisions it knows every change one by one.
+//! History: the range of revisions for which a copy knows every change.
 //!
-//! A copy that was read whole lacks what was written and removed again since the one before it. Of two such readings
-//! only the time between them is lost: a node that is as far as the first, or as the second, is told what changed
-//! since, and needs no whole copy.
+//! A whole read of the store does not show the keys that were written and removed again since the previous position of
+//! the copy. Only the revisions between these two positions are lost. A node at either position can still be sent the
+//! changes since then instead of a whole copy.
 
 use std::collections;
 
-/// Gaps that are remembered; the oldest are forgotten with all that was before them.
+/// Maximum number of gaps; the history starts after the oldest one if there are more.
 const MAX_GAPS: usize = 32;
 
-/// Writes that are remembered; whoever is further behind has all entries looked through.
+/// Maximum number of recorded writes; an extract for a node further behind visits all entries.
 const MAX_WRITES: usize = 2_048;
 
 /// What a copy knows of the changes of one era.
 #[derive(Clone, Debug, Default)]
 pub struct History {
-    /// Revision before which nothing is known.
+    /// Revision before which no changes are known.
     floor: u64,
-    /// Revisions between which changes are not known, without the first and the last of each.
+    /// Ranges of unknown changes, as the known revisions before and after each.
     gaps: collections::VecDeque<(u64, u64)>,
-    /// The latest writes: their revisions, and the keys that were written.
+    /// Revision and key of each recent write.
     writes: collections::BTreeSet<(u64, String)>,
-    /// Revision after which every write is among them.
+    /// Revision after which `writes` is complete.
     writes_after: u64,
 }
 
 impl History {
-    /// Returns a history that begins at a revision.
+    /// Creates a history that starts at a revision.
     #[must_use]
     pub fn since(revision: u64) -> Self {
         Self { floor: revision, writes_after: revision, ..Self::default() }
@@ -39,7 +39,7 @@
         revision >= self.floor && !self.gaps.iter().any(is_inside)
     }
 
-    /// Notes that the changes between two revisions are not known one by one.
+    /// Records that the changes between two revisions are unknown.
     pub fn skip(&mut self, from: u64, to: u64) {
         if from >= to {
             return;
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Notes that a key was written.
+    /// Records that a key was written.
     pub fn write(&mut self, revision: u64, key: &str) {
         if revision <= self.writes_after {
             return;
@@ -65,15 +65,15 @@
         }
     }
 
-    /// Returns the keys that were written after `revision`, some of them more than once or removed since; none
-    /// where that is no longer known.
+    /// Returns the keys written after `revision`, which may have been removed since; `None` if the history does not
+    /// reach back that far.
     #[must_use]
     pub fn written_after(&self, revision: u64) -> Option<collections::BTreeSet<&str>> {
         let writes = self.writes.range((revision + 1, String::new())..);
         (revision >= self.writes_after).then(|| writes.map(|(_, key)| key.as_str()).collect())
     }
 
-    /// Forgets what was before a revision.
+    /// Removes the history before a revision.
     pub fn forget(&mut self, revision: u64) {
         self.floor = self.floor.max(revision);
     }
--- a/crates/node/src/gateway/rollout_report.rs
+++ b/crates/node/src/gateway/rollout_report.rs
@@ -1,4 +1,4 @@
-//! Form of what load reports say of the answers in roll-outs.
+//! Format of the answer counts of roll-outs in load reports.
 
 use steer::dispatch::rollout::Report;
 use steer::dispatch::rollout::evidence::{Counts, Route, Tally};
@@ -6,7 +6,7 @@
 
 use crate::gateway::leaving_report;
 
-/// Writes a report.
+/// Encodes a report.
 pub(super) fn encode(report: &Report) -> message::RolloutAnswers {
     let counts = || report.routes.iter().map(|(_, counts)| counts);
     message::RolloutAnswers {
@@ -21,11 +21,11 @@
     }
 }
 
-/// Reads a report.
+/// Decodes a report.
 ///
 /// # Errors
 ///
-/// Fails when the lists do not have the same length.
+/// Fails if the lists differ in length.
 pub(super) fn read(report: &message::RolloutAnswers) -> Result<Report, leaving_report::Uneven> {
     let names = report.routes.len();
     let new = [&report.new_answers, &report.new_failed, &report.new_slow];
--- a/crates/node/tests/gateway/rollouts.rs
+++ b/crates/node/tests/gateway/rollouts.rs
@@ -46,7 +46,7 @@
     assert!(began.elapsed() < PERIOD + Duration::from_secs(2));
     let failed = asked.iter().filter(|asked| asked.answer.status != 200).count();
     assert_eq!(failed, 0, "of {}", asked.len());
-    // The old ones stop at once, and nobody notices.
+    // The old upstreams stop without draining, and no request fails.
     fleet.upstreams.iter().for_each(Upstream::stop);
     let (old, moved) = (arrivals(&fleet.upstreams), arrivals(&new));
     let asked = fleet.ask(PER_SECOND, Duration::from_secs(1)).await;
--- a/crates/steer/src/dispatch/dispatcher/rollouts.rs
+++ b/crates/steer/src/dispatch/dispatcher/rollouts.rs
@@ -14,7 +14,7 @@
 use crate::dispatch::seconds;
 use crate::dispatch::seen_objects;
 
-/// End of an attempt, as far as it tells how good a version is.
+/// Result of an attempt that counts for the evaluation of a version.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
     /// The upstream answered that it failed, or not at all.
--- a/crates/steer/src/dispatch/rollout/evidence.rs
+++ b/crates/steer/src/dispatch/rollout/evidence.rs
@@ -1,8 +1,8 @@
 //! Evidence: whether the answers of a new version show that it is bad.
 //!
-//! A new version is compared with the old ones on the same route in the same stage, so that what troubles the
-//! whole service does not count against it. Counts are cumulative in one stage; those of another node replace
-//! its earlier ones, so a lost report does no harm.
+//! A new version is compared with the old ones on the same route in the same stage, so that a failure of the whole
+//! service does not count against it. Counts are cumulative within a stage, and a report replaces the previous one of
+//! its node, so the loss of a report is harmless.
 
 use std::collections;
 
@@ -17,8 +17,8 @@
 
 /// Share of slow answers that is accepted of any version.
 ///
-/// A good version has some too: its caches are empty, and its upstreams queue what comes at once when the
-/// share of requests is raised.
+/// A good version has slow answers too: its caches are empty, and its upstreams queue requests when its share is
+/// raised.
 const ACCEPTED_SLOW: f64 = 0.15;
 
 /// How many times the share of the old versions is accepted.
@@ -29,13 +29,13 @@
 
 /// Share of bad answers that is accepted of any version where the old ones give no answers any more.
 ///
-/// What troubles the whole service then shows at the new version alone.
+/// A failure of the whole service then affects the new version only.
 const ACCEPTED_ALONE: f64 = 0.3;
 
 /// Standard deviations by which bad answers have to exceed what is accepted.
 const DEVIATIONS: f64 = 6.0;
 
-/// Processing time above which an answer counts as slow, as a multiple of the one that is expected.
+/// Processing time from which an answer counts as slow, as a multiple of the expected one.
 pub const SLOW_FACTOR: f64 = 3.0;
 
 /// Key of a route in reports: a hash of its name.
--- a/crates/steer/src/dispatch/rollout/exposure.rs
+++ b/crates/steer/src/dispatch/rollout/exposure.rs
@@ -1,7 +1,7 @@
 //! Exposure: how many requests a new version gets before it is known to be good.
 //!
-//! Each node keeps its own part of the fleet's limit by its own counts. The sum then holds without any
-//! message, also where nodes are cut off, paused or started again.
+//! Each node enforces its part of the fleet-wide limit by its own counts. The limit therefore holds without messages,
+//! also while nodes are partitioned, paused or restarted.
 
 use model::rollout;
 
@@ -55,10 +55,10 @@
         (self.stage_requests, self.stage_new) = (0, 0);
     }
 
-    /// Returns whether the next request is one of those that go to the new version at `share`.
+    /// Returns whether the next request goes to the new version, given its `share` of requests.
     ///
-    /// Every so many requests, whatever they ask for: kinds and objects then reach the new version in their
-    /// own proportions, and its caches fill before all requests move.
+    /// Independent of the request's route and object, so that both reach the new version in their usual proportions
+    /// and its caches are warm before all requests move.
     #[must_use]
     pub fn is_due(&self, share: f64) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^52 requests")]
--- a/crates/steer/src/dispatch/rollout/mod.rs
+++ b/crates/steer/src/dispatch/rollout/mod.rs
@@ -1,11 +1,10 @@
-//! Roll-outs: which version of a service takes a request while an operator moves the service to another
-//! version, and which stage comes next.
+//! Roll-outs: which version of a service takes a request while the service moves to another version.
 //!
-//! Owns the orders in force, the recorded stages and the counts of answers by version. Every node limits the
-//! exposure of a new version by its own counts alone ([`exposure`]), so that the sum over the fleet holds
-//! whoever cannot hear the others. Nodes report their counts of answers to each other; each judges by the sum
-//! ([`evidence`]) and sends nothing more to a version that it finds bad, whether this is recorded or not.
-//! [`progress`] decides on the next stage.
+//! Owns the orders, the recorded stages and the counts of answers by version. Every node limits the exposure of a
+//! new version by its own counts ([`exposure`]), so that the fleet-wide limit also holds while nodes are
+//! partitioned. The nodes report their counts of answers to each other, and each evaluates the sum ([`evidence`]).
+//! A node that finds a version bad stops sending requests to it immediately, before the rollback is recorded.
+//! [`progress`] decides when the next stage starts.
 
 pub mod evidence;
 pub mod exposure;
@@ -52,11 +51,11 @@
     pub order: rollout::Order,
     /// The stage in force.
     pub stage: rollout::Stage,
-    /// Whether the stage is recorded for the whole fleet.
+    /// Whether the stage is recorded in the store.
     pub is_recorded: bool,
     /// Whether this node found the new version bad.
     pub is_bad: bool,
-    /// Answers in this stage, as far as this node knows.
+    /// Known answers in this stage.
     pub answers: evidence::Answers,
     began: Instant,
     stage_began: Instant,
@@ -101,10 +100,10 @@
     }
 }
 
-/// What one node, or the sum of several, reports of the answers in one roll-out.
+/// Counts of answers in one roll-out, reported by one node or for the sum of several.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
-    /// Key of the service, the order and the stage; counts of another stage do not add up with these.
+    /// Hash of the service, the order and the stage; counts of different stages are not added.
     pub key: u64,
     /// Counts by route.
     pub routes: Vec<(evidence::Route, evidence::Counts)>,
@@ -161,7 +160,7 @@
 
     /// Returns the versions that may take a request, in order of preference.
     ///
-    /// A request that was sent before goes to the old versions, so that a bad one does not cost it twice.
+    /// A retry goes to the old versions, so that a bad version cannot fail the same request twice.
     #[must_use]
     pub fn versions(
         &self,
@@ -231,7 +230,7 @@
         }
     }
 
-    /// Judges every new version; returns the services whose version was now found bad.
+    /// Evaluates every new version; returns the services whose version was found bad now.
     pub fn judge(&mut self) -> Vec<id::Service> {
         let mut bad = Vec::new();
         for (service, rollout) in &mut self.by_service {
--- a/crates/steer/src/dispatch/rollout/progress.rs
+++ b/crates/steer/src/dispatch/rollout/progress.rs
@@ -1,8 +1,8 @@
 //! Progress: which stage of a roll-out comes next, and when.
 //!
-//! Stages are recorded in the store under a condition, so that two nodes cannot record two. Their times are
-//! parts of the operator's period: most of it is spent at a small exposure, where a bad version costs least,
-//! and a quarter is left at the end for what takes longer than planned.
+//! Stages are recorded in the store with a condition, so that nodes cannot record different ones. Their durations are
+//! fractions of the operator's period. Over half of it is spent at a limited exposure, where a bad version costs little,
+//! and a quarter remains at the end for delays.
 
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 /// longer than planned.
 const MIN_STAGE: u32 = 8;
 
-/// Part of the period after which a version is moved on that too few requests were sent to, in hundredths.
+/// Part of the period after which a version with too few answers enters the next stage, in hundredths.
 const UNJUDGED_END: u32 = 55;
 
 /// Answers of the new version without which its exposure goes on for longer.
@@ -25,7 +25,7 @@
 
 /// Time for which all requests have gone to the new version before the old upstreams may stop.
 ///
-/// A node that learns of the stage last still sends to the old ones until then.
+/// Covers the propagation of the stage to the last node, which sends requests to the old upstreams until then.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
 /// What a node knows of a roll-out.
@@ -43,7 +43,7 @@
     pub since_stage: Duration,
     /// The operator's period.
     pub period: Duration,
-    /// Answers of the new version in this stage, as far as this node knows.
+    /// Known answers of the new version in this stage.
     pub new_answers: u32,
 }
 
--- a/crates/steer/tests/rollout.rs
+++ b/crates/steer/tests/rollout.rs
@@ -51,7 +51,7 @@
     trouble_from: Duration,
     trouble_for: Duration,
     loss: f64,
-    /// Gateways that hear of nothing and are heard by nobody, and when.
+    /// Number of partitioned gateways, and the time of the partition.
     cut: usize,
     cut_from: Duration,
     cut_for: Duration,
