Gaps in a copy's history are kept in the first era only

Cause: let a node that had read the store whole tell others only what changed since. In an era after a restore from a backup that is not enough: which items are outdated stands in whole copies only, so the other node brought an evacuation back into force that the store had lost.

Tests: the drawn case stands as what_goes_while_an_era_is_in_doubt_is_told_to_other_nodes; it failed before this change. The property is the same, its body a function that both call.

--- a/crates/node/src/gateway/replica/mod.rs
+++ b/crates/node/src/gateway/replica/mod.rs
@@ -32,6 +32,9 @@
 /// Maximum number of removed keys that are remembered; a node that is further behind gets a whole copy.
 const MOST_REMOVED: usize = 4_096;
 
+/// Era of a store that was never restored from a backup.
+const FIRST_ERA: u64 = 0;
+
 /// This node's copy of the store's contents.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
@@ -201,8 +204,12 @@
         // Otherwise an item that the store no longer contains could come into force later.
         self.outdated.retain(|key, item| item.revision > page.at || present.contains(key.as_str()));
         let at = page.position();
-        // The whole copy does not show keys that were added and removed since this copy's position.
-        self.history.skip(self.at.revision, page.at);
+        match self.at.era == FIRST_ERA && self.at.revision <= page.at {
+            // The whole copy does not show keys that were added and removed since this copy's position.
+            true => self.history.skip(self.at.revision, page.at),
+            // Changes cannot express which items of a restored store are outdated, so other nodes need a whole copy.
+            false => self.history.forget(page.at),
+        }
         for item in page.items {
             match item.era == self.at.era {
                 true => self.take(item, changes),
--- a/crates/node/tests/replica_eras.rs
+++ b/crates/node/tests/replica_eras.rs
@@ -263,24 +263,42 @@
     }
 }
 
+/// Returns whether two nodes hold the evacuations of the store at the end, whatever each heard before.
+fn hold_the_store_s_evacuations(
+    steps: &[Step],
+    heard: &[(bool, u8, bool)],
+    from_other: bool,
+) -> bool {
+    let pages = evacuations(steps);
+    let mut nodes = [Replica::default(), Replica::default()];
+    for &(which, page, from_other) in heard {
+        hear(&mut nodes, which, &pages[usize::from(page) % pages.len()], from_other);
+    }
+    let last = pages.last().expect("there is one").clone();
+    hear(&mut nodes, false, &last, false);
+    hear(&mut nodes, true, &last, from_other);
+    let mut wanted: Vec<&str> =
+        last.items.iter().filter_map(|item| item.key.strip_prefix("op/evacuate/")).collect();
+    wanted.sort_unstable();
+    nodes.iter_mut().all(|node| {
+        node.end_doubt();
+        halls(node) == wanted
+    })
+}
+
+/// A node that reads the store twice in an era whose doubt is not over finds that a key is gone which it holds to be outdated; the other
+/// node, which has it as outdated too, must be told.
+#[test]
+fn what_goes_while_an_era_is_in_doubt_is_told_to_other_nodes() {
+    let steps = [vec![(0, 0); 41], vec![(2, 0), (1, 0)], vec![(0, 0); 17], vec![(2, 0), (245, 0)]];
+    let heard = [(false, 42, false), (false, 106, false), (false, 61, false), (true, 0, true)];
+    assert!(hold_the_store_s_evacuations(&steps.concat(), &heard, true));
+}
+
 quickcheck! {
     /// Whatever two nodes heard before, and from whom, both hold what the store holds once the doubt is over.
     fn evacuations_are_those_of_the_store_when_the_doubt_is_over(steps: Vec<Step>, heard: Vec<(bool, u8, bool)>, from_other: bool) -> bool {
-        let pages = evacuations(&steps);
-        let mut nodes = [Replica::default(), Replica::default()];
-        for (which, page, from_other) in heard {
-            hear(&mut nodes, which, &pages[usize::from(page) % pages.len()], from_other);
-        }
-        let last = pages.last().expect("there is one").clone();
-        hear(&mut nodes, false, &last, false);
-        hear(&mut nodes, true, &last, from_other);
-        let mut wanted: Vec<&str> =
-            last.items.iter().filter_map(|item| item.key.strip_prefix("op/evacuate/")).collect();
-        wanted.sort_unstable();
-        nodes.iter_mut().all(|node| {
-            node.end_doubt();
-            halls(node) == wanted
-        })
+        hold_the_store_s_evacuations(&steps, &heard, from_other)
     }
 
     /// Two nodes that hear of the store at any time, in any order, and of each other, neither go back nor differ in the end.
