--- a/crates/node/src/gateway/extracts.rs
+++ b/crates/node/src/gateway/extracts.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// Encodes an extract as JSON, compressed if it is at least [`SMALLEST_COMPRESSED`] bytes long.
+/// Encodes an extract as JSON, compressed if it is long.
 ///
 /// # Errors
 ///
--- a/crates/node/src/gateway/facts.rs
+++ b/crates/node/src/gateway/facts.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Encodes the leaving upstreams known to `node` as datagrams of at most [`MOST_LEAVING`] upstreams each.
+/// Encodes the leaving upstreams known to `node` as datagrams of bounded size.
 #[must_use]
 pub fn encode(node: &id::Node, leavings: &[leaving::Announcement]) -> Vec<Vec<u8>> {
     let part = |leavings: &[leaving::Announcement]| {
