Platform: the write of a stage stands beside its format, so that no two modules name each other

Cause: platform::rollout named fact for its keys, and fact named rollout to decode: the tree's one circle of files. Change: the write is in platform::stages.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -30,10 +30,10 @@
 /// Regions over which both are spread.
 const REGIONS: usize = 3;
 
-/// Times that each part is measured; the median counts.
+/// Repetitions of each part, whose median is shown.
 const ROUNDS: usize = 101;
 
-/// Times that a whole copy is made and taken in.
+/// Repetitions for whole copies.
 const COPIES: usize = 5;
 
 const TEXT: &str = "# Cost of a gateway's control\n\n\
@@ -89,7 +89,7 @@
     })
 }
 
-/// Returns the median time of what is measured.
+/// Returns the median duration of `measured` over all repetitions.
 fn median(measured: impl FnMut(usize)) -> Duration {
     median_of(ROUNDS, measured)
 }
--- a/crates/node/src/gateway/rollout_keeper.rs
+++ b/crates/node/src/gateway/rollout_keeper.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use model::rollout;
-use platform::rollout as records;
+use platform::stages;
 use platform::store::client;
 use steer::dispatch::fleet::{representatives, store_call};
 use steer::dispatch::rollout::progress;
@@ -43,7 +43,7 @@
             continue;
         }
         let revision = state.replica.borrow().rollout_revision(&known.record.service);
-        let write = records::put(&known.record, revision);
+        let write = stages::put(&known.record, revision);
         let call = client.write(&write, store_call::answer_timeout(state.store_bound()));
         // The record of calls logs a failure. A condition that does not hold means that another node was first.
         let _ = state.call_store(store_calls::Kind::Rollout, call).await;
