Sight: what look-ups name, failed connections to upstreams, ejected upstreams

The dump now holds named_to_callers, the metrics connections_failed and upstreams_ejected. No decision changes.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -2,6 +2,7 @@
 //!
 //! Defines the paths of the metrics and the dump, and the dump's format.
 
+use std::net;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use steer::dispatch::quarantine::ruling::Ruling;
 use steer::dispatch::upstream;
 
+use crate::gateway::directory;
 use crate::gateway::peer;
 use crate::gateway::state;
 use crate::gateway::store_calls;
@@ -112,6 +114,7 @@
         "config_version": state.routing().map(|r| r.version),
         "evacuated": dispatcher.evacuated().iter().map(id::Hall::as_str).collect::<Vec<_>>(),
         "peers_alive": alive,
+        "named_to_callers": named_to_callers(state),
         "organisations_near_limit": near_limit(state),
         "quarantine": held(state, now),
         "splits": splits(&dispatcher),
@@ -123,6 +126,13 @@
     })
 }
 
+/// Returns the addresses that a look-up for a caller in this node's region names.
+fn named_to_callers(state: &state::State) -> Vec<String> {
+    let region = state.me.borrow().region.clone();
+    let named = directory::addresses(state, &region, &[]);
+    named.iter().map(net::SocketAddr::to_string).collect()
+}
+
 /// Returns the organisations that are near their limits at this node.
 fn near_limit(state: &state::State) -> Vec<String> {
     let quotas = state.quotas.borrow();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -151,6 +151,8 @@
     pub unknown_headers: unknown_headers::Counts,
     /// New connections to upstreams.
     pub connections: Counter,
+    /// Such connections that could not be established.
+    pub connections_failed: Counter,
     /// Look-ups.
     pub lookups: Counter,
     /// Heartbeats sent.
@@ -204,6 +206,8 @@
     pub is_watching: Gauge,
     /// Upstreams that are used though their entries have vanished.
     pub upstreams_lapsed: Gauge,
+    /// Upstreams that this node ejected, since they could not be reached or fell silent.
+    pub upstreams_ejected: Gauge,
     /// Kinds of requests that are held back, since upstreams crash under them.
     pub held: Gauge,
     /// Upstreams that name a limit.
@@ -214,7 +218,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 43] {
+    fn counters(&self) -> [(&'static str, &Counter); 44] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -237,6 +241,7 @@
             ("malformed_leavings", &self.malformed_leavings),
             ("malformed_rests", &self.malformed_rests),
             ("connections", &self.connections),
+            ("connections_failed", &self.connections_failed),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
             ("control_bytes", &self.control_bytes),
@@ -263,12 +268,13 @@
     }
 
     /// Returns every gauge with its name, in the order in which they are written.
-    fn gauges(&self) -> [(&'static str, &Gauge); 6] {
+    fn gauges(&self) -> [(&'static str, &Gauge); 7] {
         [
             ("store_call_age_seconds", &self.store_call_age),
             ("store_answer_age_seconds", &self.store_answer_age),
             ("watching", &self.is_watching),
             ("upstreams_lapsed", &self.upstreams_lapsed),
+            ("upstreams_ejected", &self.upstreams_ejected),
             ("requests_held", &self.held),
             ("upstreams_limited", &self.upstreams_limited),
         ]
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -279,7 +279,10 @@
         self.server.state.metrics.connections.add(1);
         match connection::Connection::open(upstream.address).await {
             Ok(connection) => Ok((connection, false)),
-            Err(error) => Err(exchange::Failure::NotSent(error.to_string())),
+            Err(error) => {
+                self.server.state.metrics.connections_failed.add(1);
+                Err(exchange::Failure::NotSent(error.to_string()))
+            }
         }
     }
 
--- a/crates/node/src/gateway/state/gauges.rs
+++ b/crates/node/src/gateway/state/gauges.rs
@@ -17,6 +17,10 @@
         figures.is_watching.set(f64::from(u8::from(self.is_watching.get())));
         let lapsed = u32::try_from(self.dispatcher.borrow().lapsed().len()).unwrap_or(u32::MAX);
         figures.upstreams_lapsed.set(lapsed.into());
+        let dispatcher = self.dispatcher.borrow();
+        let ejected = dispatcher.upstreams().filter(|u| u.health.is_ejected(now)).count();
+        drop(dispatcher);
+        figures.upstreams_ejected.set(u32::try_from(ejected).unwrap_or(u32::MAX).into());
         let held = self.quarantine.borrow().held(now).count();
         figures.held.set(u32::try_from(held).unwrap_or(u32::MAX).into());
         let limited = self.dispatcher.borrow().limits().count_named();
