--- /dev/null
+++ b/crates/node/tests/gateway/path.rs
@@ -0,0 +1,136 @@
+//! Paths: loopback proxies between one gateway and one upstream, which can be cut.
+
+use std::net;
+use std::time::Duration;
+
+use standin::loopback;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that fill the queue of a listener that accepts none.
+const FILLERS: usize = 3;
+
+/// Time in which a filler is queued, or is known not to be.
+const FILL_TIME: Duration = Duration::from_millis(50);
+
+/// Pause before the address is listened at again, if it could not be yet.
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
+
+/// How a path is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Open connections are reset, and new ones refused.
+    Reset,
+    /// Nothing arrives on open connections, and new ones do not come up.
+    Hang,
+    /// Open connections live on, and new ones are refused.
+    LivesOn,
+}
+
+/// A path to one address.
+#[derive(Debug)]
+pub struct Path {
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    cut: watch::Sender<Option<Cut>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Path {
+    /// Starts a path to `target`.
+    pub async fn start(target: net::SocketAddr) -> Self {
+        let listener = TcpListener::bind((loopback::address(), 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let (cut, cuts) = watch::channel(None);
+        let task = tokio::spawn(listen(listener, target, cuts));
+        Self { address, cut, task }
+    }
+
+    /// Cuts the path; `None` heals it.
+    pub fn set(&self, cut: Option<Cut>) {
+        self.cut.send_replace(cut);
+    }
+}
+
+impl Drop for Path {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn listen(
+    mut listener: TcpListener,
+    target: net::SocketAddr,
+    mut cuts: watch::Receiver<Option<Cut>>,
+) {
+    let address = listener.local_addr().expect("it listens");
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            _ = cuts.wait_for(Option::is_some) => None,
+        };
+        if let Some(accepted) = accepted {
+            let Ok((near, _)) = accepted else { return };
+            connections.spawn(connect(near, target, cuts.clone()));
+            continue;
+        }
+        drop(listener);
+        let cut = *cuts.borrow();
+        let full = match cut {
+            Some(Cut::Hang) => Some(full(address).await),
+            _ => None,
+        };
+        // Fails when the test has ended.
+        if cuts.wait_for(Option::is_none).await.is_err() {
+            return;
+        }
+        drop(full);
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(again) => break again,
+                Err(_) => tokio::time::sleep(LISTEN_PAUSE).await,
+            }
+        };
+    }
+}
+
+/// Listens at `address` with a queue that is full, so that new connections do not come up.
+async fn full(address: net::SocketAddr) -> (socket2::Socket, Vec<TcpStream>) {
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&address.into()).expect("the address is free");
+    socket.listen(0).expect("it listens");
+    let mut fillers = Vec::new();
+    for _ in 0..FILLERS {
+        let filler = tokio::time::timeout(FILL_TIME, TcpStream::connect(address)).await;
+        fillers.extend(filler.ok().and_then(Result::ok));
+    }
+    (socket, fillers)
+}
+
+async fn connect(
+    mut near: TcpStream,
+    target: net::SocketAddr,
+    mut cuts: watch::Receiver<Option<Cut>>,
+) {
+    let Ok(mut far) = TcpStream::connect(target).await else { return };
+    // Without it answers are only slower.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    loop {
+        let stops = |cut: &Option<Cut>| matches!(cut, Some(Cut::Reset | Cut::Hang));
+        tokio::select! {
+            _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+            _ = cuts.wait_for(stops) => {}
+        }
+        if *cuts.borrow() == Some(Cut::Reset) {
+            // Fails when the connection has ended already.
+            let _ = socket2::SockRef::from(&near).set_linger(Some(Duration::ZERO));
+            return;
+        }
+        if cuts.wait_for(Option::is_none).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/standin/src/platform/listener.rs
+++ b/crates/standin/src/platform/listener.rs
@@ -1,10 +1,12 @@
 //! Listeners of one store, each with its own faults, so that some nodes are refused while others are
 //! served.
 //!
-//! It owns the mode and the count of calls of one listener; [`crate::platform::store`] opens them
-//! and answers by their mode. It relies on no other module.
+//! It owns the mode, the count of calls and the paths to upstreams of one listener;
+//! [`crate::platform::store`] opens them and answers by their mode. It relies on no other module.
 
+use std::collections;
 use std::net;
+use std::sync;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
 /// How a listener answers calls.
@@ -30,11 +32,18 @@
     pub address: net::SocketAddr,
     mode: AtomicU8,
     calls: AtomicU64,
+    /// Addresses that values read here name, in place of the written ones.
+    paths: sync::Mutex<collections::BTreeMap<net::SocketAddr, net::SocketAddr>>,
 }
 
 impl Listener {
     pub(crate) fn new(address: net::SocketAddr) -> Self {
-        Self { address, mode: AtomicU8::new(Mode::Open as u8), calls: AtomicU64::new(0) }
+        Self {
+            address,
+            mode: AtomicU8::new(Mode::Open as u8),
+            calls: AtomicU64::new(0),
+            paths: sync::Mutex::default(),
+        }
     }
 
     /// Sets how calls are answered from now on; watches that wait are not touched.
@@ -60,6 +69,25 @@
         self.calls.load(Ordering::Acquire)
     }
 
+    /// Makes values that are read here name `path` in place of `address`, so that the nodes of this
+    /// listener reach that address over a path of their own.
+    pub fn set_path(&self, address: net::SocketAddr, path: net::SocketAddr) {
+        self.paths.lock().unwrap_or_else(sync::PoisonError::into_inner).insert(address, path);
+    }
+
+    /// Returns a value as the nodes of this listener read it.
+    pub(crate) fn with_paths(&self, value: Vec<u8>) -> Vec<u8> {
+        let paths = self.paths.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if paths.is_empty() {
+            return value;
+        }
+        let Ok(mut text) = String::from_utf8(value.clone()) else { return value };
+        for (address, path) in paths.iter() {
+            text = text.replace(&format!("\"{address}\""), &format!("\"{path}\""));
+        }
+        text.into_bytes()
+    }
+
     pub(crate) fn count(&self) {
         self.calls.fetch_add(1, Ordering::AcqRel);
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -184,6 +184,13 @@
         }
     }
 
+    /// Returns items as the nodes of this listener read them.
+    fn read(&self, items: Vec<item::Item>) -> Vec<item::Item> {
+        let read =
+            |item: item::Item| item::Item { value: self.listener.with_paths(item.value), ..item };
+        items.into_iter().map(read).collect()
+    }
+
     /// Answers a write that was done, late if the listener loses the answers of writes.
     async fn answer_write(&self, response: Response) -> Response {
         if self.listener.mode() == listener::Mode::LosesWrites {
@@ -230,6 +237,7 @@
     };
     let mut page = old.unwrap_or_else(|| page(&items, prefix));
     page.items.retain(|item| item.key.starts_with(prefix));
+    page.items = context.read(page.items);
     Json(page).into_response()
 }
 
@@ -258,6 +266,7 @@
         let Some(events) = changes else { return StatusCode::GONE.into_response() };
         let is_over = tokio::time::Instant::now() >= until;
         if !events.is_empty() || is_over {
+            let events = context.read(events);
             return Json(item::Events { events, at }).into_response();
         }
         // A change and the end of the wait are distinguished at the loop's start.
