A gateway that cannot connect to a service says so, and callers go to others

Cause: each upstream was judged alone, by requests only. No rule concluded that the gateway itself was cut off, and nothing of what it reached was told to others.

Change: steer::dispatch::connectivity. Where all fail, requests of the service are refused at once, the callers' connections close, heartbeats say it (two new fields, absent at rest), and look-ups name gateways that reach the host's services; the others only where there are none. Checks alone find out that it is reached again. No special case for a deployment: a service whose upstreams are all down looks the same to all gateways, and look-ups then name all.

The measurement in look_ups_follow waited for its callers as well as for look-ups; its bound is as it was.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -13,6 +13,7 @@
 use node::gateway::{datagram, extracts, member, settings};
 use platform::store::item;
 use platform::{fact, upstream};
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::repair;
 
 use crate::output;
@@ -230,6 +231,7 @@
         requests: 0,
         leavings: repair::Digest::default(),
         fleet: None,
+        connectivity: report::Report::default(),
     }
 }
 
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -115,6 +115,13 @@
         regions
     }
 
+    /// Iterates over the services of the routes of `host`; a service of several routes comes several
+    /// times.
+    pub fn services_of_host(&self, host: &str) -> impl Iterator<Item = &id::Service> {
+        let routes = self.routes_of_host(host).into_iter().flatten();
+        routes.flat_map(|route| &route.parts).map(|part| &part.service)
+    }
+
     /// Iterates over all routes.
     pub fn routes(&self) -> impl Iterator<Item = &std::sync::Arc<route::Route>> {
         self.hosts.values().flatten()
--- /dev/null
+++ b/crates/node/src/gateway/connectivity.rs
@@ -0,0 +1,76 @@
+//! Connectivity: checks whether this node can connect to the upstreams of a service.
+//!
+//! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when, at which upstreams, and what
+//! follows; the other nodes learn of a change in a heartbeat at once.
+
+use std::net;
+use std::rc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt as _;
+use steer::dispatch::connectivity::service::Change;
+use steer::dispatch::dispatcher::connectivity::Check;
+use tokio::net::TcpStream;
+use tokio::task;
+
+use crate::common::socket;
+use crate::gateway::proxy::connection;
+use crate::gateway::state;
+
+/// Makes the checks that are due until the task ends.
+pub async fn run(state: rc::Rc<state::State>) {
+    let mut running = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            () = state.check_due.notified() => {}
+            Some(_) = running.join_next() => continue,
+        }
+        let checks = state.dispatcher.borrow_mut().begin_checks(&mut draw, Instant::now());
+        for check in checks {
+            running.spawn_local(make(rc::Rc::clone(&state), check));
+        }
+    }
+}
+
+/// Draws a number below `end`.
+pub fn draw(end: usize) -> usize {
+    rand::rng().random_range(0..end)
+}
+
+async fn make(state: rc::Rc<state::State>, check: Check) {
+    let addresses: Vec<net::SocketAddr> = check.upstreams.iter().map(|u| u.address).collect();
+    state.metrics.connectivity_checks.add(1);
+    // A service without an upstream that takes requests says nothing of this node.
+    let is_connected =
+        addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIME).await;
+    let change = state.dispatcher.borrow_mut().end_check(&check.service, is_connected);
+    state.check_due.notify_one();
+    let (service, upstreams) = (check.service.as_str(), addresses.len());
+    match change {
+        None => return,
+        Some(Change::Lost) => log::warn!(service, upstreams; "service-unreached"),
+        Some(Change::Regained) => log::info!(service; "service-reached"),
+    }
+    state.beat.notify_one();
+}
+
+/// Returns whether a connection to any of `addresses` comes up within `time`.
+pub async fn connects_to_any(addresses: &[net::SocketAddr], time: Duration) -> bool {
+    let mut connections = task::JoinSet::new();
+    for address in addresses.iter().copied() {
+        connections.spawn_local(async move {
+            let stream = TcpStream::connect(address).await?;
+            // The upstream frees the connection at once.
+            socket::reset_when_closed(&stream)
+        });
+    }
+    let first = async {
+        while let Some(connected) = connections.join_next().await {
+            if let Ok(Ok(())) = connected {
+                return true;
+            }
+        }
+        false
+    };
+    tokio::time::timeout(time, first).await.unwrap_or(false)
+}
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -103,6 +103,7 @@
     let dispatcher = state.dispatcher.borrow();
     let members = state.members.borrow();
     let alive: Vec<&str> = members.alive(now).map(|m| m.node.as_str()).collect();
+    let unreached: Vec<&str> = dispatcher.unreached_services().map(id::Service::as_str).collect();
     let replica = state.replica.borrow();
     let dump = serde_json::json!({
         "me": *state.me.borrow(),
@@ -115,6 +116,7 @@
         "evacuated": dispatcher.evacuated().iter().map(id::Hall::as_str).collect::<Vec<_>>(),
         "peers_alive": alive,
         "named_to_callers": named_to_callers(state),
+        "services_unreached": unreached,
         "organisations_near_limit": near_limit(state),
         "quarantine": held(state, now),
         "splits": splits(&dispatcher),
@@ -129,7 +131,7 @@
 /// Returns the addresses that a look-up for a caller in this node's region names.
 fn named_to_callers(state: &state::State) -> Vec<String> {
     let region = state.me.borrow().region.clone();
-    let named = directory::addresses(state, &region, &[]);
+    let named = directory::addresses(state, &region, &directory::Wanted::default());
     named.iter().map(net::SocketAddr::to_string).collect()
 }
 
--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -6,6 +6,7 @@
 
 use model::id;
 use prost::Message as _;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::repair;
 use wire::gateway::heartbeat;
 
@@ -31,6 +32,8 @@
         requests: member.requests,
         leavings: member.leavings.0,
         fleet: member.fleet.map_or(0, |fleet| fleet.0.get()),
+        is_cut_off: member.connectivity.is_cut_off,
+        unreached: member.connectivity.unreached.iter().map(|key| key.0).collect(),
     };
     let mut datagram = vec![heartbeat::MARK];
     datagram.extend(message.encode_to_vec());
@@ -62,5 +65,9 @@
         requests: message.requests,
         leavings: repair::Digest(message.leavings),
         fleet: num::NonZeroU32::new(message.fleet).map(id::Fleet),
+        connectivity: report::Report {
+            is_cut_off: message.is_cut_off,
+            unreached: message.unreached.into_iter().map(report::Key).collect(),
+        },
     })
 }
--- a/crates/node/src/gateway/directory.rs
+++ b/crates/node/src/gateway/directory.rs
@@ -8,38 +8,64 @@
 
 use model::id;
 use platform::directory;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{active_set, lookup};
 
 use crate::gateway::state;
 
+/// What a look-up asks for, as far as the choice depends on it.
+#[derive(Clone, Debug, Default)]
+pub struct Wanted {
+    homes: Vec<id::Region>,
+    services: Vec<report::Key>,
+}
+
+impl Wanted {
+    /// Returns what the routes of `host` need.
+    fn of_host(state: &state::State, host: &str) -> Self {
+        let Some(routing) = state.routing() else { return Self::default() };
+        let mut services: Vec<report::Key> =
+            routing.services_of_host(host).map(report::Key::of).collect();
+        services.sort_unstable();
+        services.dedup();
+        Self { homes: routing.home_regions(host), services }
+    }
+}
+
 /// Answers a look-up, by its query.
 #[must_use]
 pub fn answer(state: &state::State, query: &str) -> Vec<u8> {
     state.metrics.lookups.add(1);
     let query = directory::Query::parse(query);
-    let region = id::Region::new(&query.region);
-    let homes = state.routing().map_or_else(Vec::new, |r| r.home_regions(&query.name));
-    let chosen = addresses(state, &region, &homes);
+    let wanted = Wanted::of_host(state, &query.name);
+    let chosen = addresses(state, &id::Region::new(&query.region), &wanted);
     directory::answer(&chosen, lookup::cache(&state.settings.borrow().bounds()))
 }
 
-/// Returns the addresses that a caller in `region` is told for a host whose home regions are `homes`.
+/// Returns the addresses that a caller in `region` is told.
 pub fn addresses(
     state: &state::State,
     region: &id::Region,
-    homes: &[id::Region],
+    wanted: &Wanted,
 ) -> Vec<net::SocketAddr> {
     let members = state.members.borrow();
     let me = state.me.borrow();
-    let serving: Vec<lookup::Node<'_>> = members
-        .alive(Instant::now())
-        .chain([&*me])
-        .filter(|m| m.is_serving())
-        .map(|m| lookup::Node { region: &m.region, callers: m.callers, report: m.said() })
+    let own = state.dispatcher.borrow().connectivity_report();
+    let others = members.alive(Instant::now()).map(|member| (member, &member.connectivity));
+    let serving = others.chain([(&*me, &own)]).filter(|(member, _)| member.is_serving());
+    let serving: Vec<lookup::Node<'_>> = serving
+        .map(|(member, connectivity)| lookup::Node {
+            region: &member.region,
+            callers: member.callers,
+            report: member.said(),
+            reaches_services: connectivity.reaches(&wanted.services),
+        })
         .collect();
-    let listed = members.listed().map(|(name, listed)| {
-        let report = active_set::Node { name, capacity: 0, requests: 0 };
-        lookup::Node { region: &listed.region, callers: listed.callers, report }
+    let listed = members.listed().map(|(name, listed)| lookup::Node {
+        region: &listed.region,
+        callers: listed.callers,
+        report: active_set::Node { name, capacity: 0, requests: 0 },
+        reaches_services: true,
     });
-    lookup::addresses(region, homes, &serving, listed)
+    lookup::addresses(region, &wanted.homes, &serving, listed)
 }
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -7,6 +7,7 @@
 use model::id;
 use platform::store::position;
 use serde::{Deserialize, Serialize};
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{active_set, repair};
 
 /// What a node reports of itself.
@@ -50,6 +51,9 @@
     /// The number of its fleet, once it knows it. The store's entry does not hold it.
     #[serde(skip)]
     pub fleet: Option<id::Fleet>,
+    /// The services that it cannot connect to. The store's entry does not hold them.
+    #[serde(skip)]
+    pub connectivity: report::Report,
 }
 
 /// Returns whether an era is that of a store that was never restored from a copy.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -153,6 +153,8 @@
     pub connections: Counter,
     /// Such connections that could not be established.
     pub connections_failed: Counter,
+    /// Checks whether a service can be connected to.
+    pub connectivity_checks: Counter,
     /// Look-ups.
     pub lookups: Counter,
     /// Heartbeats sent.
@@ -208,6 +210,8 @@
     pub upstreams_lapsed: Gauge,
     /// Upstreams that this node ejected, since they could not be reached or fell silent.
     pub upstreams_ejected: Gauge,
+    /// Services that this node cannot connect to.
+    pub services_unreached: Gauge,
     /// Kinds of requests that are held back, since upstreams crash under them.
     pub held: Gauge,
     /// Upstreams that name a limit.
@@ -218,7 +222,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 44] {
+    fn counters(&self) -> [(&'static str, &Counter); 45] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -242,6 +246,7 @@
             ("malformed_rests", &self.malformed_rests),
             ("connections", &self.connections),
             ("connections_failed", &self.connections_failed),
+            ("connectivity_checks", &self.connectivity_checks),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
             ("control_bytes", &self.control_bytes),
@@ -268,13 +273,14 @@
     }
 
     /// Returns every gauge with its name, in the order in which they are written.
-    fn gauges(&self) -> [(&'static str, &Gauge); 7] {
+    fn gauges(&self) -> [(&'static str, &Gauge); 8] {
         [
             ("store_call_age_seconds", &self.store_call_age),
             ("store_answer_age_seconds", &self.store_answer_age),
             ("watching", &self.is_watching),
             ("upstreams_lapsed", &self.upstreams_lapsed),
             ("upstreams_ejected", &self.upstreams_ejected),
+            ("services_unreached", &self.services_unreached),
             ("requests_held", &self.held),
             ("upstreams_limited", &self.upstreams_limited),
         ]
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -13,6 +13,7 @@
 
 use crate::common::store;
 use crate::gateway::catch_up;
+use crate::gateway::connectivity;
 use crate::gateway::control_server;
 use crate::gateway::declarations;
 use crate::gateway::fleet_keeper;
@@ -89,6 +90,7 @@
             task::spawn_local(loads::send(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(quarantine::run(rc::Rc::clone(&state), rc::Rc::clone(&datagrams))),
             task::spawn_local(heartbeat::receive(rc::Rc::clone(&state), datagrams)),
+            task::spawn_local(connectivity::run(rc::Rc::clone(&state))),
             task::spawn_local(tick(rc::Rc::clone(&state), pool)),
         ]);
         Ok(Self { state, open, close, tasks })
--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -14,7 +14,7 @@
 use crate::common::socket;
 
 /// Longest time a connection may take to come up.
-const CONNECT_TIME: Duration = Duration::from_millis(350);
+pub const CONNECT_TIME: Duration = Duration::from_millis(350);
 
 /// Time after which bytes that the upstream does not acknowledge break the connection.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(2);
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -38,6 +38,8 @@
     NotSent(String),
     /// Nothing was sent, since the upstream takes no more requests of this node meanwhile.
     Withdrawn,
+    /// Nothing was sent, since no connection is open and none to the service comes up.
+    Unreached,
     /// It was sent, and the connection ended before the answer; it may have run.
     Closed(String),
     /// It was sent, and what came is no answer to it; it may have run.
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -31,19 +31,22 @@
     let (parts, incoming) = request.into_parts();
     let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
     let mut trace = trace::Trace::new(&server.state);
+    let mut is_unreachable = false;
     let mut response = match serve(server, parts, incoming, caller, &mut trace).await {
         Ok(response) => {
             trace.answered(response.status());
             response
         }
         Err(reason) => {
+            is_unreachable = reason == answer::Reason::GivenUp(give_up::Reason::Unreachable);
             trace.refused(reason);
             answer::make(reason, server.state.dialect)
         }
     };
     // A length beside the chunks, which the HTTP library does not show, may hide a second request
     // behind the first (RFC 9112, section 6.1), so nothing more is read from such a connection.
-    if is_chunked || server.state.is_leaving() {
+    // A caller that this gateway cannot serve comes back over another one.
+    if is_chunked || is_unreachable || server.state.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -14,6 +14,7 @@
 use model::organisation;
 use model::route;
 use model::routing;
+use steer::dispatch::connectivity::service::Access;
 use steer::dispatch::execution;
 use steer::dispatch::give_up;
 use steer::dispatch::outcome;
@@ -37,6 +38,9 @@
 /// End of a try whose upstream takes no more requests since it was chosen, as the log shows it.
 const WITHDRAWN: &str = "withdrawn";
 
+/// End of a try that needed a new connection while none comes up, as the log shows it.
+const UNREACHED: &str = "unreached";
+
 /// What is sent, and until when.
 #[derive(Debug)]
 pub struct Request<'a> {
@@ -132,9 +136,14 @@
                     attempt.end(outcome::Outcome::Abandoned);
                     self.end(retry::Outcome::NotSent(WITHDRAWN.to_owned()))?;
                 }
+                Err(exchange::Failure::Unreached) => {
+                    attempt.end(outcome::Outcome::Abandoned);
+                    self.end(retry::Outcome::NotSent(UNREACHED.to_owned()))?;
+                }
                 Err(exchange::Failure::Closed(cause)) => {
                     attempt.end(outcome::Outcome::Broken);
                     self.server.state.metrics.broken.add(1);
+                    self.server.state.record_connection_failure(&choice.upstream);
                     let sent = self.identity.sent(&choice.upstream, began);
                     crash::check(&self.server.state, sent).await;
                     self.end(retry::Outcome::Broken(cause))?;
@@ -276,11 +285,19 @@
         if let Some(connection) = self.server.pool.take(upstream) {
             return Ok((connection, true));
         }
-        self.server.state.metrics.connections.add(1);
+        let state = &self.server.state;
+        if state.dispatcher.borrow().access(self.request.service, Instant::now()) != Access::Full {
+            return Err(exchange::Failure::Unreached);
+        }
+        state.metrics.connections.add(1);
         match connection::Connection::open(upstream.address).await {
-            Ok(connection) => Ok((connection, false)),
+            Ok(connection) => {
+                state.dispatcher.borrow_mut().record_connection(upstream);
+                Ok((connection, false))
+            }
             Err(error) => {
-                self.server.state.metrics.connections_failed.add(1);
+                state.metrics.connections_failed.add(1);
+                state.record_connection_failure(upstream);
                 Err(exchange::Failure::NotSent(error.to_string()))
             }
         }
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -21,6 +21,7 @@
 
 use model::id;
 use model::routing;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
 use steer::dispatch::{dispatcher, position, quota};
@@ -87,6 +88,8 @@
     pub era_changed: Notify,
     /// Wakes the task that fetches changes from other nodes.
     pub behind: Notify,
+    /// Wakes the task that checks whether services are reached.
+    pub check_due: Notify,
     /// Wakes the task that reports crashes to other nodes.
     pub quarantine_changed: Notify,
 }
@@ -117,6 +120,7 @@
             requests: 0,
             leavings: repair::Digest::default(),
             fleet: None,
+            connectivity: report::Report::default(),
         };
         let bounds = settings.bounds();
         let dispatcher = dispatcher::Dispatcher::new(position, bounds);
@@ -145,6 +149,7 @@
             behind: Notify::new(),
             quarantine_changed: Notify::new(),
             beat: Notify::new(),
+            check_due: Notify::new(),
         }
     }
 
@@ -265,6 +270,9 @@
         self.quotas.borrow_mut().tick(now);
         self.quarantine.borrow_mut().tick(now);
         self.judge_rollouts(&mut dispatcher);
+        if dispatcher.is_check_due(now) {
+            self.check_due.notify_one();
+        }
         let left = dispatcher.lapsed().clone();
         drop(dispatcher);
         if left.len() < lapsed.len() {
@@ -280,9 +288,13 @@
         let mut rate = self.rate.get();
         let requests = rate.update(self.metrics.requests.get(), now);
         self.rate.set(rate);
-        let leavings = self.dispatcher.borrow().leaving_digest();
+        let dispatcher = self.dispatcher.borrow();
+        let (leavings, connectivity) =
+            (dispatcher.leaving_digest(), dispatcher.connectivity_report());
+        drop(dispatcher);
         let mut me = self.me.borrow_mut();
         me.leavings = leavings;
+        me.connectivity = connectivity;
         me.requests = requests;
         me.sequence += 1;
     }
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -74,15 +74,21 @@
 
     /// Passes the known nodes to the dispatcher, for slow start and the retry budget, and to the quotas.
     ///
-    /// Only nodes of the active set own cold upstreams, since the others receive few requests.
+    /// Only nodes of the active set own cold upstreams, since the others receive few requests; a node
+    /// that cannot connect to some service owns none while there are others.
     pub fn update_nodes(&self) {
         let now = Instant::now();
         let members = self.members.borrow();
         let me = self.me.borrow();
-        let owners = slow_start_owner::Owners {
-            near: members.active(&me, now).into_iter().map(|m| m.node.clone()).collect(),
-            listed: sync::Arc::clone(members.listed_names()),
+        let active = members.active(&me, now);
+        let reaching = active.iter().filter(|m| m.connectivity.reaches_all());
+        let reaching: Vec<id::Node> = reaching.map(|m| m.node.clone()).collect();
+        let near = match reaching.is_empty() {
+            true => active.iter().map(|m| m.node.clone()).collect(),
+            false => reaching,
         };
+        let owners =
+            slow_start_owner::Owners { near, listed: sync::Arc::clone(members.listed_names()) };
         let others = members.count();
         self.dispatcher.borrow_mut().set_nodes(owners, others + 1, now);
         drop(members);
--- a/crates/node/src/gateway/state/upstreams.rs
+++ b/crates/node/src/gateway/state/upstreams.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use model::discovery;
 use model::id;
 use steer::dispatch::dispatcher;
 
@@ -29,6 +30,14 @@
             removed: changes.upstreams.iter().filter(is_gone).cloned().collect(),
         })
     }
+
+    /// Records that a connection to an upstream could not be opened, or was closed before a response.
+    pub fn record_connection_failure(&self, upstream: &discovery::Entry) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if dispatcher.record_connection_failure(upstream, Instant::now()) {
+            self.check_due.notify_one();
+        }
+    }
 }
 
 /// Puts changed upstreams into force; returns whether any was not in force already.
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -8,6 +8,7 @@
 use node::gateway::member;
 use prost::Message as _;
 use standin::platform::upstream;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::repair;
 use steer::dispatch::peer_load;
 use tokio::net::UdpSocket;
@@ -41,6 +42,7 @@
         requests: 0,
         leavings: repair::Digest::default(),
         fleet: None,
+        connectivity: report::Report::default(),
     }
 }
 
--- a/crates/node/tests/forms/stored.rs
+++ b/crates/node/tests/forms/stored.rs
@@ -8,6 +8,7 @@
 use node::common::store::accept;
 use node::common::store::edge;
 use node::gateway;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::repair;
 use steer::ownership::vms;
 
@@ -198,6 +199,7 @@
         requests: 0,
         leavings: repair::Digest::default(),
         fleet: None,
+        connectivity: report::Report::default(),
     }
 }
 
--- a/crates/node/tests/gateway/cut_off.rs
+++ b/crates/node/tests/gateway/cut_off.rs
@@ -21,6 +21,9 @@
 /// Time for which callers ask before the cut, so that connections are open.
 const WARM_UP: Duration = Duration::from_secs(1);
 
+/// Time in which a request is answered that no upstream is tried for; a connection that hangs takes 350 ms.
+const AT_ONCE: Duration = Duration::from_millis(100);
+
 /// Upstreams of the service.
 const UPSTREAMS: usize = 6;
 
@@ -39,7 +42,7 @@
 /// Two gateways of one region, of which the first reaches upstreams over paths of its own.
 struct Fleet {
     _rig: Rig,
-    _upstreams: Vec<Upstream>,
+    upstreams: Vec<Upstream>,
     _door: sync::Arc<Listener>,
     paths: Vec<Path>,
     gateways: [Gateway; 2],
@@ -62,13 +65,7 @@
         let first = rig.gateway("n-1", "north-1", &own).await;
         let second = rig.gateway_at("n-2", "north-2", door.address, &[first.peers]).await;
         second.wait_ready().await;
-        let fleet = Self {
-            _rig: rig,
-            _upstreams: upstreams,
-            _door: door,
-            paths,
-            gateways: [first, second],
-        };
+        let fleet = Self { _rig: rig, upstreams, _door: door, paths, gateways: [first, second] };
         fleet.wait_named([true, true]).await;
         fleet
     }
@@ -219,8 +216,12 @@
     fleet.set(Some(cut));
     let began = Instant::now();
     let callers = fleet.ask(began + CONTACT);
-    let (_, ()) = tokio::join!(callers, fleet.wait_named([false, true]));
-    assert!(began.elapsed() <= CONTACT, "named for {:?}", began.elapsed());
+    let named = async {
+        fleet.wait_named([false, true]).await;
+        began.elapsed()
+    };
+    let (_, named) = tokio::join!(callers, named);
+    assert!(named <= CONTACT, "named for {named:?}");
     fleet.set(None);
     let healed = Instant::now();
     fleet.wait_named([true, true]).await;
@@ -239,3 +240,44 @@
 async fn recover_look_ups_follow_whether_upstreams_are_reached_hang() {
     look_ups_follow(Cut::Hang).await;
 }
+
+/// A gateway that reaches no upstream tries one after the other, and its callers wait meanwhile.
+#[tokio::test]
+async fn a_gateway_without_upstreams_refuses_requests_at_once() {
+    let fleet = Fleet::start().await;
+    fleet.set(Some(Cut::Hang));
+    fleet.ask(Instant::now() + WARM_UP).await;
+    fleet.wait_named([false, true]).await;
+    for kind in ["/read/a", "/write/a"] {
+        let mut caller = fleet.gateways[0].caller().await;
+        let asked = Instant::now();
+        let answer = caller.get(kind, "id-refused").await;
+        let took = asked.elapsed();
+        assert!(took < AT_ONCE, "{took:?}");
+        assert_eq!((answer.status, answer.header("connection")), (503, Some("close")));
+        assert!(answer.header("retry-after").is_some());
+    }
+    let ran = fleet.upstreams.iter().any(|u| u.record().ran.contains_key("id-refused"));
+    assert!(!ran, "a refused request ran");
+}
+
+/// Where no gateway reaches an upstream, look-ups must still name gateways.
+#[tokio::test]
+async fn gateways_that_all_reach_no_upstream_stay_named() {
+    let fleet = Fleet::start().await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.crash(CUT));
+    // A path accepts connections although its upstream is down.
+    fleet.set(Some(Cut::Reset));
+    fleet.ask(Instant::now() + WARM_UP).await;
+    crate::rig::until("both gateways know", async || {
+        fleet.gateways.iter().all(|g| g.has_logged(&["event=service-unreached", "service=desk"]))
+    })
+    .await;
+    fleet.wait_named([true, true]).await;
+    fleet.set(None);
+    crate::rig::until("both gateways serve again", async || {
+        let tries = fleet.ask(Instant::now() + WARM_UP).await;
+        tries.iter().all(|t| t.is_served)
+    })
+    .await;
+}
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -9,6 +9,7 @@
 use node::gateway::datagram;
 use node::gateway::member;
 use standin::platform::listener::Mode;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::repair;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, UdpSocket};
@@ -215,6 +216,7 @@
         requests: 0,
         leavings: repair::Digest::default(),
         fleet: None,
+        connectivity: report::Report::default(),
     };
     loop {
         member.sequence += 1;
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -7,6 +7,7 @@
 use model::id;
 use node::gateway::{datagram, member, members};
 use quickcheck::quickcheck;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{repair, representatives};
 use wire::gateway::heartbeat;
 
@@ -28,6 +29,7 @@
         requests: 40,
         leavings: repair::Digest::default(),
         fleet: None,
+        connectivity: report::Report::default(),
     }
 }
 
@@ -193,3 +195,19 @@
         })
     }
 }
+
+#[test]
+fn heartbeats_hold_the_services_that_are_not_reached() {
+    let key = report::Key::of(&id::Service::new("desk"));
+    let connectivity = report::Report { is_cut_off: true, unreached: vec![key] };
+    let sent = member::Member { connectivity: connectivity.clone(), ..member("n-0", 1, 1) };
+    let received = datagram::read(&datagram::write(&sent)).expect("a heartbeat");
+    assert_eq!(received.connectivity, connectivity);
+    let at_rest = datagram::write(&member("n-0", 1, 1));
+    assert_eq!(
+        datagram::read(&at_rest).expect("a heartbeat").connectivity,
+        report::Report::default()
+    );
+    // Two bytes and their field number for the flag, one key with its number and length.
+    assert_eq!(datagram::write(&sent).len(), at_rest.len() + 3 + 7);
+}
--- /dev/null
+++ b/crates/steer/src/dispatch/connectivity/service.rs
@@ -0,0 +1,153 @@
+//! Connectivity of one service: when it is checked, and what follows from the checks.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+use model::id;
+
+/// Number of upstreams that fail, with no connection opened in between, from which a check is due.
+///
+/// One failure is usually that of its upstream.
+pub const SUSPECT_UPSTREAMS: usize = 2;
+
+/// Minimum time between the starts of two checks; longer than a connection may take to come up.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Consecutive successful checks after which other nodes are told that the service is reached.
+///
+/// Callers return then, so a link that works now and then must not attract them.
+const PASSED_CHECKS: u32 = 2;
+
+/// Time since the latest response in which open connections are still used.
+const OPEN_CONNECTIONS_USE: Duration = Duration::from_secs(1);
+
+/// How requests may be sent to the upstreams of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Over any connection.
+    Full,
+    /// Over connections that are open: these still bring responses, but new ones do not come up.
+    OpenConnections,
+    /// Not at all.
+    None,
+}
+
+/// A change of whether a service is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// None of the checked upstreams could be connected to.
+    Lost,
+    /// Upstreams can be connected to again.
+    Regained,
+}
+
+/// State of a service that is not reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Unreached {
+    /// Start of the check that failed first.
+    since: Instant,
+    /// Consecutive successful checks.
+    passed: u32,
+    /// When the latest response arrived since then.
+    responded: Option<Instant>,
+}
+
+/// Connectivity of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    /// Upstreams that failed since a connection was opened, at most [`SUSPECT_UPSTREAMS`].
+    failed: collections::BTreeSet<id::Upstream>,
+    is_suspect: bool,
+    /// When the latest check began.
+    checked: Option<Instant>,
+    is_checking: bool,
+    unreached: Option<Unreached>,
+}
+
+impl Service {
+    /// Records a failed connection to an upstream, of which `usable` are known.
+    pub fn record_failure(&mut self, upstream: &id::Upstream, usable: usize) {
+        if self.failed.len() < SUSPECT_UPSTREAMS {
+            self.failed.insert(upstream.clone());
+        }
+        self.is_suspect |= self.failed.len() >= usable.clamp(1, SUSPECT_UPSTREAMS);
+    }
+
+    /// Records that a request opened a connection.
+    pub fn record_connection(&mut self) {
+        self.failed.clear();
+    }
+
+    /// Records a response.
+    pub fn record_response(&mut self, now: Instant) {
+        if let Some(unreached) = &mut self.unreached {
+            unreached.responded = Some(now);
+        }
+    }
+
+    /// Requests a check.
+    pub fn suspect(&mut self) {
+        self.is_suspect = true;
+    }
+
+    /// Returns whether a check is due.
+    #[must_use]
+    pub fn is_check_due(&self, now: Instant) -> bool {
+        let is_wanted = self.is_suspect || self.unreached.is_some();
+        let is_early = |began| now.saturating_duration_since(began) < CHECK_INTERVAL;
+        is_wanted && !self.is_checking && !self.checked.is_some_and(is_early)
+    }
+
+    /// Records that a check begins.
+    pub fn begin_check(&mut self, now: Instant) {
+        self.checked = Some(now);
+        self.is_checking = true;
+        self.is_suspect = false;
+    }
+
+    /// Records whether any of the checked upstreams could be connected to.
+    pub fn end_check(&mut self, is_connected: bool) -> Option<Change> {
+        self.is_checking = false;
+        let since = self.checked?;
+        match (&mut self.unreached, is_connected) {
+            (None, true) => self.failed.clear(),
+            (None, false) => {
+                self.unreached = Some(Unreached { since, passed: 0, responded: None });
+                return Some(Change::Lost);
+            }
+            (Some(unreached), false) => unreached.passed = 0,
+            (Some(unreached), true) => {
+                unreached.passed += 1;
+                if unreached.passed >= PASSED_CHECKS {
+                    *self = Self { checked: self.checked, ..Self::default() };
+                    return Some(Change::Regained);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns how requests may be sent.
+    #[must_use]
+    pub fn access(&self, now: Instant) -> Access {
+        let is_recent = |at| now.saturating_duration_since(at) <= OPEN_CONNECTIONS_USE;
+        match self.unreached {
+            None => Access::Full,
+            Some(Unreached { passed: 1.., .. }) => Access::Full,
+            Some(Unreached { responded: Some(at), .. }) if is_recent(at) => Access::OpenConnections,
+            Some(_) => Access::None,
+        }
+    }
+
+    /// Returns whether the service is reached, as other nodes are told.
+    #[must_use]
+    pub fn is_reached(&self) -> bool {
+        self.unreached.is_none()
+    }
+
+    /// Returns the time since the service was lost, or `None` if it is reached.
+    #[must_use]
+    pub fn unreached_for(&self, now: Instant) -> Option<Duration> {
+        self.unreached.map(|unreached| now.saturating_duration_since(unreached.since))
+    }
+}
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -12,6 +12,7 @@
 use crate::common::split;
 use crate::dispatch::admission;
 use crate::dispatch::candidate;
+use crate::dispatch::connectivity::service;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::eligibility;
 use crate::dispatch::overflow;
@@ -61,12 +62,17 @@
     ///
     /// # Errors
     ///
-    /// Fails if no upstream may take the request or the best one would respond too late.
+    /// Fails if this node cannot connect to the service, no upstream may take the request, or the best
+    /// one would respond too late.
     pub fn choose(
         &mut self,
         request: &request::Request<'_>,
         now: Instant,
     ) -> Result<candidate::Candidate, refusal::Refusal> {
+        if self.access(request.service, now) == service::Access::None {
+            let lost_for = self.unreached_for(request.service, now).unwrap_or_default();
+            return Err(refusal::Refusal::Unreached { lost_for });
+        }
         if request.is_first_try() {
             let distance = self.distances.entry(request.service.clone()).or_default();
             distance.record_request(request.route.target_latency);
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 //! current time is passed in.
 
 mod choice;
+pub mod connectivity;
 mod peers;
 pub mod rollouts;
 pub mod statements;
@@ -21,6 +22,7 @@
 use model::routing;
 
 use crate::common::split;
+use crate::dispatch::connectivity::Connectivity;
 use crate::dispatch::expected_processing_time;
 use crate::dispatch::fleet::repair;
 use crate::dispatch::index;
@@ -69,6 +71,7 @@
     leavings: leaving::LeavingProcesses,
     rests: rest::RestPeriods,
     rollouts: rollout::Rollouts,
+    connectivity: Connectivity,
     max_nodes: usize,
 }
 
@@ -101,6 +104,7 @@
             leavings: leaving::LeavingProcesses::default(),
             rests: rest::RestPeriods::default(),
             rollouts: rollout::Rollouts::default(),
+            connectivity: Connectivity::default(),
             max_nodes: 1,
         }
     }
--- a/crates/steer/src/dispatch/dispatcher/rollouts.rs
+++ b/crates/steer/src/dispatch/dispatcher/rollouts.rs
@@ -8,6 +8,7 @@
 use model::id;
 use model::rollout as orders;
 
+use crate::dispatch::connectivity::service;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::request;
 use crate::dispatch::rollout::{self, Rollouts, evidence, progress};
@@ -65,6 +66,11 @@
         if self.rollouts.get(&upstream.service).is_none() {
             return;
         }
+        // A failure at a node that is cut off says nothing of the version.
+        if answer == Answer::Failure && self.access(&upstream.service, now) != service::Access::Full
+        {
+            return;
+        }
         let Some(known) = self.upstreams.get(&upstream.id) else { return };
         let work = self.work.get(&upstream.service).copied().unwrap_or_default();
         let quality = match answer {
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -63,6 +63,9 @@
             return;
         }
         let upstream = known;
+        if let outcome::Outcome::Answered { .. } | outcome::Outcome::Refused { .. } = outcome {
+            self.connectivity.record_response(&upstream.entry.service, now);
+        }
         upstream.load.record_end();
         let in_flight = upstream.load.in_flight();
         let work = self.work.entry(upstream.entry.service.clone()).or_default();
--- a/crates/steer/src/dispatch/give_up.rs
+++ b/crates/steer/src/dispatch/give_up.rs
@@ -66,7 +66,7 @@
         /// Time after which a retry may be admitted.
         retry_after: Duration,
     },
-    /// Connections to too many upstreams failed.
+    /// Connections to too many upstreams failed, or this node cannot connect to the service at all.
     Unreachable,
     /// The last upstream refused the request, and no retry is allowed.
     Refused,
--- a/crates/steer/src/dispatch/index.rs
+++ b/crates/steer/src/dispatch/index.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Iterates over the services that have upstreams.
+    pub fn services(&self) -> impl Iterator<Item = &id::Service> {
+        self.services.keys()
+    }
+
     /// Iterates over the upstreams of a service.
     pub fn of_service(&self, service: &id::Service) -> impl Iterator<Item = &upstream::Upstream> {
         let regions =
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -15,7 +15,8 @@
 //! State per upstream: [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
 //! (combined in [`health`]), [`slow_start`] and [`slow_start_owner`], [`reported_load`],
 //! [`peer_load`], [`lapsed`] entries, and the upstream's own statements: [`upstream_limit`],
-//! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`].
+//! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`], and whether this node
+//! can connect to its upstreams ([`connectivity`]).
 //!
 //! [`fleet`] covers coordination between nodes, and [`stop`] a planned shutdown.
 
@@ -23,6 +24,7 @@
 pub mod affinity;
 pub mod attempt;
 pub mod candidate;
+pub mod connectivity;
 pub mod dispatcher;
 pub mod ejection;
 pub mod eligibility;
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -33,6 +33,11 @@
         /// Why the upstreams are excluded.
         exclusions: Exclusions,
     },
+    /// This node cannot connect to any upstream of the service.
+    Unreached {
+        /// Time since the service was lost.
+        lost_for: Duration,
+    },
     /// Even the best upstream is expected to respond too late.
     Overloaded {
         /// Time after which a retry may be admitted.
@@ -93,6 +98,7 @@
     pub fn reason(&self) -> give_up::Reason {
         match self {
             Self::NoUpstream(_) => give_up::Reason::NoUpstream,
+            Self::Unreached { .. } => give_up::Reason::Unreachable,
             Self::Limited { retry_after, .. } => {
                 give_up::Reason::Limited { retry_after: *retry_after }
             }
@@ -134,6 +140,9 @@
                 let names: Vec<&str> = upstreams.iter().map(id::Upstream::as_str).collect();
                 write!(formatter, "limited={}", names.join(","))
             }
+            Self::Unreached { lost_for } => {
+                write!(formatter, "lost_for_ms={}", lost_for.as_millis())
+            }
             Self::Overloaded { estimate, .. } => {
                 let Estimate { upstream, wait, expected, time_left, load_age } = estimate;
                 write!(
--- a/crates/steer/tests/gateway_fleet.rs
+++ b/crates/steer/tests/gateway_fleet.rs
@@ -92,8 +92,12 @@
     let address = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
     let name = id::Node::new("n");
     let report = active_set::Node { name: &name, capacity: 0, requests: 0 };
-    let node =
-        |region, port| lookup::Node { region: &regions[region], callers: address(port), report };
+    let node = |region, port| lookup::Node {
+        region: &regions[region],
+        callers: address(port),
+        report,
+        reaches_services: true,
+    };
     let serving = [node(0, 1), node(1, 2)];
     let find = |region: usize, homes: &[id::Region]| {
         lookup::addresses(&regions[region], homes, &serving, [node(2, 3)].into_iter())
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -54,4 +54,10 @@
     /// Number of the sender's fleet; 0 if unknown.
     #[prost(fixed32, tag = "16")]
     pub fleet: u32,
+    /// Whether the sender cannot connect to the upstreams of any service.
+    #[prost(bool, tag = "17")]
+    pub is_cut_off: bool,
+    /// Hashes of the names of services whose upstreams the sender cannot connect to.
+    #[prost(fixed32, repeated, tag = "18")]
+    pub unreached: Vec<u32>,
 }
