A cut from all upstreams is not taken for their crash

Cause: a connection that closes under a request, and an address that refuses a new one, proved a crash.

Change: where another gateway reports that it reaches the service, a crash counts only if some other upstream can be connected to since. Requests that end together share that attempt. Without another gateway, or without other upstreams, a refusal counts as before.

--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -7,11 +7,12 @@
 use std::rc;
 use std::time::{Duration, Instant};
 
+use model::discovery;
 use rand::RngExt as _;
 use steer::dispatch::connectivity::service::Change;
 use steer::dispatch::dispatcher::connectivity::Check;
 use tokio::net::TcpStream;
-use tokio::task;
+use tokio::{sync, task};
 
 use crate::common::socket;
 use crate::gateway::proxy::connection;
@@ -54,6 +55,40 @@
     state.beat.notify_one();
 }
 
+/// Whether this node reaches other upstreams than one that refuses connections.
+///
+/// Requests that end together share one attempt, since a crash or a cut ends many of them at once.
+#[derive(Debug, Default)]
+pub struct Others {
+    /// When the latest attempt began, and whether it reached an upstream.
+    latest: sync::Mutex<Option<(Instant, bool)>>,
+}
+
+impl Others {
+    /// Returns whether another upstream than `upstream` was reached after `since`.
+    pub async fn are_reached(
+        &self,
+        state: &state::State,
+        upstream: &discovery::Entry,
+        since: Instant,
+    ) -> bool {
+        let mut latest = self.latest.lock().await;
+        if let Some((began, are_reached)) = *latest
+            && began >= since
+        {
+            return are_reached;
+        }
+        let began = Instant::now();
+        let others = state.dispatcher.borrow().others_than(upstream, &mut draw, began);
+        let addresses: Vec<net::SocketAddr> = others.iter().map(|other| other.address).collect();
+        // Without other upstreams, nothing speaks against a crash.
+        let are_reached =
+            addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIME).await;
+        *latest = Some((began, are_reached));
+        are_reached
+    }
+}
+
 /// Returns whether a connection to any of `addresses` comes up within `time`.
 pub async fn connects_to_any(addresses: &[net::SocketAddr], time: Duration) -> bool {
     let mut connections = task::JoinSet::new();
--- a/crates/node/src/gateway/proxy/crash.rs
+++ b/crates/node/src/gateway/proxy/crash.rs
@@ -1,7 +1,7 @@
 //! Crashes: whether an upstream ended when its connection closed before an answer, and under which requests.
 //!
-//! Owns the one check that distinguishes an upstream that ended from one that lives on and only lost a connection: whether its address
-//! refuses a new connection. [`steer::dispatch::quarantine`] decides what follows.
+//! Owns the checks that distinguish an upstream that ended from one that lives on: its address refuses a new connection, and this
+//! node is not cut off from the others too. [`steer::dispatch::quarantine`] decides what follows.
 
 use std::io;
 use std::net;
@@ -12,9 +12,11 @@
 use model::discovery;
 use model::fingerprint;
 use platform::field;
+use steer::dispatch::connectivity::report;
 use steer::dispatch::quarantine::sighting;
 use tokio::net::TcpStream;
 
+use crate::gateway::member;
 use crate::gateway::state;
 
 /// Longest time the check may take; an address of a running VM refuses within one round trip.
@@ -40,8 +42,15 @@
     let ended = Instant::now();
     let state = rc::Rc::clone(state);
     let checked = tokio::task::spawn_local(async move {
-        if is_refused(sent.upstream.address).await {
-            record(&state, &sent, ended);
+        if !is_refused(sent.upstream.address).await {
+            return;
+        }
+        match is_cut_off(&state, &sent.upstream, ended).await {
+            false => record(&state, &sent, ended),
+            true => {
+                let (upstream, request) = (sent.upstream.id.as_str(), sent.request.as_str());
+                log::info!(upstream, request; "crash-not-recorded");
+            }
         }
     });
     // Fails when the process ends, which forgets what was recorded too.
@@ -56,6 +65,17 @@
     }
 }
 
+/// Returns whether this node reaches no other upstream either, since `since`, while another node reaches the service.
+///
+/// A network may refuse connections in the place of the upstreams, and then every upstream looks crashed.
+async fn is_cut_off(state: &state::State, upstream: &discovery::Entry, since: Instant) -> bool {
+    let service = [report::Key::of(&upstream.service)];
+    let reaches =
+        |member: &member::Member| member.is_serving() && member.connectivity.reaches(&service);
+    let is_reached_elsewhere = state.members.borrow().staying(Instant::now()).any(reaches);
+    is_reached_elsewhere && !state.others.are_reached(state, upstream, since).await
+}
+
 fn record(state: &state::State, sent: &Sent, ended: Instant) {
     let Sent { upstream, request, fingerprint, at } = sent;
     let text = fingerprint.to_string();
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -27,6 +27,7 @@
 use steer::dispatch::{dispatcher, position, quota};
 use tokio::sync::Notify;
 
+use crate::gateway::connectivity;
 use crate::gateway::dialect;
 use crate::gateway::extracts;
 use crate::gateway::foreign;
@@ -88,6 +89,8 @@
     pub era_changed: Notify,
     /// Wakes the task that fetches changes from other nodes.
     pub behind: Notify,
+    /// Whether upstreams are reached while one refuses connections.
+    pub others: connectivity::Others,
     /// Wakes the task that checks whether services are reached.
     pub check_due: Notify,
     /// Wakes the task that reports crashes to other nodes.
@@ -149,6 +152,7 @@
             behind: Notify::new(),
             quarantine_changed: Notify::new(),
             beat: Notify::new(),
+            others: connectivity::Others::default(),
             check_due: Notify::new(),
         }
     }
--- a/crates/node/tests/gateway/cut_off.rs
+++ b/crates/node/tests/gateway/cut_off.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use standin::platform::listener::Listener;
-use standin::platform::upstream::Upstream;
+use standin::platform::upstream::{Behavior, Upstream};
 
 use crate::client;
 use crate::path::{Cut, Path};
@@ -24,6 +24,9 @@
 /// Time in which a request is answered that no upstream is tried for; a connection that hangs takes 350 ms.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
+/// Time that upstreams work, so that requests are in flight when the paths are cut.
+const WORK: Duration = Duration::from_millis(200);
+
 /// Upstreams of the service.
 const UPSTREAMS: usize = 6;
 
@@ -281,3 +284,20 @@
     })
     .await;
 }
+
+/// Upstreams that a gateway no longer reaches count as crashed under the requests that it had there.
+#[tokio::test]
+async fn quarantine_upstreams_out_of_reach_are_not_taken_for_crashed() {
+    let fleet = Fleet::start().await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.set(Behavior::Slow(WORK)));
+    let callers = fleet.ask(Instant::now() + 2 * WARM_UP);
+    let cut = async {
+        tokio::time::sleep(WARM_UP).await;
+        fleet.set(Some(Cut::Reset));
+    };
+    tokio::join!(callers, cut);
+    fleet.wait_named([false, true]).await;
+    let [first, _] = &fleet.gateways;
+    assert!(first.metric("broken").await > 0, "requests were in flight");
+    assert_eq!(first.metric("crashes").await, 0);
+}
