Requests go to other regions where a gateway cannot connect to one

Change: connectivity is judged for each group of upstreams, those of one service in one region. A service is lost where all its groups are. The gauge and the dump count groups.

--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -1,4 +1,4 @@
-//! Connectivity: checks whether this node can connect to the upstreams of a service.
+//! Connectivity: checks whether this node can connect to the upstreams of a service in a region.
 //!
 //! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when, at which upstreams, and what
 //! follows; the other nodes learn of a change in a heartbeat at once.
@@ -9,7 +9,7 @@
 
 use model::discovery;
 use rand::RngExt as _;
-use steer::dispatch::connectivity::service::Change;
+use steer::dispatch::connectivity::group::Change;
 use steer::dispatch::dispatcher::connectivity::Check;
 use tokio::net::TcpStream;
 use tokio::{sync, task};
@@ -41,16 +41,17 @@
 async fn make(state: rc::Rc<state::State>, check: Check) {
     let addresses: Vec<net::SocketAddr> = check.upstreams.iter().map(|u| u.address).collect();
     state.metrics.connectivity_checks.add(1);
-    // A service without an upstream that takes requests says nothing of this node.
+    // A group without an upstream that takes requests says nothing of this node.
     let is_connected =
         addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIME).await;
-    let change = state.dispatcher.borrow_mut().end_check(&check.service, is_connected);
+    let change = state.dispatcher.borrow_mut().end_check(&check.scope, is_connected);
     state.check_due.notify_one();
-    let (service, upstreams) = (check.service.as_str(), addresses.len());
+    let (service, region) = (check.scope.service.as_str(), check.scope.region.as_str());
+    let upstreams = addresses.len();
     match change {
         None => return,
-        Some(Change::Lost) => log::warn!(service, upstreams; "service-unreached"),
-        Some(Change::Regained) => log::info!(service; "service-reached"),
+        Some(Change::Lost) => log::warn!(service, region, upstreams; "service-unreached"),
+        Some(Change::Regained) => log::info!(service, region; "service-reached"),
     }
     state.beat.notify_one();
 }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -103,7 +103,7 @@
     let dispatcher = state.dispatcher.borrow();
     let members = state.members.borrow();
     let alive: Vec<&str> = members.alive(now).map(|m| m.node.as_str()).collect();
-    let unreached: Vec<&str> = dispatcher.unreached_services().map(id::Service::as_str).collect();
+    let unreached: Vec<String> = dispatcher.unreached_groups().map(ToString::to_string).collect();
     let replica = state.replica.borrow();
     let dump = serde_json::json!({
         "me": *state.me.borrow(),
@@ -116,7 +116,7 @@
         "evacuated": dispatcher.evacuated().iter().map(id::Hall::as_str).collect::<Vec<_>>(),
         "peers_alive": alive,
         "named_to_callers": named_to_callers(state),
-        "services_unreached": unreached,
+        "groups_unreached": unreached,
         "organisations_near_limit": near_limit(state),
         "quarantine": held(state, now),
         "splits": splits(&dispatcher),
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -153,7 +153,7 @@
     pub connections: Counter,
     /// Such connections that could not be established.
     pub connections_failed: Counter,
-    /// Checks whether a service can be connected to.
+    /// Checks whether a group of upstreams can be connected to.
     pub connectivity_checks: Counter,
     /// Look-ups.
     pub lookups: Counter,
@@ -210,8 +210,8 @@
     pub upstreams_lapsed: Gauge,
     /// Upstreams that this node ejected, since they could not be reached or fell silent.
     pub upstreams_ejected: Gauge,
-    /// Services that this node cannot connect to.
-    pub services_unreached: Gauge,
+    /// Groups of upstreams, by service and region, that this node cannot connect to.
+    pub groups_unreached: Gauge,
     /// Kinds of requests that are held back, since upstreams crash under them.
     pub held: Gauge,
     /// Upstreams that name a limit.
@@ -280,7 +280,7 @@
             ("watching", &self.is_watching),
             ("upstreams_lapsed", &self.upstreams_lapsed),
             ("upstreams_ejected", &self.upstreams_ejected),
-            ("services_unreached", &self.services_unreached),
+            ("groups_unreached", &self.groups_unreached),
             ("requests_held", &self.held),
             ("upstreams_limited", &self.upstreams_limited),
         ]
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -14,7 +14,7 @@
 use model::organisation;
 use model::route;
 use model::routing;
-use steer::dispatch::connectivity::service::Access;
+use steer::dispatch::connectivity::group::Access;
 use steer::dispatch::execution;
 use steer::dispatch::give_up;
 use steer::dispatch::outcome;
@@ -286,7 +286,7 @@
             return Ok((connection, true));
         }
         let state = &self.server.state;
-        if state.dispatcher.borrow().access(self.request.service, Instant::now()) != Access::Full {
+        if state.dispatcher.borrow().access(upstream, Instant::now()) != Access::Full {
             return Err(exchange::Failure::Unreached);
         }
         state.metrics.connections.add(1);
--- a/crates/node/src/gateway/state/gauges.rs
+++ b/crates/node/src/gateway/state/gauges.rs
@@ -19,10 +19,10 @@
         figures.upstreams_lapsed.set(lapsed.into());
         let dispatcher = self.dispatcher.borrow();
         let ejected = dispatcher.upstreams().filter(|u| u.health.is_ejected(now)).count();
-        let unreached = dispatcher.unreached_services().count();
+        let unreached = dispatcher.unreached_groups().count();
         drop(dispatcher);
         figures.upstreams_ejected.set(u32::try_from(ejected).unwrap_or(u32::MAX).into());
-        figures.services_unreached.set(u32::try_from(unreached).unwrap_or(u32::MAX).into());
+        figures.groups_unreached.set(u32::try_from(unreached).unwrap_or(u32::MAX).into());
         let held = self.quarantine.borrow().held(now).count();
         figures.held.set(u32::try_from(held).unwrap_or(u32::MAX).into());
         let limited = self.dispatcher.borrow().limits().count_named();
--- a/crates/steer/src/dispatch/connectivity/service.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -1,4 +1,5 @@
-//! Connectivity of one service: when it is checked, and what follows from the checks.
+//! Connectivity of one group of upstreams, those of one service in one region: when it is checked,
+//! and what follows from the checks.
 
 use std::collections;
 use std::time::{Duration, Instant};
@@ -13,7 +14,7 @@
 /// Minimum time between the starts of two checks; longer than a connection may take to come up.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Consecutive successful checks after which other nodes are told that the service is reached.
+/// Consecutive successful checks after which other nodes are told that the group is reached.
 ///
 /// Callers return then, so a link that works now and then must not attract them.
 const PASSED_CHECKS: u32 = 2;
@@ -21,7 +22,7 @@
 /// Time since the latest response in which open connections are still used.
 const OPEN_CONNECTIONS_USE: Duration = Duration::from_secs(1);
 
-/// How requests may be sent to the upstreams of a service.
+/// How requests may be sent to a group of upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
     /// Over any connection.
@@ -32,7 +33,7 @@
     None,
 }
 
-/// A change of whether a service is reached.
+/// A change of whether a group is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
     /// None of the checked upstreams could be connected to.
@@ -41,7 +42,7 @@
     Regained,
 }
 
-/// State of a service that is not reached.
+/// State of a group that is not reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Unreached {
     /// Start of the check that failed first.
@@ -52,9 +53,9 @@
     responded: Option<Instant>,
 }
 
-/// Connectivity of one service.
+/// Connectivity of one group.
 #[derive(Clone, Debug, Default)]
-pub struct Service {
+pub struct Group {
     /// Upstreams that failed since a connection was opened, at most [`SUSPECT_UPSTREAMS`].
     failed: collections::BTreeSet<id::Upstream>,
     is_suspect: bool,
@@ -64,7 +65,7 @@
     unreached: Option<Unreached>,
 }
 
-impl Service {
+impl Group {
     /// Records a failed connection to an upstream, of which `usable` are known.
     pub fn record_failure(&mut self, upstream: &id::Upstream, usable: usize) {
         if self.failed.len() < SUSPECT_UPSTREAMS {
@@ -139,13 +140,13 @@
         }
     }
 
-    /// Returns whether the service is reached, as other nodes are told.
+    /// Returns whether the group is reached, as other nodes are told.
     #[must_use]
     pub fn is_reached(&self) -> bool {
         self.unreached.is_none()
     }
 
-    /// Returns the time since the service was lost, or `None` if it is reached.
+    /// Returns the time since the group was lost, or `None` if it is reached.
     #[must_use]
     pub fn unreached_for(&self, now: Instant) -> Option<Duration> {
         self.unreached.map(|unreached| now.saturating_duration_since(unreached.since))
--- a/crates/steer/src/dispatch/connectivity/mod.rs
+++ b/crates/steer/src/dispatch/connectivity/mod.rs
@@ -1,103 +1,170 @@
-//! Connectivity: whether this node can connect to the upstreams of each service.
+//! Connectivity: whether this node can connect to the upstreams of a service in a region.
 //!
 //! Health judges each upstream alone, and only by requests. A node that is cut off from all
-//! upstreams would eject one after the other and try them again with its callers' requests. This
-//! rule concludes from failures at several upstreams that the node itself may be cut off, and has
-//! that checked ([`service`]): the gateway connects to a few upstreams of the service ([`sample`])
-//! without sending a request. While none can be connected to, requests are refused at once, other
-//! nodes are told ([`report`]), and [`lookup`] returns nodes that can connect. Only checks find out
-//! that the service can be connected to again.
+//! upstreams, or from those of a region, would eject one after the other and try them again with its
+//! callers' requests. This rule concludes from failures at several upstreams of a [`group`] that the
+//! node itself may be cut off, and has that checked: the gateway connects to a few of them
+//! ([`sample`]) without sending a request. While none can be connected to, the group gets no
+//! requests. A service without another group is refused at once, other nodes are told ([`report`]),
+//! and [`lookup`] returns nodes that can connect. Only checks find out that the group can be
+//! connected to again.
 //!
 //! A node that is cut off and a service whose upstreams are all down are not told apart. In the
 //! second case all nodes report the same, and look-ups return them as if none did.
 //!
 //! [`lookup`]: crate::dispatch::fleet::lookup
 
+pub mod group;
 pub mod report;
 pub mod sample;
-pub mod service;
 
 use std::collections;
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use model::id;
 
-use crate::dispatch::connectivity::service::{Access, Change};
+use crate::dispatch::connectivity::group::{Access, Change, Group};
+use crate::dispatch::upstream;
 
-/// Connectivity of the services at which something failed.
+/// Names the upstreams of one service in one region.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Scope {
+    /// The service.
+    pub service: id::Service,
+    /// The region.
+    pub region: id::Region,
+}
+
+impl Scope {
+    /// Returns the scope of an upstream.
+    #[must_use]
+    pub fn of(upstream: &upstream::Upstream) -> Self {
+        Self { service: upstream.entry.service.clone(), region: upstream.region.clone() }
+    }
+
+    /// Returns whether a node that lost this group may have lost `other` by the same cause.
+    fn is_related(&self, other: &Self) -> bool {
+        self != other && (self.service == other.service || self.region == other.region)
+    }
+}
+
+impl fmt::Display for Scope {
+    /// Writes service and region, for logs and the state dump.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.service, self.region)
+    }
+}
+
+/// Connectivity of the groups at which something failed.
 #[derive(Clone, Debug, Default)]
 pub struct Connectivity {
-    services: collections::BTreeMap<id::Service, service::Service>,
+    groups: collections::BTreeMap<Scope, Group>,
 }
 
 impl Connectivity {
-    /// Records a failed connection to one of `usable` upstreams of a service; returns whether a
+    /// Records a failed connection to an upstream, one of `usable` in its group; returns whether a
     /// check is due.
     pub fn record_failure(
         &mut self,
-        service: &id::Service,
-        upstream: &id::Upstream,
+        upstream: &upstream::Upstream,
         usable: usize,
         now: Instant,
     ) -> bool {
-        let service = self.services.entry(service.clone()).or_default();
-        service.record_failure(upstream, usable);
-        service.is_check_due(now)
+        let group = self.groups.entry(Scope::of(upstream)).or_default();
+        group.record_failure(&upstream.entry.id, usable);
+        group.is_check_due(now)
     }
 
-    /// Records that a request of a service opened a connection.
-    pub fn record_connection(&mut self, service: &id::Service) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.record_connection();
+    /// Records that a request opened a connection to an upstream.
+    pub fn record_connection(&mut self, upstream: &upstream::Upstream) {
+        if let Some(group) = self.group_mut(upstream) {
+            group.record_connection();
         }
     }
 
-    /// Records a response of an upstream of a service.
-    pub fn record_response(&mut self, service: &id::Service, now: Instant) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.record_response(now);
+    /// Records a response of an upstream.
+    pub fn record_response(&mut self, upstream: &upstream::Upstream, now: Instant) {
+        if let Some(group) = self.group_mut(upstream) {
+            group.record_response(now);
         }
     }
 
-    /// Requests a check of a service that may not be reached.
-    pub fn suspect(&mut self, service: &id::Service) {
-        self.services.entry(service.clone()).or_default().suspect();
+    /// Requests a check of a group that may not be reached.
+    pub fn suspect(&mut self, scope: Scope) {
+        self.groups.entry(scope).or_default().suspect();
     }
 
-    /// Iterates over the services whose check is due.
-    pub fn due(&self, now: Instant) -> impl Iterator<Item = &id::Service> {
-        self.services.iter().filter(move |(_, s)| s.is_check_due(now)).map(|(name, _)| name)
+    /// Returns the groups whose check is due, and records that they begin.
+    pub fn begin_checks(&mut self, now: Instant) -> Vec<Scope> {
+        let mut due = Vec::new();
+        for (scope, group) in &mut self.groups {
+            if group.is_check_due(now) {
+                group.begin_check(now);
+                due.push(scope.clone());
+            }
+        }
+        due
     }
 
-    /// Records that a check of a service begins.
-    pub fn begin_check(&mut self, service: &id::Service, now: Instant) {
-        self.services.entry(service.clone()).or_default().begin_check(now);
+    /// Records the result of a check; where the group is lost, those of `known` that may be lost by
+    /// the same cause are checked too.
+    pub fn end_check(
+        &mut self,
+        scope: &Scope,
+        is_connected: bool,
+        known: impl Iterator<Item = Scope>,
+    ) -> Option<Change> {
+        let change = self.groups.get_mut(scope)?.end_check(is_connected);
+        if change == Some(Change::Lost) {
+            known.filter(|other| scope.is_related(other)).for_each(|other| self.suspect(other));
+        }
+        change
     }
 
-    /// Records the result of a check of a service.
-    pub fn end_check(&mut self, service: &id::Service, is_connected: bool) -> Option<Change> {
-        self.services.get_mut(service)?.end_check(is_connected)
+    /// Returns whether a check is due.
+    #[must_use]
+    pub fn is_check_due(&self, now: Instant) -> bool {
+        self.groups.values().any(|group| group.is_check_due(now))
     }
 
-    /// Returns how requests for a service may be sent.
+    /// Returns how requests may be sent to an upstream.
     #[must_use]
-    pub fn access(&self, service: &id::Service, now: Instant) -> Access {
-        self.services.get(service).map_or(Access::Full, |service| service.access(now))
+    pub fn access(&self, upstream: &upstream::Upstream, now: Instant) -> Access {
+        // Nothing failed, as is usual.
+        if self.groups.is_empty() {
+            return Access::Full;
+        }
+        self.groups.get(&Scope::of(upstream)).map_or(Access::Full, |group| group.access(now))
     }
 
-    /// Returns the time since a service was lost, or `None` if it is reached.
+    /// Returns whether a group is reached, as other nodes are told.
+    #[must_use]
+    pub fn is_reached(&self, scope: &Scope) -> bool {
+        self.groups.get(scope).is_none_or(Group::is_reached)
+    }
+
+    /// Iterates over the groups that are not reached.
+    pub fn unreached(&self) -> impl Iterator<Item = &Scope> {
+        self.groups.iter().filter(|(_, group)| !group.is_reached()).map(|(scope, _)| scope)
+    }
+
+    /// Returns the time since the latest group of a service was lost, or `None` if all are reached.
     #[must_use]
     pub fn unreached_for(&self, service: &id::Service, now: Instant) -> Option<Duration> {
-        self.services.get(service)?.unreached_for(now)
+        let of_service = self.groups.iter().filter(|(scope, _)| scope.service == *service);
+        of_service.filter_map(|(_, group)| group.unreached_for(now)).min()
     }
 
-    /// Iterates over the services that cannot be connected to.
-    pub fn unreached(&self) -> impl Iterator<Item = &id::Service> {
-        self.services.iter().filter(|(_, s)| !s.is_reached()).map(|(name, _)| name)
+    /// Forgets the groups that do not satisfy `is_known`.
+    pub fn retain(&mut self, is_known: impl Fn(&Scope) -> bool) {
+        self.groups.retain(|scope, _| is_known(scope));
     }
 
-    /// Forgets the services that do not satisfy `is_known`.
-    pub fn retain(&mut self, is_known: impl Fn(&id::Service) -> bool) {
-        self.services.retain(|name, _| is_known(name));
+    fn group_mut(&mut self, upstream: &upstream::Upstream) -> Option<&mut Group> {
+        if self.groups.is_empty() {
+            return None;
+        }
+        self.groups.get_mut(&Scope::of(upstream))
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -12,7 +12,7 @@
 use crate::common::split;
 use crate::dispatch::admission;
 use crate::dispatch::candidate;
-use crate::dispatch::connectivity::service;
+use crate::dispatch::connectivity::group;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::eligibility;
 use crate::dispatch::overflow;
@@ -62,17 +62,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if this node cannot connect to the service, no upstream may take the request, or the best
-    /// one would respond too late.
+    /// Fails if no upstream may take the request or the best one would respond too late.
     pub fn choose(
         &mut self,
         request: &request::Request<'_>,
         now: Instant,
     ) -> Result<candidate::Candidate, refusal::Refusal> {
-        if self.access(request.service, now) == service::Access::None {
-            let lost_for = self.unreached_for(request.service, now).unwrap_or_default();
-            return Err(refusal::Refusal::Unreached { lost_for });
-        }
         if request.is_first_try() {
             let distance = self.distances.entry(request.service.clone()).or_default();
             distance.record_request(request.route.target_latency);
@@ -95,7 +90,10 @@
         let mut chosen = Err(refusal::Refusal::NoUpstream(refusal::Exclusions::default()));
         for versions in versions {
             chosen = self.choose_within_limits(request, &versions, now);
-            if !matches!(chosen, Err(refusal::Refusal::NoUpstream(_))) {
+            if !matches!(
+                chosen,
+                Err(refusal::Refusal::NoUpstream(_) | refusal::Refusal::Unreached { .. })
+            ) {
                 break;
             }
         }
@@ -219,9 +217,11 @@
         working.map(|u| self.effective_slots(u, work, now)).sum()
     }
 
-    /// Returns whether an upstream accepts requests and is of the version that gets most of them.
+    /// Returns whether an upstream accepts requests, can be connected to, and is of the version that
+    /// gets most of them.
     fn carries_load(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
         eligibility::takes_work(upstream, &self.evacuated, now)
+            && self.connectivity.access(upstream, now) != group::Access::None
             && self.rollouts.is_main(&upstream.entry)
     }
 
@@ -287,6 +287,10 @@
         now: Instant,
     ) -> refusal::Refusal {
         let exclusions = self.exclusions(request, versions, now);
+        if exclusions.none_is_reached() {
+            let lost_for = self.unreached_for(request.service, now).unwrap_or_default();
+            return refusal::Refusal::Unreached { lost_for, exclusions };
+        }
         match self.retry_after_rest(request, exclusions, now) {
             Some(retry_after) => refusal::Refusal::Resting { retry_after, exclusions },
             None => refusal::Refusal::NoUpstream(exclusions),
@@ -332,6 +336,12 @@
         versions: &'a rollout::Versions,
         now: Instant,
     ) -> eligibility::Rules<'a> {
-        eligibility::Rules { evacuated: &self.evacuated, versions, routing: &self.routing, now }
+        eligibility::Rules {
+            evacuated: &self.evacuated,
+            connectivity: &self.connectivity,
+            versions,
+            routing: &self.routing,
+            now,
+        }
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/connectivity.rs
+++ b/crates/steer/src/dispatch/dispatcher/connectivity.rs
@@ -1,6 +1,8 @@
 //! Connectivity: passes connections, their failures and the results of checks to the rule.
 //!
 //! [`connectivity`] implements the rule.
+//!
+//! [`connectivity`]: crate::dispatch::connectivity
 
 use std::collections;
 use std::sync;
@@ -9,17 +11,17 @@
 use model::discovery;
 use model::id;
 
-use crate::dispatch::connectivity::service::{Access, Change, SUSPECT_UPSTREAMS};
-use crate::dispatch::connectivity::{report, sample};
+use crate::dispatch::connectivity::group::{Access, Change, SUSPECT_UPSTREAMS};
+use crate::dispatch::connectivity::{Scope, report, sample};
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::eligibility;
 use crate::dispatch::upstream;
 
-/// A check that is to be made: connections to some upstreams of a service, without a request.
+/// A check that is to be made: connections to some upstreams of a group, without a request.
 #[derive(Clone, Debug)]
 pub struct Check {
-    /// The service.
-    pub service: id::Service,
+    /// The group.
+    pub scope: Scope,
     /// The upstreams.
     pub upstreams: Vec<sync::Arc<discovery::Entry>>,
 }
@@ -27,96 +29,107 @@
 impl Dispatcher {
     /// Records that a request opened a connection to an upstream.
     pub fn record_connection(&mut self, upstream: &discovery::Entry) {
-        self.connectivity.record_connection(&upstream.service);
+        if let Some(upstream) = self.upstreams.get(&upstream.id) {
+            self.connectivity.record_connection(upstream);
+        }
     }
 
     /// Records that a connection to an upstream could not be opened or was closed; returns whether a
     /// check is due.
     pub fn record_connection_failure(&mut self, upstream: &discovery::Entry, now: Instant) -> bool {
-        let usable = self.checkable(&upstream.service, now).take(SUSPECT_UPSTREAMS).count();
-        self.connectivity.record_failure(&upstream.service, &upstream.id, usable, now)
+        let Some(upstream) = self.upstreams.get(&upstream.id) else { return false };
+        let usable = self.checkable(&Scope::of(upstream), now).take(SUSPECT_UPSTREAMS).count();
+        self.connectivity.record_failure(upstream, usable, now)
     }
 
-    /// Returns how requests for a service may be sent.
+    /// Returns how requests may be sent to an upstream.
     #[must_use]
-    pub fn access(&self, service: &id::Service, now: Instant) -> Access {
-        self.connectivity.access(service, now)
+    pub fn access(&self, upstream: &discovery::Entry, now: Instant) -> Access {
+        let known = self.upstreams.get(&upstream.id);
+        known.map_or(Access::Full, |known| self.connectivity.access(known, now))
     }
 
     /// Returns the checks that are due, and records that they begin.
     pub fn begin_checks(&mut self, draw: sample::Draw<'_>, now: Instant) -> Vec<Check> {
-        let due: Vec<id::Service> = self.connectivity.due(now).cloned().collect();
-        let mut checks = Vec::with_capacity(due.len());
-        for service in due {
-            self.connectivity.begin_check(&service, now);
-            let sample = sample::take(self.checkable(&service, now), draw, now);
+        let due = self.connectivity.begin_checks(now).into_iter();
+        let check = |scope| {
+            let sample = sample::take(self.checkable(&scope, now), draw, now);
             let upstreams = sample.into_iter().map(|u| sync::Arc::clone(&u.entry)).collect();
-            checks.push(Check { service, upstreams });
-        }
-        checks
+            Check { scope, upstreams }
+        };
+        due.map(check).collect()
     }
 
     /// Records whether any upstream of a check could be connected to.
-    ///
-    /// Where a service is lost, the others are checked too: a node is usually cut off from all.
-    pub fn end_check(&mut self, service: &id::Service, is_connected: bool) -> Option<Change> {
-        let change = self.connectivity.end_check(service, is_connected);
-        if change == Some(Change::Lost) {
-            let reached =
-                |other: &&id::Service| !self.connectivity.unreached().any(|s| s == *other);
-            let others: Vec<id::Service> =
-                self.upstreams.services().filter(reached).cloned().collect();
-            others.iter().for_each(|other| self.connectivity.suspect(other));
-        }
-        change
+    pub fn end_check(&mut self, scope: &Scope, is_connected: bool) -> Option<Change> {
+        let known = self.upstreams.groups();
+        let known = known
+            .map(|(service, region)| Scope { service: service.clone(), region: region.clone() });
+        self.connectivity.end_check(scope, is_connected, known)
     }
 
     /// Returns whether a check is due, after applying what time changes.
     pub fn is_check_due(&mut self, now: Instant) -> bool {
-        for service in self.silent_services(now) {
-            self.connectivity.suspect(&service);
+        for scope in self.silent_groups(now) {
+            self.connectivity.suspect(scope);
         }
         let upstreams = &self.upstreams;
-        self.connectivity.retain(|service| upstreams.of_service(service).next().is_some());
-        self.connectivity.due(now).next().is_some()
+        let is_known = |scope: &Scope| upstreams.has_group(&scope.service, &scope.region);
+        self.connectivity.retain(is_known);
+        self.connectivity.is_check_due(now)
     }
 
-    /// Returns the services whose upstreams with requests in flight are all silent or ejected.
-    fn silent_services(&self, now: Instant) -> Vec<id::Service> {
+    /// Returns the groups whose upstreams with requests in flight are all silent or ejected.
+    fn silent_groups(&self, now: Instant) -> Vec<Scope> {
         let busy = self.busy.iter().filter_map(|name| self.upstreams.get(name));
-        let mut services: collections::BTreeMap<&id::Service, (usize, bool)> =
-            collections::BTreeMap::new();
+        let mut groups: collections::BTreeMap<Scope, (usize, bool)> = collections::BTreeMap::new();
         for upstream in busy.filter(|upstream| upstream.load.in_flight() > 0) {
-            let service = &upstream.entry.service;
-            let mean = self.work.get(service).copied().unwrap_or_default().mean();
-            let (count, is_silent) = services.entry(service).or_insert((0, true));
+            let mean = self.work.get(&upstream.entry.service).copied().unwrap_or_default().mean();
+            let (count, is_silent) = groups.entry(Scope::of(upstream)).or_insert((0, true));
             *count += 1;
             *is_silent &= !upstream.health.is_healthy(mean, now);
         }
         let is_suspect =
             |(count, is_silent): &(usize, bool)| *is_silent && *count >= SUSPECT_UPSTREAMS;
-        let suspect = services.into_iter().filter(|(_, state)| is_suspect(state));
-        suspect.map(|(service, _)| service.clone()).collect()
+        groups.into_iter().filter(|(_, group)| is_suspect(group)).map(|(scope, _)| scope).collect()
+    }
+
+    /// Returns the services that this node cannot connect to in any region.
+    #[must_use]
+    pub fn unreached_services(&self) -> collections::BTreeSet<&id::Service> {
+        let lost: collections::BTreeSet<&id::Service> =
+            self.connectivity.unreached().map(|scope| &scope.service).collect();
+        let is_reached = |service: &id::Service| {
+            let mut groups = self.upstreams.groups().filter(|(of, _)| *of == service);
+            groups.any(|(service, region)| {
+                let scope = Scope { service: service.clone(), region: region.clone() };
+                self.connectivity.is_reached(&scope)
+            })
+        };
+        lost.into_iter().filter(|service| !is_reached(service)).collect()
+    }
+
+    /// Iterates over the groups of upstreams that this node cannot connect to.
+    pub fn unreached_groups(&self) -> impl Iterator<Item = &Scope> {
+        self.connectivity.unreached()
     }
 
     /// Returns the services that this node cannot connect to, as it tells other nodes.
     #[must_use]
     pub fn connectivity_report(&self) -> report::Report {
-        report::Report::new(self.connectivity.unreached(), self.upstreams.services().count())
+        report::Report::new(
+            self.unreached_services().into_iter(),
+            self.upstreams.services().count(),
+        )
     }
 
-    /// Returns the time since a service was lost, or `None` if it is reached.
+    /// Returns the time since a group of a service was lost, or `None` if all are reached.
     #[must_use]
-    pub fn unreached_for(&self, service: &id::Service, now: Instant) -> Option<Duration> {
+    pub(super) fn unreached_for(&self, service: &id::Service, now: Instant) -> Option<Duration> {
         self.connectivity.unreached_for(service, now)
     }
 
-    /// Iterates over the services that this node cannot connect to.
-    pub fn unreached_services(&self) -> impl Iterator<Item = &id::Service> {
-        self.connectivity.unreached()
-    }
-
-    /// Returns a sample of the upstreams of all services, except `upstream`.
+    /// Returns a few upstreams of all groups, except `upstream`.
     #[must_use]
     pub fn others_than(
         &self,
@@ -124,20 +137,15 @@
         draw: sample::Draw<'_>,
         now: Instant,
     ) -> Vec<sync::Arc<discovery::Entry>> {
-        let services = self.upstreams.services();
-        let others = services.flat_map(|service| self.checkable(service, now));
-        let others = others.filter(|u| u.entry.address != upstream.address);
+        let others = self.upstreams.iter().filter(|u| u.entry.address != upstream.address);
+        let others = others.filter(|u| eligibility::takes_work(u, &self.evacuated, now));
         let sample = sample::take(others, draw, now);
         sample.into_iter().map(|u| sync::Arc::clone(&u.entry)).collect()
     }
 
-    /// Iterates over the upstreams of a service that may be connected to in a check.
-    fn checkable(
-        &self,
-        service: &id::Service,
-        now: Instant,
-    ) -> impl Iterator<Item = &upstream::Upstream> {
-        let of_service = self.upstreams.of_service(service);
-        of_service.filter(move |u| eligibility::takes_work(u, &self.evacuated, now))
+    /// Iterates over the upstreams of a group that a check may connect to.
+    fn checkable(&self, scope: &Scope, now: Instant) -> impl Iterator<Item = &upstream::Upstream> {
+        let of_group = self.upstreams.of_region(&scope.service, &scope.region);
+        of_group.filter(move |u| eligibility::takes_work(u, &self.evacuated, now))
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/rollouts.rs
+++ b/crates/steer/src/dispatch/dispatcher/rollouts.rs
@@ -8,7 +8,7 @@
 use model::id;
 use model::rollout as orders;
 
-use crate::dispatch::connectivity::service;
+use crate::dispatch::connectivity::group;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::request;
 use crate::dispatch::rollout::{self, Rollouts, evidence, progress};
@@ -67,8 +67,7 @@
             return;
         }
         // A failure at a node that is cut off says nothing of the version.
-        if answer == Answer::Failure && self.access(&upstream.service, now) != service::Access::Full
-        {
+        if answer == Answer::Failure && self.access(upstream, now) != group::Access::Full {
             return;
         }
         let Some(known) = self.upstreams.get(&upstream.id) else { return };
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -64,7 +64,7 @@
         }
         let upstream = known;
         if let outcome::Outcome::Answered { .. } | outcome::Outcome::Refused { .. } = outcome {
-            self.connectivity.record_response(&upstream.entry.service, now);
+            self.connectivity.record_response(upstream, now);
         }
         upstream.load.record_end();
         let in_flight = upstream.load.in_flight();
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -12,6 +12,7 @@
 use model::id;
 use model::routing;
 
+use crate::dispatch::connectivity::{Connectivity, group};
 use crate::dispatch::refusal;
 use crate::dispatch::request;
 use crate::dispatch::rollout;
@@ -28,6 +29,8 @@
     Leaving,
     /// The upstream's hall is evacuated.
     Evacuated,
+    /// This node cannot connect to the upstream's group.
+    Unreached,
     /// The upstream asked this node to send no requests for a while.
     Resting,
     /// The upstream runs a version that does not take the request during a roll-out.
@@ -43,6 +46,8 @@
 pub struct Rules<'a> {
     /// Evacuated halls.
     pub evacuated: &'a collections::BTreeSet<id::Hall>,
+    /// Which upstreams this node can connect to.
+    pub connectivity: &'a Connectivity,
     /// Versions that may take the request.
     pub versions: &'a rollout::Versions,
     /// Current configuration.
@@ -66,6 +71,9 @@
             }
             () if !upstream.is_usable(self.now) => Some(Exclusion::Leaving),
             () if self.evacuated.contains(&upstream.entry.hall) => Some(Exclusion::Evacuated),
+            () if self.connectivity.access(upstream, self.now) == group::Access::None => {
+                Some(Exclusion::Unreached)
+            }
             () if upstream.is_resting(self.now) => Some(Exclusion::Resting),
             () if !self.versions.contains(&upstream.entry) => Some(Exclusion::Version),
             () if request.tried.contains(&upstream.entry.id) => Some(Exclusion::Tried),
@@ -87,6 +95,7 @@
                 Some(Exclusion::Outside) => counts.outside += 1,
                 Some(Exclusion::Leaving) => counts.leaving += 1,
                 Some(Exclusion::Evacuated) => counts.evacuated += 1,
+                Some(Exclusion::Unreached) => counts.unreached += 1,
                 Some(Exclusion::Resting) => counts.resting += 1,
                 Some(Exclusion::Version) => counts.version += 1,
                 Some(Exclusion::Tried) => counts.tried += 1,
--- a/crates/steer/src/dispatch/index.rs
+++ b/crates/steer/src/dispatch/index.rs
@@ -133,6 +133,18 @@
         self.services.keys()
     }
 
+    /// Iterates over the groups of upstreams, by service and region.
+    pub fn groups(&self) -> impl Iterator<Item = (&id::Service, &id::Region)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, regions)| regions.keys().map(move |region| (service, region)))
+    }
+
+    /// Returns whether a service has upstreams in a region.
+    #[must_use]
+    pub fn has_group(&self, service: &id::Service, region: &id::Region) -> bool {
+        self.group(service, region).is_some()
+    }
+
     /// Iterates over the upstreams of a service.
     pub fn of_service(&self, service: &id::Service) -> impl Iterator<Item = &upstream::Upstream> {
         let regions =
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -15,8 +15,8 @@
 //! State per upstream: [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
 //! (combined in [`health`]), [`slow_start`] and [`slow_start_owner`], [`reported_load`],
 //! [`peer_load`], [`lapsed`] entries, and the upstream's own statements: [`upstream_limit`],
-//! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`], and whether this node
-//! can connect to its upstreams ([`connectivity`]).
+//! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`]. State per service and
+//! region: whether this node can connect to the upstreams there ([`connectivity`]).
 //!
 //! [`fleet`] covers coordination between nodes, and [`stop`] a planned shutdown.
 
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -33,10 +33,12 @@
         /// Why the upstreams are excluded.
         exclusions: Exclusions,
     },
-    /// This node cannot connect to any upstream of the service.
+    /// This node cannot connect to any otherwise eligible upstream.
     Unreached {
-        /// Time since the service was lost.
+        /// Time since the latest of their groups was lost.
         lost_for: Duration,
+        /// Why the upstreams are excluded.
+        exclusions: Exclusions,
     },
     /// Even the best upstream is expected to respond too late.
     Overloaded {
@@ -58,6 +60,8 @@
     pub outside: usize,
     /// Those in evacuated halls.
     pub evacuated: usize,
+    /// Those that this node cannot connect to.
+    pub unreached: usize,
     /// Those that have asked this node for a rest period.
     pub resting: usize,
     /// Cold ones to which this node must not send another request now.
@@ -90,6 +94,31 @@
         let unavailable = self.outside + self.leaving + self.evacuated + self.version;
         self.resting > 0 && self.resting + unavailable == self.known
     }
+
+    /// Returns whether this node cannot connect to any upstream that may take the request otherwise.
+    #[must_use]
+    pub fn none_is_reached(&self) -> bool {
+        let others = self.outside + self.leaving + self.evacuated + self.version + self.tried;
+        self.unreached > 0 && self.unreached + others == self.known
+    }
+}
+
+impl fmt::Display for Exclusions {
+    /// Writes the counts; those of rare causes only where there are any.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { known, outside, leaving, evacuated, resting, cold, version, tried, unreached } =
+            self;
+        write!(
+            formatter,
+            "known={known} outside={outside} leaving={leaving} evacuated={evacuated} resting={resting} cold={cold} tried={tried}"
+        )?;
+        for (name, count) in [("version", version), ("unreached", unreached)] {
+            if *count > 0 {
+                write!(formatter, " {name}={count}")?;
+            }
+        }
+        Ok(())
+    }
 }
 
 impl Refusal {
@@ -117,31 +146,14 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NoUpstream(exclusions) | Self::Resting { exclusions, .. } => {
-                let Exclusions {
-                    known,
-                    outside,
-                    leaving,
-                    evacuated,
-                    resting,
-                    cold,
-                    version,
-                    tried,
-                } = exclusions;
-                write!(
-                    formatter,
-                    "known={known} outside={outside} leaving={leaving} evacuated={evacuated} resting={resting} cold={cold} tried={tried}"
-                )?;
-                match version {
-                    0 => Ok(()),
-                    _ => write!(formatter, " version={version}"),
-                }
+                write!(formatter, "{exclusions}")
             }
             Self::Limited { upstreams, .. } => {
                 let names: Vec<&str> = upstreams.iter().map(id::Upstream::as_str).collect();
                 write!(formatter, "limited={}", names.join(","))
             }
-            Self::Unreached { lost_for } => {
-                write!(formatter, "lost_for_ms={}", lost_for.as_millis())
+            Self::Unreached { lost_for, exclusions } => {
+                write!(formatter, "{exclusions} lost_for_ms={}", lost_for.as_millis())
             }
             Self::Overloaded { estimate, .. } => {
                 let Estimate { upstream, wait, expected, time_left, load_age } = estimate;
