Connectivity keeps only groups at which something failed lately

A failure more than ten seconds old says nothing of a cut, and a group without news is dropped, so that at rest a choice looks up nothing. Groups are looked up by service and region without copies of their names, since each candidate of each request asks. Tests: failures_far_apart_start_no_check_and_are_forgotten.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -103,7 +103,9 @@
     let dispatcher = state.dispatcher.borrow();
     let members = state.members.borrow();
     let alive: Vec<&str> = members.alive(now).map(|m| m.node.as_str()).collect();
-    let unreached: Vec<String> = dispatcher.unreached_groups().map(ToString::to_string).collect();
+    let unreached = dispatcher.unreached_groups();
+    let unreached: Vec<String> =
+        unreached.map(|(service, region)| format!("{service}@{region}")).collect();
     let replica = state.replica.borrow();
     let dump = serde_json::json!({
         "me": *state.me.borrow(),
--- a/crates/steer/src/dispatch/connectivity/group.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -14,6 +14,9 @@
 /// Minimum time between the starts of two checks; longer than a connection may take to come up.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which a failure no longer counts; failures so far apart have different causes.
+const FAILURE_RETENTION: Duration = Duration::from_secs(10);
+
 /// Consecutive successful checks after which other nodes are told that the group is reached.
 ///
 /// Callers return then, so a link that works now and then must not attract them.
@@ -58,6 +61,8 @@
 pub struct Group {
     /// Upstreams that failed since a connection was opened, at most [`SUSPECT_UPSTREAMS`].
     failed: collections::BTreeSet<id::Upstream>,
+    /// When the latest of them failed.
+    failed_at: Option<Instant>,
     is_suspect: bool,
     /// When the latest check began.
     checked: Option<Instant>,
@@ -67,7 +72,11 @@
 
 impl Group {
     /// Records a failed connection to an upstream, of which `usable` are known.
-    pub fn record_failure(&mut self, upstream: &id::Upstream, usable: usize) {
+    pub fn record_failure(&mut self, upstream: &id::Upstream, usable: usize, now: Instant) {
+        if self.has_old_failures(now) {
+            self.failed.clear();
+        }
+        self.failed_at = Some(now);
         if self.failed.len() < SUSPECT_UPSTREAMS {
             self.failed.insert(upstream.clone());
         }
@@ -95,8 +104,7 @@
     #[must_use]
     pub fn is_check_due(&self, now: Instant) -> bool {
         let is_wanted = self.is_suspect || self.unreached.is_some();
-        let is_early = |began| now.saturating_duration_since(began) < CHECK_INTERVAL;
-        is_wanted && !self.is_checking && !self.checked.is_some_and(is_early)
+        is_wanted && !self.is_checking && !self.was_checked_lately(now)
     }
 
     /// Records that a check begins.
@@ -128,6 +136,24 @@
         None
     }
 
+    /// Returns whether nothing needs to be known of the group any more.
+    #[must_use]
+    pub fn is_idle(&self, now: Instant) -> bool {
+        let has_failures = !self.failed.is_empty() && !self.has_old_failures(now);
+        let is_wanted = self.is_suspect || self.is_checking || self.unreached.is_some();
+        !is_wanted && !has_failures && !self.was_checked_lately(now)
+    }
+
+    fn has_old_failures(&self, now: Instant) -> bool {
+        let is_old = |at| now.saturating_duration_since(at) >= FAILURE_RETENTION;
+        self.failed_at.is_some_and(is_old)
+    }
+
+    fn was_checked_lately(&self, now: Instant) -> bool {
+        let is_early = |began| now.saturating_duration_since(began) < CHECK_INTERVAL;
+        self.checked.is_some_and(is_early)
+    }
+
     /// Returns how requests may be sent.
     #[must_use]
     pub fn access(&self, now: Instant) -> Access {
--- a/crates/steer/src/dispatch/connectivity/mod.rs
+++ b/crates/steer/src/dispatch/connectivity/mod.rs
@@ -19,7 +19,6 @@
 pub mod sample;
 
 use std::collections;
-use std::fmt;
 use std::time::{Duration, Instant};
 
 use model::id;
@@ -49,17 +48,13 @@
     }
 }
 
-impl fmt::Display for Scope {
-    /// Writes service and region, for logs and the state dump.
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}@{}", self.service, self.region)
-    }
-}
+/// Groups of one service, by region.
+type GroupsByRegion = collections::BTreeMap<id::Region, Group>;
 
-/// Connectivity of the groups at which something failed.
+/// Connectivity of the groups at which something failed lately.
 #[derive(Clone, Debug, Default)]
 pub struct Connectivity {
-    groups: collections::BTreeMap<Scope, Group>,
+    services: collections::BTreeMap<id::Service, GroupsByRegion>,
 }
 
 impl Connectivity {
@@ -71,37 +66,37 @@
         usable: usize,
         now: Instant,
     ) -> bool {
-        let group = self.groups.entry(Scope::of(upstream)).or_default();
-        group.record_failure(&upstream.entry.id, usable);
+        let group = self.entry(Scope::of(upstream));
+        group.record_failure(&upstream.entry.id, usable, now);
         group.is_check_due(now)
     }
 
     /// Records that a request opened a connection to an upstream.
     pub fn record_connection(&mut self, upstream: &upstream::Upstream) {
-        if let Some(group) = self.group_mut(upstream) {
+        if let Some(group) = self.group_mut(&upstream.entry.service, &upstream.region) {
             group.record_connection();
         }
     }
 
     /// Records a response of an upstream.
     pub fn record_response(&mut self, upstream: &upstream::Upstream, now: Instant) {
-        if let Some(group) = self.group_mut(upstream) {
+        if let Some(group) = self.group_mut(&upstream.entry.service, &upstream.region) {
             group.record_response(now);
         }
     }
 
     /// Requests a check of a group that may not be reached.
     pub fn suspect(&mut self, scope: Scope) {
-        self.groups.entry(scope).or_default().suspect();
+        self.entry(scope).suspect();
     }
 
     /// Returns the groups whose check is due, and records that they begin.
     pub fn begin_checks(&mut self, now: Instant) -> Vec<Scope> {
         let mut due = Vec::new();
-        for (scope, group) in &mut self.groups {
-            if group.is_check_due(now) {
+        for (service, groups) in &mut self.services {
+            for (region, group) in groups.iter_mut().filter(|(_, g)| g.is_check_due(now)) {
                 group.begin_check(now);
-                due.push(scope.clone());
+                due.push(Scope { service: service.clone(), region: region.clone() });
             }
         }
         due
@@ -115,7 +110,7 @@
         is_connected: bool,
         known: impl Iterator<Item = Scope>,
     ) -> Option<Change> {
-        let change = self.groups.get_mut(scope)?.end_check(is_connected);
+        let change = self.group_mut(&scope.service, &scope.region)?.end_check(is_connected);
         if change == Some(Change::Lost) {
             known.filter(|other| scope.is_related(other)).for_each(|other| self.suspect(other));
         }
@@ -125,46 +120,58 @@
     /// Returns whether a check is due.
     #[must_use]
     pub fn is_check_due(&self, now: Instant) -> bool {
-        self.groups.values().any(|group| group.is_check_due(now))
+        self.groups().any(|(_, _, group)| group.is_check_due(now))
     }
 
     /// Returns how requests may be sent to an upstream.
     #[must_use]
     pub fn access(&self, upstream: &upstream::Upstream, now: Instant) -> Access {
-        // Nothing failed, as is usual.
-        if self.groups.is_empty() {
-            return Access::Full;
-        }
-        self.groups.get(&Scope::of(upstream)).map_or(Access::Full, |group| group.access(now))
+        let group = self.group(&upstream.entry.service, &upstream.region);
+        group.map_or(Access::Full, |group| group.access(now))
     }
 
     /// Returns whether a group is reached, as other nodes are told.
     #[must_use]
-    pub fn is_reached(&self, scope: &Scope) -> bool {
-        self.groups.get(scope).is_none_or(Group::is_reached)
+    pub fn is_reached(&self, service: &id::Service, region: &id::Region) -> bool {
+        self.group(service, region).is_none_or(Group::is_reached)
     }
 
-    /// Iterates over the groups that are not reached.
-    pub fn unreached(&self) -> impl Iterator<Item = &Scope> {
-        self.groups.iter().filter(|(_, group)| !group.is_reached()).map(|(scope, _)| scope)
+    /// Iterates over the services and regions of the groups that are not reached.
+    pub fn unreached(&self) -> impl Iterator<Item = (&id::Service, &id::Region)> {
+        let unreached = self.groups().filter(|(_, _, group)| !group.is_reached());
+        unreached.map(|(service, region, _)| (service, region))
     }
 
     /// Returns the time since the latest group of a service was lost, or `None` if all are reached.
     #[must_use]
     pub fn unreached_for(&self, service: &id::Service, now: Instant) -> Option<Duration> {
-        let of_service = self.groups.iter().filter(|(scope, _)| scope.service == *service);
-        of_service.filter_map(|(_, group)| group.unreached_for(now)).min()
+        let groups = self.services.get(service)?.values();
+        groups.filter_map(|group| group.unreached_for(now)).min()
     }
 
-    /// Forgets the groups that do not satisfy `is_known`.
-    pub fn retain(&mut self, is_known: impl Fn(&Scope) -> bool) {
-        self.groups.retain(|scope, _| is_known(scope));
+    /// Forgets the groups of which nothing needs to be known any more, and those that do not satisfy
+    /// `is_known`.
+    pub fn retain(&mut self, is_known: impl Fn(&id::Service, &id::Region) -> bool, now: Instant) {
+        for (service, groups) in &mut self.services {
+            groups.retain(|region, group| is_known(service, region) && !group.is_idle(now));
+        }
+        self.services.retain(|_, groups| !groups.is_empty());
     }
 
-    fn group_mut(&mut self, upstream: &upstream::Upstream) -> Option<&mut Group> {
-        if self.groups.is_empty() {
-            return None;
-        }
-        self.groups.get_mut(&Scope::of(upstream))
+    fn entry(&mut self, scope: Scope) -> &mut Group {
+        self.services.entry(scope.service).or_default().entry(scope.region).or_default()
+    }
+
+    fn groups(&self) -> impl Iterator<Item = (&id::Service, &id::Region, &Group)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, groups)| groups.iter().map(move |(r, g)| (service, r, g)))
+    }
+
+    fn group(&self, service: &id::Service, region: &id::Region) -> Option<&Group> {
+        self.services.get(service)?.get(region)
+    }
+
+    fn group_mut(&mut self, service: &id::Service, region: &id::Region) -> Option<&mut Group> {
+        self.services.get_mut(service)?.get_mut(region)
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/connectivity.rs
+++ b/crates/steer/src/dispatch/dispatcher/connectivity.rs
@@ -74,8 +74,7 @@
             self.connectivity.suspect(scope);
         }
         let upstreams = &self.upstreams;
-        let is_known = |scope: &Scope| upstreams.has_group(&scope.service, &scope.region);
-        self.connectivity.retain(is_known);
+        self.connectivity.retain(|service, region| upstreams.has_group(service, region), now);
         self.connectivity.is_check_due(now)
     }
 
@@ -98,19 +97,16 @@
     #[must_use]
     pub fn unreached_services(&self) -> collections::BTreeSet<&id::Service> {
         let lost: collections::BTreeSet<&id::Service> =
-            self.connectivity.unreached().map(|scope| &scope.service).collect();
+            self.connectivity.unreached().map(|(service, _)| service).collect();
         let is_reached = |service: &id::Service| {
             let mut groups = self.upstreams.groups().filter(|(of, _)| *of == service);
-            groups.any(|(service, region)| {
-                let scope = Scope { service: service.clone(), region: region.clone() };
-                self.connectivity.is_reached(&scope)
-            })
+            groups.any(|(service, region)| self.connectivity.is_reached(service, region))
         };
         lost.into_iter().filter(|service| !is_reached(service)).collect()
     }
 
-    /// Iterates over the groups of upstreams that this node cannot connect to.
-    pub fn unreached_groups(&self) -> impl Iterator<Item = &Scope> {
+    /// Iterates over the services and regions whose upstreams this node cannot connect to.
+    pub fn unreached_groups(&self) -> impl Iterator<Item = (&id::Service, &id::Region)> {
         self.connectivity.unreached()
     }
 
--- a/crates/steer/tests/connectivity.rs
+++ b/crates/steer/tests/connectivity.rs
@@ -7,7 +7,7 @@
 use model::{bounds, discovery, id, route};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use steer::dispatch::connectivity::group::{Access, Change, Group};
-use steer::dispatch::connectivity::{report, sample};
+use steer::dispatch::connectivity::{Scope, report, sample};
 use steer::dispatch::fleet::{active_set, lookup};
 use steer::dispatch::{dispatcher, position, refusal, request, upstream, urgency};
 
@@ -30,21 +30,34 @@
 fn failures_at_two_upstreams_in_a_row_start_a_check() {
     let now = Instant::now();
     let mut group = Group::default();
-    group.record_failure(&upstream(0), 5);
-    group.record_failure(&upstream(0), 5);
+    group.record_failure(&upstream(0), 5, now);
+    group.record_failure(&upstream(0), 5, now);
     assert!(!group.is_check_due(now), "one upstream fails");
     group.record_connection();
-    group.record_failure(&upstream(1), 5);
+    group.record_failure(&upstream(1), 5, now);
     assert!(!group.is_check_due(now), "a connection came up in between");
-    group.record_failure(&upstream(2), 5);
+    group.record_failure(&upstream(2), 5, now);
     assert!(group.is_check_due(now));
 }
 
 #[test]
 fn the_failure_of_a_group_s_only_upstream_starts_a_check() {
+    let now = Instant::now();
+    let mut group = Group::default();
+    group.record_failure(&upstream(0), 1, now);
+    assert!(group.is_check_due(now));
+}
+
+#[test]
+fn failures_far_apart_start_no_check_and_are_forgotten() {
+    let now = Instant::now();
     let mut group = Group::default();
-    group.record_failure(&upstream(0), 1);
-    assert!(group.is_check_due(Instant::now()));
+    group.record_failure(&upstream(0), 5, now);
+    assert!(!group.is_idle(now));
+    let later = now + 10 * INTERVAL;
+    assert!(group.is_idle(later));
+    group.record_failure(&upstream(1), 5, later);
+    assert!(!group.is_check_due(later));
 }
 
 #[test]
@@ -116,7 +129,7 @@
         for step in steps {
             let was_reached = group.is_reached();
             match step {
-                Step::Failure(number) => group.record_failure(&upstream(number), 4),
+                Step::Failure(number) => group.record_failure(&upstream(number), 4, now),
                 Step::Connection => group.record_connection(),
                 Step::Response => group.record_response(now),
                 Step::Wait(millis) => now += Duration::from_millis(millis),
@@ -185,14 +198,18 @@
     dispatcher
 }
 
+fn name(scope: &Scope) -> String {
+    format!("{}@{}", scope.service, scope.region)
+}
+
 /// Makes the checks that are due, of which those of `connected` groups connect; returns which were made.
 fn check(dispatcher: &mut dispatcher::Dispatcher, connected: &[&str], now: Instant) -> Vec<String> {
     let checks = dispatcher.begin_checks(&mut |_| 0, now);
     for check in &checks {
-        let is_connected = connected.contains(&check.scope.to_string().as_str());
+        let is_connected = connected.contains(&name(&check.scope).as_str());
         dispatcher.end_check(&check.scope, is_connected);
     }
-    checks.iter().map(|check| check.scope.to_string()).collect()
+    checks.iter().map(|check| name(&check.scope)).collect()
 }
 
 /// Two services with two upstreams in each of two regions.
