Tests: each deployment of a process listens on an address of its own

What was seen: two soaks of one process ran each other's requests at their upstreams (1,680 of them; listed), and upstreams_that_cannot_be_reached_cost_no_request once got 502, not run, of some 130 plays.

Cause: all deployments of a test process listened on one loopback address. A port that one frees, because an upstream stops or a gateway is killed, is given to the next listener of any other one. Trial: five upstreams stop, and a listener that is no upstream takes their ports: six of six requests get 502 and do not run, the listed test's symptom.

Change: a store has the address of its deployment, drawn anew for each rig; upstreams, links and gateways listen there. No check changes.

--- a/crates/node/tests/gateway/foreign.rs
+++ b/crates/node/tests/gateway/foreign.rs
@@ -6,7 +6,6 @@
 use node::gateway::extracts;
 use platform::fact;
 use platform::store::item;
-use standin::loopback;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 use wire::gateway::extract;
@@ -65,7 +64,7 @@
     let door = ours.store.open().await.expect("the store opens");
     let gateway = ours.gateway("n-3", HALLS[0], &door).await;
     rig::until("the fleet has a number", async || gateway.has_logged(&["event=fleet-known"])).await;
-    let listener = TcpListener::bind((loopback::address(), 0)).await.expect("a port is free");
+    let listener = TcpListener::bind((ours.store.ip(), 0)).await.expect("a port is free");
     let address = listener.local_addr().expect("it listens");
     let beats = tokio::spawn(silence::beat(address, gateway.peers));
     let copies = tokio::spawn(serve_foreign_copy(listener));
--- a/crates/node/tests/gateway/path.rs
+++ b/crates/node/tests/gateway/path.rs
@@ -3,7 +3,6 @@
 use std::net;
 use std::time::Duration;
 
-use standin::loopback;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -39,7 +38,7 @@
 impl Path {
     /// Starts a path to `target`.
     pub async fn start(target: net::SocketAddr) -> Self {
-        let listener = TcpListener::bind((loopback::address(), 0)).await.expect("a free port");
+        let listener = TcpListener::bind((target.ip(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
         let (cut, cuts) = watch::channel(None);
         let task = tokio::spawn(listen(listener, target, cuts));
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -104,7 +104,7 @@
     /// Starts a store that holds `routes` as its first configuration.
     pub async fn start(routes: &[Route]) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let store = store::Store::start();
+        let store = store::Store::start_at(loopback::next());
         let written = sync::atomic::AtomicU64::new(1);
         let mut rig = Self { store, folder, version: 0, newest: Vec::new(), written };
         rig.configure(routes);
@@ -152,7 +152,8 @@
 
     /// Starts an upstream and its entry.
     pub async fn upstream(&self, id: &str, service: &str, hall: &str) -> upstream::Upstream {
-        let upstream = upstream::Upstream::start(id).await.expect("an upstream starts");
+        let upstream = upstream::Upstream::start_at(id, self.store.ip()).await;
+        let upstream = upstream.expect("an upstream starts");
         self.enter(&upstream, service, hall, "ready");
         upstream
     }
@@ -164,7 +165,8 @@
 
     /// Starts an upstream of a version, and its entry.
     pub async fn upstream_of(&self, id: &str, version: &str, hall: &str) -> upstream::Upstream {
-        let upstream = upstream::Upstream::start(id).await.expect("an upstream starts");
+        let upstream = upstream::Upstream::start_at(id, self.store.ip()).await;
+        let upstream = upstream.expect("an upstream starts");
         let entry = serde_json::json!({
             "service": "desk",
             "address": upstream.address.to_string(),
@@ -236,7 +238,7 @@
         more: &str,
     ) -> Gateway {
         let settings = self.folder.path().join(format!("{name}.yaml"));
-        let text = text(name, hall, store, seeds) + more;
+        let text = text(name, hall, self.store.ip(), store, seeds) + more;
         std::fs::write(&settings, text).expect("settings are written");
         tokio::task::spawn_blocking(move || spawn(settings)).await.expect("the gateway starts")
     }
@@ -256,10 +258,8 @@
             ("peers", self.peers),
         ];
         for (name, address) in addresses {
-            text = text.replace(
-                &format!("{name}: {}:0", loopback::address()),
-                &format!("{name}: {address}"),
-            );
+            text =
+                text.replace(&format!("{name}: {}:0", address.ip()), &format!("{name}: {address}"));
         }
         std::fs::write(&self.settings, text).expect("settings are written");
         let settings = self.settings.clone();
@@ -400,7 +400,13 @@
     })
 }
 
-fn text(name: &str, hall: &str, store: net::SocketAddr, seeds: &[net::SocketAddr]) -> String {
+fn text(
+    name: &str,
+    hall: &str,
+    own: net::Ipv4Addr,
+    store: net::SocketAddr,
+    seeds: &[net::SocketAddr],
+) -> String {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     let region = hall.split('-').next().unwrap_or_default();
     format!(
@@ -408,8 +414,7 @@
          halls:\n  north-1: north\n  north-2: north\n  south-1: south\n\
          listen:\n  callers: {own}:0\n  ready: {own}:0\n  directory: {own}:0\n  \
          peers: {own}:0\nseeds: [{}]\nstore: {store}\nbounds:\n  retry_slack: 1000\n  drain: 8s\n",
-        seeds.join(", "),
-        own = loopback::address()
+        seeds.join(", ")
     )
 }
 
--- a/crates/node/tests/soak/link.rs
+++ b/crates/node/tests/soak/link.rs
@@ -4,7 +4,6 @@
 use std::net;
 use std::time::Duration;
 
-use standin::loopback;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::watch;
@@ -70,7 +69,7 @@
 
     /// Starts a link to `target` that refuses connections while `is_down`, and ends those that are open then.
     pub async fn start_before(target: net::SocketAddr, is_down: watch::Receiver<bool>) -> Self {
-        let listener = TcpListener::bind((loopback::address(), 0)).await.expect("a free port");
+        let listener = TcpListener::bind((target.ip(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
         let (mode, modes) = watch::channel(Mode::Open);
         let (silenced, silences) = watch::channel(0);
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -211,7 +211,8 @@
 
     async fn add_upstream(&mut self, service: &'static str, hall: &'static str, index: usize) {
         let id = format!("{service}-{hall}-{index}");
-        let standin = upstream::Upstream::start(&id).await.expect("an upstream starts");
+        let standin = upstream::Upstream::start_at(&id, self.rig.store.ip()).await;
+        let standin = standin.expect("an upstream starts");
         standin.set(upstream::Behavior::Slow(WORK));
         let link = link::Link::start_before(standin.address, standin.is_down()).await;
         self.upstreams.push(Upstream { standin, link, service, hall, state: "ready", born: 0 });
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -6,6 +6,7 @@
 
 use std::collections;
 use std::io;
+use std::net;
 use std::sync;
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,7 @@
 /// A running store.
 #[derive(Debug)]
 pub struct Store {
+    ip: net::Ipv4Addr,
     shared: sync::Arc<Shared>,
     servers: sync::Mutex<Vec<server::Server>>,
 }
@@ -59,9 +61,15 @@
 type Queries = Query<collections::HashMap<String, String>>;
 
 impl Store {
-    /// Starts an empty store without listeners, inside a runtime.
+    /// Starts an empty store without listeners, inside a runtime, on the address of this process.
     #[must_use]
     pub fn start() -> Self {
+        Self::start_at(loopback::address())
+    }
+
+    /// Starts an empty store without listeners, inside a runtime.
+    #[must_use]
+    pub fn start_at(ip: net::Ipv4Addr) -> Self {
         let (revision, _) = watch::channel(0);
         let shared = sync::Arc::new(Shared {
             items: sync::Mutex::default(),
@@ -70,7 +78,13 @@
             calls: sync::Mutex::default(),
         });
         tokio::spawn(expire(sync::Arc::downgrade(&shared)));
-        Self { shared, servers: sync::Mutex::default() }
+        Self { ip, shared, servers: sync::Mutex::default() }
+    }
+
+    /// Returns the address on which its listeners open.
+    #[must_use]
+    pub fn ip(&self) -> net::Ipv4Addr {
+        self.ip
     }
 
     /// Opens a listener on a free port.
@@ -79,7 +93,7 @@
     ///
     /// Fails when no address can be listened on.
     pub async fn open(&self) -> io::Result<sync::Arc<listener::Listener>> {
-        let socket = tokio::net::TcpListener::bind((loopback::address(), 0)).await?;
+        let socket = tokio::net::TcpListener::bind((self.ip, 0)).await?;
         let listener = sync::Arc::new(listener::Listener::new(socket.local_addr()?));
         let context = Context {
             shared: sync::Arc::clone(&self.shared),
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -130,13 +130,22 @@
 }
 
 impl Upstream {
-    /// Starts an upstream on a free port, inside a runtime.
+    /// Starts an upstream on a free port of this process's address, inside a runtime.
     ///
     /// # Errors
     ///
     /// Fails when no address can be listened on.
     pub async fn start(id: &str) -> io::Result<Self> {
-        let listener = TcpListener::bind((loopback::address(), 0)).await?;
+        Self::start_at(id, loopback::address()).await
+    }
+
+    /// Starts an upstream on a free port of `ip`, inside a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address can be listened on.
+    pub async fn start_at(id: &str, ip: net::Ipv4Addr) -> io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let shared = sync::Arc::new(Shared {
             id: id.to_owned(),
