--- /dev/null
+++ b/crates/steer/tests/dispatch/connectivity.rs
@@ -0,0 +1,126 @@
+//! Groups of upstreams that a node cannot connect to.
+
+use std::time::{Duration, Instant};
+
+use model::{discovery, id};
+use steer::dispatch::connectivity::{Scope, report, sample};
+use steer::dispatch::{dispatcher, refusal, upstream};
+
+use crate::setup;
+
+/// Time after which another check may be due; the rule's own minimum is half of it.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_sample_has_ejected_upstreams_last() {
+    let now = Instant::now();
+    let new = |number| {
+        let entry = setup::entry(&format!("i-{number}"), "n-1").into();
+        upstream::Upstream::new(entry, id::Region::new("north"), now)
+    };
+    let mut upstreams: Vec<upstream::Upstream> = (0..12).map(new).collect();
+    upstreams[..9].iter_mut().for_each(|u| u.health.record_unreachable(now));
+    let taken = sample::take(upstreams.iter(), &mut |end| end - 1, now);
+    let ejected: Vec<bool> = taken.iter().map(|u| u.health.is_ejected(now)).collect();
+    assert_eq!(ejected, [false, false, false, true]);
+}
+
+fn name(scope: &Scope) -> String {
+    format!("{}@{}", scope.service, scope.region)
+}
+
+/// Makes the checks that are due, of which those of `connected` groups connect; returns which were made.
+fn check(dispatcher: &mut dispatcher::Dispatcher, connected: &[&str], now: Instant) -> Vec<String> {
+    let checks = dispatcher.begin_checks(&mut |_| 0, now);
+    for check in &checks {
+        let is_connected = connected.contains(&name(&check.scope).as_str());
+        dispatcher.end_check(&check.scope, is_connected);
+    }
+    checks.iter().map(|check| name(&check.scope)).collect()
+}
+
+/// Two services with two upstreams in each of two regions.
+fn entries() -> Vec<discovery::Entry> {
+    let of_service = |service: &'static str| {
+        ["n-1", "n-2", "s-1", "s-1"].iter().enumerate().map(move |(number, hall)| {
+            let entry = setup::entry(&format!("{service}-{number}"), hall);
+            discovery::Entry { service: id::Service::new(service), ..entry }
+        })
+    };
+    of_service("desk").chain(of_service("shelf")).collect()
+}
+
+fn dispatcher(now: Instant) -> dispatcher::Dispatcher {
+    let mut dispatcher = setup::dispatcher("n");
+    setup::set(&mut dispatcher, &entries(), now);
+    dispatcher
+}
+
+/// Records failures at both upstreams of desk in north.
+fn fail_desk_in_north(dispatcher: &mut dispatcher::Dispatcher, now: Instant) {
+    let entries = entries();
+    assert!(!dispatcher.record_connection_failure(&entries[0], now));
+    assert!(dispatcher.record_connection_failure(&entries[1], now));
+}
+
+#[test]
+fn a_lost_group_has_related_groups_checked_at_once() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    fail_desk_in_north(&mut dispatcher, now);
+    assert_eq!(check(&mut dispatcher, &[], now), ["desk@north"]);
+    assert_eq!(check(&mut dispatcher, &[], now), ["desk@south", "shelf@north"]);
+    assert_eq!(check(&mut dispatcher, &[], now), ["shelf@south"]);
+    assert!(dispatcher.connectivity_report().is_cut_off);
+    let later = now + INTERVAL;
+    assert_eq!(check(&mut dispatcher, &["shelf@south"], later).len(), 4, "all are checked again");
+    assert!(dispatcher.connectivity_report().is_cut_off, "one good check is not enough");
+    check(&mut dispatcher, &["shelf@south"], later + INTERVAL);
+    let report = dispatcher.connectivity_report();
+    let keys = ["desk", "shelf"].map(|name| report::Key::of(&id::Service::new(name)));
+    assert!(!report.reaches(&keys) && report.reaches(&keys[1..]) && !report.reaches_all());
+}
+
+/// Requests try one upstream of a region out of reach after the other, though another region is reached.
+#[test]
+fn recover_requests_avoid_a_region_out_of_reach() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    fail_desk_in_north(&mut dispatcher, now);
+    check(&mut dispatcher, &[], now);
+    check(&mut dispatcher, &["desk@south", "shelf@north"], now);
+    for key in 0..20 {
+        let chosen = setup::choose(&mut dispatcher, &setup::route(&[]), key, now);
+        assert_eq!(chosen.expect("south is reached").hall.as_str(), "s-1");
+    }
+    assert!(dispatcher.connectivity_report().reaches_all(), "the service is reached in south");
+    let refused = setup::choose(&mut dispatcher, &setup::route(&["north"]), 0, now);
+    let Err(refusal::Refusal::Unreached { exclusions, .. }) = refused else {
+        panic!("{refused:?}")
+    };
+    assert_eq!((exclusions.unreached, exclusions.outside, exclusions.known), (2, 2, 4));
+}
+
+#[test]
+fn a_group_without_upstreams_is_not_checked() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    fail_desk_in_north(&mut dispatcher, now);
+    check(&mut dispatcher, &["desk@south", "shelf@north"], now);
+    dispatcher.set_upstreams([].into_iter(), now);
+    // Entries that vanish together may have lapsed, so their upstreams are used for a while.
+    let later = now + 10 * INTERVAL;
+    dispatcher.tick(later);
+    assert!(!dispatcher.is_check_due(later));
+    assert!(dispatcher.connectivity_report().reaches_all());
+}
+
+#[test]
+fn upstreams_that_all_fall_silent_start_a_check() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = dispatcher(now);
+    entries[..2].iter().for_each(|entry| _ = dispatcher.sent(&entry.id, true, now));
+    assert!(!dispatcher.is_check_due(now + Duration::from_millis(100)));
+    assert!(dispatcher.is_check_due(now + 20 * INTERVAL));
+}
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod choice;
+mod connectivity;
 mod entries;
 mod health;
 mod limits;
