--- a/crates/node/src/common/socket.rs
+++ b/crates/node/src/common/socket.rs
@@ -1,6 +1,6 @@
-//! Options of sockets by which a connection that has fallen silent, or was given up, ends.
+//! Socket options that close unresponsive connections.
 //!
-//! Owns the options that both roles set, and the times of connections from callers, nodes and operators.
+//! Defines the options that both roles set, and the timeouts of connections from callers, nodes and operators.
 
 use std::io;
 use std::time::Duration;
@@ -11,27 +11,28 @@
 use tokio::net::TcpStream;
 use tower::util;
 
-/// Time after which bytes that a client does not acknowledge end its connection.
-pub const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
+/// Time that data sent to a client may remain unacknowledged before its connection is closed.
+pub const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time between two pings on an HTTP/2 connection whose client is silent.
+/// Interval between pings on an idle HTTP/2 connection.
 pub const PING_EVERY: Duration = Duration::from_secs(5);
 
-/// Time after which a ping without an answer ends the connection.
+/// Timeout of a ping, after which the connection is closed.
 pub const PING_TIME: Duration = Duration::from_secs(5);
 
-/// Silence on a connection to an upstream after which it is probed.
+/// Idle time on a connection to an upstream after which the first keep-alive probe is sent.
 ///
-/// Measured: docs/measurements/hundreds.md, row "silent upstreams are probed". With 2 s a caller
-/// learned of a crash after 5 s, and many deadlines (6 s) came first. Three lost probes must outlast lost packets and a
-/// short cut of the network.
+/// With 2 s, a caller would learn of a crash after 5 s, when many deadlines have passed.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 
-/// Time between two such probes; the operating system takes whole seconds. Measured with [`PROBE_AFTER`].
-const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Interval between probes; the operating system accepts whole seconds only.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Probes without an answer after which the connection breaks.
-const MOST_PROBES: u32 = 3;
+/// Number of unanswered probes after which a connection is closed, so that lost packets do not close it.
+///
+/// On a socket with `TCP_USER_TIMEOUT`, Linux ignores this number and closes the connection once that time has passed since
+/// the latest acknowledgement.
+const MAX_PROBES: u32 = 3;
 
 /// A socket as the HTTP library holds it.
 type Socket = rt::TokioIo<TcpStream>;
@@ -39,55 +40,55 @@
 /// A connector of the HTTP library whose connections end with a reset.
 pub type Connector = util::MapResponse<HttpConnector, fn(Socket) -> Socket>;
 
-/// Makes a connector whose connections end with a reset, as [`reset_when_closed`] says.
+/// Creates a connector whose connections are reset when closed, see [`reset_when_closed`].
 #[must_use]
 pub fn connector(inner: HttpConnector) -> Connector {
     util::MapResponse::new(inner, |socket: Socket| {
         if let Err(error) = reset_when_closed(socket.inner()) {
-            // The connection works; only what is given up on it may arrive later.
+            // The connection works, but data of an abandoned request may still be sent.
             log_not_set(&error);
         }
         socket
     })
 }
 
-/// Makes `stream` end with a reset when it is closed, and what is not acknowledged by then is discarded.
+/// Makes `stream` send a reset when it is closed and discard data that is not acknowledged by then.
 ///
-/// Closing a connection usually leaves what was written to the operating system, which goes on sending it. A
-/// request that was given up long ago would then still arrive, at an upstream that has left meanwhile.
-/// After a reset nothing more is sent, and the upstream can stop its work.
+/// Usually the operating system continues to send written data after a connection is closed. An abandoned request would then
+/// still arrive, possibly at an upstream that is leaving. After a reset no more data is sent, and the upstream can stop its
+/// work.
 ///
 /// # Errors
 ///
-/// Fails when the option cannot be set.
+/// Fails if the option cannot be set.
 pub fn reset_when_closed(stream: &TcpStream) -> io::Result<()> {
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
-/// Probes the other end of `stream` while it is silent, so that the connection breaks soon after its VM is gone.
+/// Enables keep-alive probes on `stream`, so that the connection is closed soon after the other VM has failed.
 ///
-/// An upstream whose VM loses power says nothing; without probes a request that ran there is held until its deadline,
-/// and its caller learns nothing until then. An upstream that is only slow answers the probes.
+/// The VM of an upstream that loses power sends nothing. Without probes, a request in flight there would wait until its
+/// deadline. An upstream that is only slow acknowledges the probes.
 ///
 /// # Errors
 ///
-/// Fails when the option cannot be set.
+/// Fails if the option cannot be set.
 pub fn probe_when_silent(stream: &TcpStream) -> io::Result<()> {
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
-        .with_interval(PROBE_EVERY)
-        .with_retries(MOST_PROBES);
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(MAX_PROBES);
     socket2::SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
-/// Prepares a connection that was accepted: small answers are sent at once, and a client that no longer
-/// acknowledges them ends its connection after [`UNACKNOWLEDGED_TIME`].
+/// Prepares an accepted connection: small responses are sent immediately, and the connection is closed if the client does not
+/// acknowledge data for [`TCP_USER_TIMEOUT`].
 pub fn accepted(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let set = stream.set_nodelay(true);
-    let set = set.and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME)));
+    let set = set.and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
     if let Err(error) = set {
-        // Usually the client has gone already, which shows when the connection is read.
+        // Usually the client has disconnected, which the next read reports.
         log_not_set(&error);
     }
 }
--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -1,7 +1,7 @@
 //! Connectivity: checks whether this node can connect to the upstreams of a service in a region.
 //!
-//! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when, at which upstreams, and what
-//! follows; the other nodes learn of a change in a heartbeat at once.
+//! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when a check is made, which upstreams it
+//! connects to, and what its result means. A change is announced in an immediate heartbeat.
 
 use std::net;
 use std::rc;
@@ -41,9 +41,9 @@
 async fn make(state: rc::Rc<state::State>, check: Check) {
     let addresses: Vec<net::SocketAddr> = check.upstreams.iter().map(|u| u.address).collect();
     state.metrics.connectivity_checks.add(1);
-    // A group without an upstream that takes requests says nothing of this node.
+    // An empty sample does not show that this node is cut off.
     let is_connected =
-        addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIME).await;
+        addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIMEOUT).await;
     let change = state.dispatcher.borrow_mut().end_check(&check.scope, is_connected);
     state.check_due.notify_one();
     let (service, region) = (check.scope.service.as_str(), check.scope.region.as_str());
@@ -56,17 +56,17 @@
     state.beat.notify_one();
 }
 
-/// Whether this node reaches other upstreams than one that refuses connections.
+/// Determines whether this node can connect to any upstream besides one that refuses connections.
 ///
-/// Requests that end together share one attempt, since a crash or a cut ends many of them at once.
+/// Requests that fail together share one attempt, because a crash or a partition ends many of them at once.
 #[derive(Debug, Default)]
 pub struct Others {
-    /// When the latest attempt began, and whether it reached an upstream.
+    /// Start time of the latest attempt, and whether a connection was established.
     latest: sync::Mutex<Option<(Instant, bool)>>,
 }
 
 impl Others {
-    /// Returns whether another upstream than `upstream` was reached after `since`.
+    /// Returns whether an upstream other than `upstream` accepted a connection after `since`.
     pub async fn are_reached(
         &self,
         state: &state::State,
@@ -82,21 +82,21 @@
         let began = Instant::now();
         let others = state.dispatcher.borrow().others_than(upstream, &mut draw, began);
         let addresses: Vec<net::SocketAddr> = others.iter().map(|other| other.address).collect();
-        // Without other upstreams, nothing speaks against a crash.
+        // Without other upstreams, the refusal is taken for a crash.
         let are_reached =
-            addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIME).await;
+            addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIMEOUT).await;
         *latest = Some((began, are_reached));
         are_reached
     }
 }
 
-/// Returns whether a connection to any of `addresses` comes up within `time`.
-pub async fn connects_to_any(addresses: &[net::SocketAddr], time: Duration) -> bool {
+/// Returns whether a connection to any of `addresses` is established within `timeout`.
+pub async fn connects_to_any(addresses: &[net::SocketAddr], timeout: Duration) -> bool {
     let mut connections = task::JoinSet::new();
     for address in addresses.iter().copied() {
         connections.spawn_local(async move {
             let stream = TcpStream::connect(address).await?;
-            // The upstream frees the connection at once.
+            // With a reset, the upstream releases the connection immediately.
             socket::reset_when_closed(&stream)
         });
     }
@@ -108,5 +108,5 @@
         }
         false
     };
-    tokio::time::timeout(time, first).await.unwrap_or(false)
+    tokio::time::timeout(timeout, first).await.unwrap_or(false)
 }
--- a/crates/node/src/gateway/proxy/answer.rs
+++ b/crates/node/src/gateway/proxy/answer.rs
@@ -1,7 +1,7 @@
-//! Answers that the gateway gives itself, in place of an upstream's.
+//! Responses that the gateway creates itself.
 //!
-//! Owns the status of each [`Reason`]; relies on [`steer::dispatch::give_up`] for the reasons of requests
-//! that no upstream answered, and on [`dialect`] for the headers that explain them.
+//! Defines the status of each [`Reason`]. [`steer::dispatch::give_up`] defines the reasons of requests that no upstream
+//! responded to, and [`dialect`] writes the headers that describe the reason.
 
 use std::time::Duration;
 
@@ -13,21 +13,21 @@
 use crate::gateway::dialect;
 use crate::gateway::proxy::head;
 
-/// What a caller without a valid key is asked for (RFC 9110, section 11.6.1, wants an answer of 401 to say it).
+/// Authentication scheme, which a 401 response must contain (RFC 9110, section 11.6.1).
 const CHALLENGE: &str = "ApiKey";
 
-/// Why the gateway answers a request itself.
+/// Why the gateway responds to a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
     /// No configuration is known yet.
     NoConfiguration,
     /// No route matches.
     NoRoute,
-    /// Its route wants a key of an organisation, and it has none.
+    /// The route requires the key of an organisation, and the request has none.
     NoKey,
-    /// No organisation has its key.
+    /// No organisation has the request's key.
     UnknownKey,
-    /// The head does not say clearly what it asks.
+    /// The head is ambiguous or incomplete.
     BadHead(head::Fault),
     /// The body is larger than callers may send.
     TooLarge,
@@ -35,14 +35,14 @@
     BodyCut,
     /// The body did not arrive in time.
     BodyLate,
-    /// No upstream answered it.
+    /// No upstream responded to the request.
     GivenUp(give_up::Reason),
 }
 
 impl Reason {
-    /// Returns the status of the answer.
+    /// Returns the status of the response.
     ///
-    /// Statuses 408, 421, 429 and 503 promise that the request has not run and never will.
+    /// Statuses 408, 421, 429 and 503 promise that the request was not executed and never will be.
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Returns the reason as the log key `reason` holds it.
+    /// Returns the value of the log key `reason`.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Returns whether the request certainly has not run.
+    /// Returns whether the request was certainly not executed.
     #[must_use]
     pub fn is_proved_not_run(self) -> bool {
         match self {
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Returns the time after which the caller may retry; none when a retry would not help.
+    /// Returns the time after which the caller may retry; `None` if a retry would fail too.
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
         match self {
@@ -97,7 +97,7 @@
     }
 }
 
-/// Makes the answer.
+/// Creates the response.
 #[must_use]
 pub fn make(reason: Reason, dialect: dialect::Dialect) -> Response<body::Body> {
     let text = format!("{}\n", reason.as_str());
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -1,7 +1,7 @@
-//! One try at an upstream, reported to the dispatcher however it ends.
+//! Attempt at an upstream, whose end is always reported to the dispatcher.
 //!
-//! Owns the start time and the crowding of one try. A try that is dropped has ended too, by its deadline or
-//! because its caller left.
+//! Owns the start time and the crowding of one attempt. Dropping an attempt ends it, because its deadline passed or its caller
+//! disconnected.
 
 use std::rc;
 use std::sync;
@@ -18,7 +18,7 @@
 
 use crate::gateway::state;
 
-/// A try in flight. Dropping it ends it as abandoned or timed out.
+/// An attempt in flight. Dropping it reports it as timed out or abandoned.
 #[derive(Debug)]
 pub struct Attempt {
     state: rc::Rc<state::State>,
@@ -26,7 +26,7 @@
     pub upstream: sync::Arc<discovery::Entry>,
     route: id::Route,
     object: Option<seen_objects::Object>,
-    /// Whether the upstream answered that it failed.
+    /// Whether the upstream responded with a server error.
     has_failed: bool,
     began: Instant,
     crowding: f64,
@@ -35,7 +35,7 @@
 }
 
 impl Attempt {
-    /// Starts a try.
+    /// Starts an attempt.
     #[must_use]
     pub fn start(
         state: &rc::Rc<state::State>,
@@ -65,24 +65,24 @@
         }
     }
 
-    /// Notes the status of the answer.
+    /// Records the status of the response.
     pub fn note_status(&mut self, status: StatusCode) {
         self.has_failed = status.is_server_error();
     }
 
-    /// Ends the try with a whole answer.
+    /// Ends the attempt with a complete response.
     pub fn answered(self, load: Option<load::Report>) {
         let latency = self.began.elapsed();
         let (crowding, object) = (self.crowding, self.object);
         self.end(outcome::Outcome::Answered { latency, crowding, object, load });
     }
 
-    /// Ends the try.
+    /// Ends the attempt.
     pub fn end(mut self, outcome: outcome::Outcome) {
         self.report(outcome);
     }
 
-    /// Returns when the try began.
+    /// Returns the start time of the attempt.
     #[must_use]
     pub fn began(&self) -> Instant {
         self.began
@@ -107,7 +107,7 @@
         dispatcher.ended(&self.upstream, outcome, waited, now);
     }
 
-    /// Returns what the end tells of the upstream's version; nothing where the upstream did not run the request.
+    /// Returns the result that counts for the upstream's version; `None` if the upstream did not execute the request.
     fn answer(&self, outcome: outcome::Outcome) -> Option<rollouts::Answer> {
         match outcome {
             outcome::Outcome::Answered { .. } if self.has_failed => Some(rollouts::Answer::Failure),
--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -1,6 +1,6 @@
-//! One connection to an upstream.
+//! Connection to an upstream.
 //!
-//! Owns the socket and the task that drives it.
+//! Owns the socket and the task that drives the connection.
 
 use std::net;
 use std::time::{Duration, Instant};
@@ -13,21 +13,21 @@
 use crate::common::body;
 use crate::common::socket;
 
-/// Longest time a connection may take to come up.
-pub const CONNECT_TIME: Duration = Duration::from_millis(350);
+/// Timeout for establishing a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Time after which bytes that the upstream does not acknowledge break the connection.
-const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(2);
+/// Time that sent data may remain unacknowledged before the connection is closed.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A connection to an upstream; dropping it resets it at once, so that nothing more of a request arrives.
+/// A connection to an upstream. Dropping it resets the connection, so that no more data of a request is sent.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends requests.
+    /// The sending half.
     pub sender: http1::SendRequest<body::Body>,
-    /// When it was last used.
+    /// Time of the latest use.
     pub used: Instant,
-    /// How long it may rest.
-    pub rest: Duration,
+    /// Time after which the connection is no longer used when idle; zero if it must not be reused.
+    pub idle_timeout: Duration,
     driver: task::JoinHandle<()>,
 }
 
@@ -36,24 +36,24 @@
     ///
     /// # Errors
     ///
-    /// Fails when it does not come up in time.
+    /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
     pub async fn open(address: net::SocketAddr) -> std::io::Result<Self> {
         let connect = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(CONNECT_TIME, connect).await {
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(stream) => stream?,
             Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
         };
         stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME))?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         socket::probe_when_silent(&stream)?;
         socket::reset_when_closed(&stream)?;
         let (sender, connection) =
             http1::handshake(rt::TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         let driver = task::spawn_local(async move {
-            // The exchange that uses the connection gets the same error.
+            // The exchange on the connection returns the same error.
             let _ = connection.await;
         });
-        Ok(Self { sender, used: Instant::now(), rest: Duration::ZERO, driver })
+        Ok(Self { sender, used: Instant::now(), idle_timeout: Duration::ZERO, driver })
     }
 }
 
--- a/crates/node/src/gateway/proxy/crash.rs
+++ b/crates/node/src/gateway/proxy/crash.rs
@@ -19,8 +19,8 @@
 use crate::gateway::member;
 use crate::gateway::state;
 
-/// Longest time the check may take; an address of a running VM refuses within one round trip.
-const CHECK_TIME: Duration = Duration::from_millis(250);
+/// Timeout of the check; the address of a running VM refuses a connection within one round trip.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A request that was sent to an upstream.
 #[derive(Clone, Debug)]
@@ -29,15 +29,15 @@
     pub upstream: sync::Arc<discovery::Entry>,
     /// The request's id.
     pub request: String,
-    /// By which it is known again.
+    /// The request's fingerprint.
     pub fingerprint: fingerprint::Fingerprint,
-    /// When.
+    /// Time at which it was sent.
     pub at: Instant,
 }
 
-/// Finds out whether the upstream crashed whose connection closed now, and records that the request was in flight there.
+/// Checks whether the upstream whose connection was closed has crashed, and records that the request was in flight there.
 ///
-/// Goes on when the caller leaves meanwhile, since the request may come again.
+/// Continues if the caller disconnects, because the request may be repeated.
 pub async fn check(state: &rc::Rc<state::State>, sent: Sent) {
     let ended = Instant::now();
     let state = rc::Rc::clone(state);
@@ -53,13 +53,13 @@
             }
         }
     });
-    // Fails when the process ends, which forgets what was recorded too.
+    // Fails only when the process ends, and then the record is lost too.
     let _ = checked.await;
 }
 
-/// Returns whether nothing listens at `address`, though its VM runs.
+/// Returns whether `address` refuses connections, which its VM does if no process listens there.
 async fn is_refused(address: net::SocketAddr) -> bool {
-    match tokio::time::timeout(CHECK_TIME, TcpStream::connect(address)).await {
+    match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     }
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -1,6 +1,6 @@
-//! One exchange with an upstream: a request, and the whole answer to it.
+//! Exchange with an upstream: one request and the response to it.
 //!
-//! Owns the order of the checks on an answer; relies on [`execution`] for what it proves.
+//! Defines the order of the checks on a response. [`execution`] decides whether a response proves that the request was executed.
 
 use std::time::Duration;
 
@@ -18,61 +18,62 @@
 use crate::gateway::dialect;
 use crate::gateway::proxy::connection;
 
-/// Header by which an upstream says how long it keeps a resting connection.
+/// Header with the idle timeout of the upstream's connections.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Largest answer that is read whole before it is passed on, in bytes; the rest of a larger one is
-/// streamed.
-const LARGEST_KEPT: usize = 512 * 1_024;
+/// Maximum size of a response body that is read completely before it is forwarded, in bytes; the remainder of a larger
+/// one is streamed.
+const MAX_BUFFERED_BYTES: usize = 512 * 1_024;
 
-/// Time that a connection may rest whose upstream names no limit.
-const USUAL_REST: Duration = Duration::from_secs(4);
+/// Idle timeout of a connection whose upstream does not announce one.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time before an upstream's limit from which a resting connection is no longer used.
-const REST_MARGIN: Duration = Duration::from_millis(1_200);
+/// Time before the announced idle timeout from which a connection is no longer used.
+const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_200);
 
-/// How an exchange ended without an answer to the request.
+/// Why an exchange returned no response to the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// Nothing was sent.
     NotSent(String),
-    /// Nothing was sent, since the upstream takes no more requests of this node meanwhile.
+    /// Nothing was sent, because the upstream stopped accepting requests from this node.
     Withdrawn,
-    /// Nothing was sent, since no connection is open and none to the service comes up.
+    /// Nothing was sent, because no connection is open and the upstream's group cannot be connected to.
     Unreached,
-    /// It was sent, and the connection ended before the answer; it may have run.
+    /// The request was sent, and the connection was closed before the response. It may have been executed.
     Closed(String),
-    /// It was sent, and what came is no answer to it; it may have run.
+    /// The request was sent, and the received data is not a response to it. It may have been executed.
     Broken(String),
 }
 
-/// The body of an answer.
+/// The body of a response.
 #[derive(Debug)]
 pub enum Payload {
-    /// All of it.
+    /// The complete body.
     Whole(Bytes),
-    /// Its beginning; the rest is still arriving.
+    /// The beginning of the body; the remainder is still being received.
     Partial(Bytes, Incoming),
 }
 
-/// An upstream's answer to the request that was sent.
+/// A response of an upstream to the request.
 #[derive(Debug)]
 pub struct Answer {
     /// Status and headers.
     pub head: Response<()>,
     /// The body.
     pub bytes: Payload,
-    /// Whether the upstream ran the request.
+    /// Whether the upstream executed the request.
     pub execution: execution::Execution,
-    /// Load that the upstream reports.
+    /// Load that the upstream reported.
     pub load: Option<load::Report>,
 }
 
-/// Sends a request on `connection` and reads the answer; `observe` gets what the upstream says of itself in its head.
+/// Sends a request on `connection` and reads the response. `observe` receives the statements of the upstream about itself in
+/// the response headers.
 ///
 /// # Errors
 ///
-/// Fails when no whole answer to this request came.
+/// Fails if no complete response to this request is received.
 pub async fn run(
     connection: &mut connection::Connection,
     request: Request<body::Body>,
@@ -93,7 +94,8 @@
     let said = dialect.answer(&parts.headers, parts.status, rules);
     let (load, execution) = (said.statement.load, execution::execution(&said));
     let fault = execution::fault(&said, dialect.requirements(), request_id);
-    // Before the body, which may take long. A refusal counts even where it does not prove that nothing ran.
+    // Called before the body is read, which may take long. A refusal is observed even if it does not prove that the
+    // request was not executed.
     if fault.is_none() && execution != execution::Execution::Replaced {
         observe(&said.statement, &parts.headers);
     }
@@ -106,7 +108,7 @@
         (None, _) if is_encoded => return Err(broken("encoded answer")),
         (None, _) => {}
     }
-    connection.rest = rest(&parts.headers);
+    connection.idle_timeout = idle_timeout(&parts.headers);
     let bytes = read(incoming).await?;
     Ok(Answer { head: Response::from_parts(parts, ()), bytes, execution, load })
 }
@@ -115,14 +117,16 @@
     Failure::Broken(cause.to_owned())
 }
 
-/// Returns how long a connection may rest after this answer.
-fn rest(headers: &HeaderMap) -> Duration {
-    let Some(parameters) = field::text(headers, &KEEP_ALIVE) else { return USUAL_REST };
+/// Returns the idle timeout of a connection after a response with these headers.
+fn idle_timeout(headers: &HeaderMap) -> Duration {
+    let Some(parameters) = field::text(headers, &KEEP_ALIVE) else { return DEFAULT_IDLE_TIMEOUT };
     let seconds = parameters.split(',').find_map(|part| {
         let (name, value) = part.trim().split_once('=')?;
         (name.trim() == "timeout").then(|| value.trim().parse::<u64>().ok())?
     });
-    seconds.map_or(USUAL_REST, |s| Duration::from_secs(s).saturating_sub(REST_MARGIN))
+    seconds.map_or(DEFAULT_IDLE_TIMEOUT, |s| {
+        Duration::from_secs(s).saturating_sub(IDLE_TIMEOUT_MARGIN)
+    })
 }
 
 async fn read(mut incoming: Incoming) -> Result<Payload, Failure> {
@@ -131,7 +135,7 @@
         let frame = frame.map_err(|error| Failure::Closed(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
         read.extend_from_slice(&data);
-        if read.len() > LARGEST_KEPT {
+        if read.len() > MAX_BUFFERED_BYTES {
             return Ok(Payload::Partial(read.freeze(), incoming));
         }
     }
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -1,7 +1,7 @@
-//! One request: from its head to an upstream's answer, or to one of the gateway's own.
+//! Handler of one request, from its head to the response of an upstream or of the gateway.
 //!
-//! Owns the order of the steps: head, route, organisation, deadline, body, quota, service, tries. Relies on [`tries`] for the
-//! upstreams, on [`answer`] for what the gateway answers itself, and on [`trace`] for the log line.
+//! Defines the order of the steps: head, route, organisation, deadline, body, quota, service, tries. [`tries`] sends the request
+//! to upstreams, [`answer`] creates the gateway's own responses, and [`trace`] writes the log line.
 
 use std::net;
 use std::sync;
@@ -20,7 +20,7 @@
 use crate::gateway::proxy::trace;
 use crate::gateway::proxy::tries;
 
-/// Answers one request, which came from the address of `caller`.
+/// Handles one request from the address `caller`.
 pub async fn handle(
     server: &server::Server,
     request: Request<Incoming>,
@@ -43,9 +43,9 @@
             answer::make(reason, server.state.dialect)
         }
     };
-    // A length beside the chunks, which the HTTP library does not show, may hide a second request
-    // behind the first (RFC 9112, section 6.1), so nothing more is read from such a connection.
-    // A caller that this gateway cannot serve comes back over another one.
+    // A chunked request may also have a length, which the HTTP library does not report. Such a request can smuggle a second
+    // one (RFC 9112, section 6.1), so no further request is read from its connection. A caller that this gateway cannot serve
+    // must connect to another gateway.
     if is_chunked || is_unreachable || server.state.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -115,9 +115,9 @@
     outcome
 }
 
-/// Returns the organisation that sends a request; none where its route or the whole configuration wants none.
+/// Returns the organisation that sends a request; `None` if the route or the configuration requires no organisation.
 ///
-/// A public route takes any key, or none, and does not look at it: its requests are of no organisation.
+/// The key of a request on a public route is ignored, and the request belongs to no organisation.
 fn organisation(
     routing: &routing::Routing,
     route: &route::Route,
@@ -136,7 +136,7 @@
     }
 }
 
-/// Takes a request from the quota of its organisation.
+/// Counts a request against the quota of its organisation.
 fn admit(
     server: &server::Server,
     organisation: Option<&organisation::Organisation>,
--- a/crates/node/src/gateway/proxy/head.rs
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -1,6 +1,6 @@
-//! Heads of requests: what the gateway reads of them, and what it passes on.
+//! Request heads: how the gateway reads and forwards them.
 //!
-//! Owns the rules of a clear head and of hops; relies on [`dialect`] for the headers of the deployment.
+//! Rejects ambiguous heads and removes headers of a single hop. [`dialect`] defines the headers of the deployment.
 
 use std::net;
 use std::time::{Duration, Instant};
@@ -18,16 +18,16 @@
 /// Why a request with this head is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// There is no host, or more than one.
+    /// The host is missing or given more than once.
     Host,
     /// The body's length is given in two ways.
     Length,
-    /// The request names itself in more than one way.
+    /// The request has several different IDs.
     RequestId,
 }
 
 impl Fault {
-    /// Returns the fault as it stands in logs.
+    /// Returns the value of the log key `reason`.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
@@ -41,19 +41,19 @@
 /// What the gateway reads of a request's head.
 #[derive(Clone, Debug)]
 pub struct Head {
-    /// The host that it is for.
+    /// The requested host.
     pub host: String,
-    /// Its name; empty when it has none.
+    /// The ID of the request; empty if it has none.
     pub request_id: String,
-    /// Time the caller will wait, counted from the arrival.
+    /// Time that the caller waits, counted from the arrival; `None` if the request does not state it.
     pub deadline: Option<Duration>,
-    /// Address that its connection comes from.
+    /// Source address of the caller's connection.
     pub caller: net::IpAddr,
-    /// When it arrived.
+    /// Time of arrival.
     pub arrived: Instant,
-    /// Hash of the object that it is about; none when it names none.
+    /// Hash of the request's object; `None` if it has none.
     pub object: Option<u64>,
-    /// What it says of a key; the key itself is not kept.
+    /// Digest of the request's key, if any; the key itself is not stored.
     pub key: key::Credential,
     dialect: dialect::Dialect,
     parts: request::Parts,
@@ -64,7 +64,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when it does not say clearly what it asks.
+    /// Fails if the head is ambiguous or incomplete.
     pub fn read(
         mut parts: request::Parts,
         caller: net::IpAddr,
@@ -78,7 +78,7 @@
         let deadline = said.wait;
         let object = said.object.map(|object| xxh3::xxh3_64(object.as_bytes()));
         let key = said.key;
-        // From here on no header holds the key, so none can be shown or passed on.
+        // Removes the key, so that it cannot be logged or forwarded.
         dialect.strip(&mut parts.headers);
         Ok(Self { host, request_id, deadline, caller, arrived, object, key, dialect, parts })
     }
@@ -89,7 +89,7 @@
         self.parts.uri.path()
     }
 
-    /// Returns the hash by which the request is spread when it is about no object.
+    /// Returns the hash that upstreams are selected by if the request has no object.
     #[must_use]
     pub fn spread(&self) -> u64 {
         xxh3::xxh3_64(self.request_id.as_bytes())
@@ -106,7 +106,7 @@
         fingerprint::Fingerprint::of(&self.asked(organisation, body), &sender)
     }
 
-    /// Returns the hash of all that the request of `organisation` asks but its body.
+    /// Returns the hash of the request of `organisation` without its body.
     #[must_use]
     pub fn hash(&self, organisation: Option<&id::Organisation>) -> fingerprint::Head {
         self.asked(organisation, &[]).head()
@@ -150,7 +150,7 @@
         let sent = request.headers_mut();
         *sent = self.parts.headers.clone();
         clean(sent, self.dialect);
-        // It was read from a header or a target, so it can stand in a header again.
+        // The value was read from a header or a target, so it is a valid header value.
         if let Ok(host) = HeaderValue::from_str(&self.host) {
             sent.insert(header::HOST, host);
         }
@@ -188,7 +188,7 @@
     }
 }
 
-/// Removes what concerns one connection only, and what only this system may say.
+/// Removes the headers of one connection and those that only this system may set.
 pub fn clean(headers: &mut HeaderMap, dialect: dialect::Dialect) {
     let is_protected = |name: &HeaderName| PROTECTED.contains(name) || dialect.is_request_id(name);
     names::remove_hop(headers, is_protected);
@@ -198,7 +198,7 @@
 /// Headers that no connection option may remove.
 const PROTECTED: [HeaderName; 3] = [header::CONTENT_LENGTH, header::HOST, header::COOKIE];
 
-/// Removes from an answer what concerns the upstream's connection only, and what only yokespoke may say.
+/// Removes from a response the headers of the upstream's connection and those that only yokespoke may set.
 ///
 /// A caller goes by the verdict on whether its request has run, so an upstream must not write it. It also goes by what names its
 /// request and what proves the answer, so these stay whatever the upstream's connection names.
--- a/crates/node/src/gateway/proxy/identity.rs
+++ b/crates/node/src/gateway/proxy/identity.rs
@@ -1,7 +1,7 @@
-//! Identity: by what a request is known again when it comes once more.
+//! Identity of a request, by which a repetition of it is recognized.
 //!
-//! Owns what the fingerprint of one request is made of. It is worked out only where upstreams crashed under a request like
-//! this one, or under this one, since a long body takes time to hash.
+//! Computes the fingerprint of one request, and only if upstreams crashed while they ran this request or a similar one,
+//! because hashing a long body takes time.
 
 use std::cell;
 use std::rc;
@@ -26,15 +26,15 @@
     state: &'a rc::Rc<state::State>,
     head: &'a head::Head,
     organisation: Option<&'a id::Organisation>,
-    /// Beginning of the body, which stays here when the body is sent.
+    /// Beginning of the body, kept here after the body is sent.
     body: Bytes,
-    /// Hash of all that is asked but the body, once it is worked out.
+    /// Hash of the request without its body, once it is computed.
     hash: cell::OnceCell<fingerprint::Head>,
     fingerprint: cell::OnceCell<fingerprint::Fingerprint>,
 }
 
 impl<'a> Identity<'a> {
-    /// Makes the identity of a request of `organisation` whose body begins with `body`.
+    /// Creates the identity of a request of `organisation` whose body begins with `body`.
     #[must_use]
     pub fn new(
         state: &'a rc::Rc<state::State>,
@@ -46,16 +46,16 @@
         Self { state, head, organisation, body, hash, fingerprint }
     }
 
-    /// Returns why the request is held back; none when it is not.
+    /// Returns why the request is quarantined; `None` if it is not.
     #[must_use]
     pub fn check(&self) -> Option<quarantine::Hold> {
         self.suspect().and_then(|suspect| self.state.check_quarantine(&suspect))
     }
 
-    /// Returns the hash by which upstreams are chosen: that of the object, or of the request where it has none.
+    /// Returns the hash that upstreams are selected by: that of the object, or of the request if it has no object.
     ///
-    /// A request that was at several crashes goes elsewhere than others of its object, so that it shows under which one
-    /// upstreams crash.
+    /// A request that was in flight at several crashes is sent to other upstreams than the rest of its object, so that further
+    /// crashes show which request causes them.
     #[must_use]
     pub fn key(&self) -> u64 {
         let suspect = self.suspect();
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Records that an upstream ran the request to its end, unless the answer leaves open how far it came.
+    /// Records that an upstream completed the request, unless the response does not prove that.
     pub fn record_answer(&self, answer: &exchange::Answer) {
         let has_run = answer.execution == execution::Execution::Ran;
         let is_whole = matches!(answer.bytes, exchange::Payload::Whole(_));
@@ -95,7 +95,7 @@
         *self.fingerprint.get_or_init(of_request)
     }
 
-    /// Returns the fingerprint where upstreams crashed under a request like this one.
+    /// Returns the fingerprint if upstreams crashed while they ran a request with the same head; `None` otherwise.
     fn suspect(&self) -> Option<fingerprint::Fingerprint> {
         let quarantine = self.state.quarantine.borrow();
         let hash = || *self.hash.get_or_init(|| self.head.hash(self.organisation));
--- a/crates/node/src/gateway/proxy/listener.rs
+++ b/crates/node/src/gateway/proxy/listener.rs
@@ -19,11 +19,11 @@
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Most callers' connections at once, so that descriptors are left for upstreams.
-const MOST_CONNECTIONS: usize = 2_000;
+/// Maximum number of callers' connections, so that descriptors are left for upstreams.
+const MAX_CONNECTIONS: usize = 2_000;
 
-/// Smallest buffer that the HTTP library takes, in bytes.
-const SMALLEST_BUFFER: usize = 8_192;
+/// Minimum buffer size that the HTTP library accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// Accepts callers' connections until the task ends.
 pub async fn serve(server: server::Server, listener: TcpListener) {
@@ -42,7 +42,7 @@
                 continue;
             }
         };
-        if server.open.connections() >= MOST_CONNECTIONS {
+        if server.open.connections() >= MAX_CONNECTIONS {
             log::warn!(connections = server.open.connections(); "connection-refused");
             continue;
         }
@@ -66,14 +66,14 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(rt::TokioTimer::new())
-        // The library counts a connection's rest toward the head's time.
+        // The library's timeout for the head includes the idle time before it.
         .header_read_timeout(limits.idle_time.max(limits.head_time))
-        .max_buf_size(limits.head_bytes.max(SMALLEST_BUFFER));
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
-        // A caller that leaves or sends no HTTP ends its own connection only; the requests that this
-        // cuts off are logged by their traces.
+        // A caller that disconnects or violates HTTP only affects its own connection; the trace of each interrupted
+        // request logs it.
         _ = connection.as_mut() => return,
         _ = close.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
     }
--- a/crates/node/src/gateway/proxy/pool.rs
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -1,7 +1,7 @@
-//! Connections to upstreams that rest until they are used again.
+//! Pool of idle connections to upstreams.
 //!
-//! Owns resting connections and their bounds; what does not fit is closed, and so is what rested as long as a
-//! connection that turned out to be silent.
+//! Owns the idle connections and limits their number; a connection beyond the limits is closed. When one connection turns out to be
+//! unresponsive, those to the same upstream that have been idle as long are closed too.
 
 use std::cell;
 use std::collections;
@@ -12,91 +12,91 @@
 
 use crate::gateway::proxy::connection;
 
-/// Most connections that rest for one upstream.
-const MOST_RESTING: usize = 16;
+/// Maximum number of idle connections to one upstream.
+const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
-/// Most connections that rest for all upstreams, so that descriptors are left for callers.
-const MOST_RESTING_IN_ALL: usize = 1_000;
+/// Maximum number of idle connections to all upstreams, so that descriptors are left for callers.
+const MAX_IDLE: usize = 1_000;
 
-/// One start of an upstream: its name, and when it started. A connection to an earlier start is of no use.
+/// A process of an upstream: its name and its start time. A connection to an earlier process is useless.
 type Start = (id::Upstream, u64);
 
 fn start_of(upstream: &discovery::Entry) -> Start {
     (upstream.id.clone(), upstream.born)
 }
 
-/// Connections to upstreams that rest.
+/// Idle connections to upstreams.
 ///
-/// The one that rested longest is used first, so that a surplus answer on a connection is more
-/// likely to be seen before the connection is used again.
+/// The connection that has been idle longest is used first, so that a surplus response on it is more
+/// likely to be detected before the connection is used again.
 #[derive(Debug, Default)]
-pub struct Pool(cell::RefCell<Resting>);
+pub struct Pool(cell::RefCell<Idle>);
 
-/// Resting connections by start of an upstream, and how many there are.
+/// Idle connections by upstream process, and their number.
 ///
-/// The count is kept, since adding the queues up for each request grew with the upstreams.
+/// The number is stored, because computing it for each request would take time that grows with the upstreams.
 #[derive(Debug, Default)]
-struct Resting {
+struct Idle {
     by_upstream: collections::HashMap<Start, collections::VecDeque<connection::Connection>>,
     count: usize,
 }
 
 impl Pool {
-    /// Takes a connection to `upstream` that can be used now.
+    /// Takes an idle connection to `upstream` that can still be used.
     pub fn take(&self, upstream: &discovery::Entry) -> Option<connection::Connection> {
         let now = Instant::now();
-        let mut resting = self.0.borrow_mut();
-        let Resting { by_upstream, count } = &mut *resting;
+        let mut idle = self.0.borrow_mut();
+        let Idle { by_upstream, count } = &mut *idle;
         let of_upstream = by_upstream.get_mut(&start_of(upstream))?;
         while let Some(connection) = of_upstream.pop_front() {
             *count -= 1;
-            let rested = now.saturating_duration_since(connection.used);
-            if rested < connection.rest && connection.sender.is_ready() {
+            let idle_time = now.saturating_duration_since(connection.used);
+            if idle_time < connection.idle_timeout && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Lets a connection rest.
+    /// Adds an idle connection.
     pub fn put(&self, upstream: &discovery::Entry, mut connection: connection::Connection) {
-        if connection.sender.is_closed() || connection.rest.is_zero() {
+        if connection.sender.is_closed() || connection.idle_timeout.is_zero() {
             return;
         }
         connection.used = Instant::now();
-        let mut resting = self.0.borrow_mut();
-        if resting.count >= MOST_RESTING_IN_ALL {
+        let mut idle = self.0.borrow_mut();
+        if idle.count >= MAX_IDLE {
             return;
         }
-        let Resting { by_upstream, count } = &mut *resting;
+        let Idle { by_upstream, count } = &mut *idle;
         let of_upstream = by_upstream.entry(start_of(upstream)).or_default();
         of_upstream.push_back(connection);
         *count += 1;
-        if of_upstream.len() > MOST_RESTING && of_upstream.pop_front().is_some() {
+        if of_upstream.len() > MAX_IDLE_PER_UPSTREAM && of_upstream.pop_front().is_some() {
             *count -= 1;
         }
     }
 
-    /// Closes connections to `upstream` that have rested since before `sent`; returns how many.
+    /// Closes connections to `upstream` that were last used before `sent`; returns their number.
     fn close_older(&self, upstream: &discovery::Entry, sent: Instant) -> usize {
-        let mut resting = self.0.borrow_mut();
-        let Some(of_upstream) = resting.by_upstream.get_mut(&start_of(upstream)) else { return 0 };
+        let mut idle = self.0.borrow_mut();
+        let Some(of_upstream) = idle.by_upstream.get_mut(&start_of(upstream)) else { return 0 };
         let before = of_upstream.len();
         of_upstream.retain(|c| c.used >= sent);
         let closed = before - of_upstream.len();
-        resting.count -= closed;
+        idle.count -= closed;
         closed
     }
 
-    /// Closes connections that have rested for too long.
+    /// Closes connections whose idle timeout has passed.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let mut resting = self.0.borrow_mut();
-        let Resting { by_upstream, count } = &mut *resting;
+        let mut idle = self.0.borrow_mut();
+        let Idle { by_upstream, count } = &mut *idle;
         by_upstream.retain(|_, of_upstream| {
             let before = of_upstream.len();
             of_upstream.retain(|c| {
-                now.saturating_duration_since(c.used) < c.rest && !c.sender.is_closed()
+                now.saturating_duration_since(c.used) < c.idle_timeout && !c.sender.is_closed()
             });
             *count -= before - of_upstream.len();
             !of_upstream.is_empty()
@@ -104,13 +104,13 @@
     }
 }
 
-/// Doubt about the connections that rested beside one that was taken, until that one brings an answer.
+/// Closes the other idle connections to an upstream if a request on one of them gets no response.
 ///
-/// All open connections may fall silent at once, for good. When the deadline of a request passes without an
-/// answer, those to its upstream that rested since before it was sent are closed; those that were used since
-/// have shown that they work.
+/// All open connections may become unresponsive at once and stay so. When the deadline of a request passes without a
+/// response, the connections to its upstream that were last used before the request are closed. Connections that were
+/// used since then are known to work.
 #[derive(Debug)]
-pub struct Doubt<'a> {
+pub struct SilenceGuard<'a> {
     pool: &'a Pool,
     upstream: &'a discovery::Entry,
     sent: Instant,
@@ -118,20 +118,20 @@
     is_over: bool,
 }
 
-impl<'a> Doubt<'a> {
-    /// Begins when a request is sent on a connection that has rested.
+impl<'a> SilenceGuard<'a> {
+    /// Creates the guard when a request is sent on a pooled connection.
     #[must_use]
     pub fn new(pool: &'a Pool, upstream: &'a discovery::Entry, deadline: Instant) -> Self {
         Self { pool, upstream, sent: Instant::now(), deadline, is_over: false }
     }
 
-    /// Ends with an answer, or with a failure that shows itself.
+    /// Ends with a response or a reported failure, after which no connection needs to be closed.
     pub fn end(mut self) {
         self.is_over = true;
     }
 }
 
-impl Drop for Doubt<'_> {
+impl Drop for SilenceGuard<'_> {
     fn drop(&mut self) {
         if self.is_over || Instant::now() < self.deadline {
             return;
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -1,6 +1,6 @@
-//! Passes an upstream's answer on to the caller.
+//! Relay of an upstream's response to the caller.
 //!
-//! Owns the task that streams what is too long to be read whole first.
+//! Owns the task that streams a body that is too long to be buffered.
 
 use std::io;
 use std::rc;
@@ -21,30 +21,30 @@
 use crate::gateway::proxy::head;
 use crate::gateway::state;
 
-/// Pieces of a body that wait for the caller; when they are full the upstream waits.
-const WAITING: usize = 4;
+/// Maximum number of frames buffered for a slow caller; no more are read from the upstream until the caller has taken one.
+const MAX_BUFFERED_FRAMES: usize = 4;
 
-/// A try whose answer is passed on while it arrives.
+/// An attempt whose response is streamed to the caller.
 #[derive(Debug)]
 pub struct Passed {
-    /// What the gateway's tasks share.
+    /// State of the gateway.
     pub state: rc::Rc<state::State>,
-    /// The try.
+    /// The attempt.
     pub attempt: attempt::Attempt,
     /// The request.
     pub sent: crash::Sent,
 }
 
-/// How much of an answer was passed on.
+/// How much of a response was relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Extent {
-    /// All of it.
+    /// The complete response.
     Whole,
-    /// What the caller stayed for.
+    /// A part of it, because the caller disconnected.
     Part,
 }
 
-/// Makes the caller's answer of an upstream's head and body.
+/// Creates the response to the caller from an upstream's head and body.
 #[must_use]
 pub fn answer(upstream: Response<()>, body: body::Body) -> Response<body::Body> {
     let (mut parts, ()) = upstream.into_parts();
@@ -52,9 +52,9 @@
     Response::from_parts(parts, body)
 }
 
-/// Returns a body that goes on with what still arrives; an end too early, or a stall, cuts it off.
+/// Returns a body that streams the remainder; an early end or a stall of the upstream's body cuts it off.
 ///
-/// The connection and the try live until the answer has ended or the caller has left.
+/// The connection and the attempt are kept until the response has ended or the caller has disconnected.
 #[must_use]
 pub fn rest(
     first: Bytes,
@@ -62,7 +62,7 @@
     connection: connection::Connection,
     passed: Passed,
 ) -> body::Body {
-    let (sender, receiver) = mpsc::channel::<io::Result<Frame<Bytes>>>(WAITING);
+    let (sender, receiver) = mpsc::channel::<io::Result<Frame<Bytes>>>(MAX_BUFFERED_FRAMES);
     tokio::task::spawn_local(async move {
         let _held = connection;
         let Passed { state, attempt, sent } = passed;
@@ -74,7 +74,7 @@
             let (upstream, cause) = (attempt.upstream.id.as_str(), error.to_string());
             log::info!(upstream, error = cause.as_str(); "answer-cut-off");
             attempt.end(outcome::Outcome::Broken);
-            // Fails when the caller has left.
+            // Fails if the caller has disconnected.
             let _ = sender.send(Err(error)).await;
             crash::check(&state, sent).await;
         }
@@ -82,11 +82,11 @@
     StreamBody::new(wrappers::ReceiverStream::new(receiver)).boxed_unsync()
 }
 
-/// Passes on `first` and what still arrives, until the answer ends or the caller leaves.
+/// Relays `first` and the remainder until the response ends or the caller disconnects.
 ///
 /// # Errors
 ///
-/// Fails when the answer breaks off or stalls.
+/// Fails if the response is cut off or stalls.
 async fn pass_on(
     first: Bytes,
     mut incoming: Incoming,
--- a/crates/node/src/gateway/proxy/request_body.rs
+++ b/crates/node/src/gateway/proxy/request_body.rs
@@ -1,6 +1,6 @@
-//! Bodies of requests, read before they are sent on, so that they can be sent again.
+//! Request bodies, buffered before they are sent so that they can be sent again.
 //!
-//! Owns the bounds on what is buffered, which fall when many requests are in flight.
+//! Limits the buffered size, with a lower limit while many requests are in flight.
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body as _;
@@ -9,42 +9,41 @@
 
 use crate::common::body;
 
-/// Largest body that is read whole before it is sent on, in bytes.
-const LARGEST_KEPT: usize = 1_024 * 1_024;
+/// Maximum size of a body that is buffered completely, in bytes.
+const MAX_BUFFERED_BYTES: usize = 1_024 * 1_024;
 
-/// Largest body that is read whole while many requests are in flight, in bytes.
-const LARGEST_KEPT_IN_CROWD: usize = 64 * 1_024;
+/// The same while more than [`MANY_REQUESTS`] requests are in flight, in bytes.
+const MAX_BUFFERED_BYTES_OF_MANY: usize = 64 * 1_024;
 
-/// Requests in flight above which only small bodies are buffered, so that memory stays bounded.
-const CROWD: usize = 64;
+/// Number of requests in flight above which only small bodies are buffered, which limits the memory.
+const MANY_REQUESTS: usize = 64;
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// It is larger than callers may send.
+    /// The body is larger than the limit for callers.
     TooLarge,
-    /// It ended before its declared end.
+    /// The body ended before its declared length.
     Cut,
 }
 
-/// A request's body, as far as it can be sent again.
+/// A request body.
 #[derive(Debug)]
 pub enum Body {
-    /// Read whole.
+    /// Buffered completely; it can be sent any number of times.
     Kept(Bytes),
-    /// Read in part; it can be sent once.
+    /// Buffered in part; it can be sent once.
     Partial(Bytes, Incoming),
-    /// Sent already.
+    /// Already sent.
     Spent,
 }
 
 impl Body {
-    /// Reads a body, whole if it is not too large to buffer beside those of the requests
-    /// `in_flight`.
+    /// Reads a body and buffers it completely if its size allows that while `in_flight` requests are in flight.
     ///
     /// # Errors
     ///
-    /// Fails when it breaks off or is larger than `most` bytes.
+    /// Fails if the body is cut off or larger than `most` bytes.
     pub async fn read(mut incoming: Incoming, most: u64, in_flight: usize) -> Result<Self, Fault> {
         if incoming.is_end_stream() {
             return Ok(Self::Kept(Bytes::new()));
@@ -53,8 +52,8 @@
             return Err(Fault::TooLarge);
         }
         let largest_kept = match in_flight {
-            ..=CROWD => LARGEST_KEPT,
-            _ => LARGEST_KEPT_IN_CROWD,
+            ..=MANY_REQUESTS => MAX_BUFFERED_BYTES,
+            _ => MAX_BUFFERED_BYTES_OF_MANY,
         };
         let mut read = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
@@ -70,13 +69,13 @@
         Ok(Self::Kept(read.freeze()))
     }
 
-    /// Returns whether it can be sent (again).
+    /// Returns whether the body can still be sent.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         !matches!(self, Self::Spent)
     }
 
-    /// Returns the beginning of the body; all of it where it is kept.
+    /// Returns the buffered part of the body.
     #[must_use]
     pub fn beginning(&self) -> Bytes {
         match self {
@@ -85,7 +84,7 @@
         }
     }
 
-    /// Takes the body for sending; a kept one stays.
+    /// Returns the body for sending. A completely buffered one can be sent again.
     pub fn take(&mut self) -> body::Body {
         if let Self::Kept(bytes) = self {
             return match bytes.is_empty() {
--- a/crates/node/src/gateway/proxy/server.rs
+++ b/crates/node/src/gateway/proxy/server.rs
@@ -1,6 +1,6 @@
-//! What the tasks that serve callers share: state, connections to upstreams, and what is open.
+//! State shared by the tasks that serve callers: the gateway's state, the pool and the open connections.
 //!
-//! Owns the counts of open connections and requests, which a planned stop waits for.
+//! Counts open connections and requests, which a planned shutdown waits for.
 
 use std::cell;
 use std::rc;
@@ -10,7 +10,7 @@
 use crate::gateway::proxy::pool;
 use crate::gateway::state;
 
-/// What callers have open.
+/// Numbers of callers' open connections and requests.
 #[derive(Debug, Default)]
 pub struct Open {
     connections: cell::Cell<usize>,
@@ -45,7 +45,7 @@
     }
 }
 
-/// Counts something open for as long as it lives.
+/// Counts a connection or a request as open until it is dropped.
 #[derive(Debug)]
 pub struct Guard {
     open: rc::Rc<Open>,
@@ -62,21 +62,21 @@
     }
 }
 
-/// What the tasks that serve callers share.
+/// State shared by the tasks that serve callers.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// What the gateway's tasks share.
+    /// State of the gateway.
     pub state: rc::Rc<state::State>,
     /// Connections to upstreams.
     pub pool: rc::Rc<pool::Pool>,
-    /// What callers have open.
+    /// Numbers of callers' open connections and requests.
     pub open: rc::Rc<Open>,
-    /// Turns true when connections are to end after their requests.
+    /// Becomes true when connections are to be closed after their current requests.
     pub close: watch::Receiver<bool>,
 }
 
 impl Server {
-    /// Makes a server whose connections end after their requests once `close` turns true.
+    /// Creates a server whose connections are closed after their current requests once `close` is true.
     #[must_use]
     pub fn new(
         state: rc::Rc<state::State>,
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -1,7 +1,7 @@
-//! Trace of one request: what is logged and counted when it ends.
+//! Trace of one request, written to the log and the metrics when the request ends.
 //!
-//! Owns the text of the lines `request-failed`, `request-retried` and `request-abandoned`, whose keys
-//! docs/OPERATING-GATEWAYS.md lists. Relies on the handler to record each step as it is known.
+//! Writes the log events `request-failed`, `request-retried` and `request-abandoned`, whose keys docs/OPERATING-GATEWAYS.md
+//! lists. The handler records each step.
 
 use std::fmt::Write as _;
 use std::rc;
@@ -16,10 +16,10 @@
 use crate::gateway::proxy::answer;
 use crate::gateway::state;
 
-/// Shown in the log for a request whose caller left; never sent.
+/// Status in the log for a request whose caller disconnected; never sent.
 const CLIENT_CLOSED: u16 = 499;
 
-/// What is known of a request, for the log line at its end.
+/// Properties and progress of a request, for the log line at its end.
 #[derive(Debug)]
 pub struct Trace {
     state: rc::Rc<state::State>,
@@ -75,7 +75,7 @@
         route.clone_into(&mut self.route);
     }
 
-    /// Records the organisation that sends the request.
+    /// Records the organisation of the request.
     pub fn set_organisation(&mut self, organisation: Option<&id::Organisation>) {
         self.organisation = organisation.cloned();
     }
@@ -91,12 +91,12 @@
         self.refusal = refusal.cloned();
     }
 
-    /// Records why the request was held back, if it was.
+    /// Records why the request is quarantined, if it is.
     pub fn set_held(&mut self, held: Option<&quarantine::Hold>) {
         self.held = held.copied();
     }
 
-    /// Records that an upstream's answer is passed on.
+    /// Records that an upstream's response is forwarded.
     pub fn answered(&mut self, status: StatusCode) {
         self.is_ended = true;
         let metrics = &self.state.metrics;
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Records an answer of the gateway's own.
+    /// Records a response of the gateway itself.
     pub fn refused(&mut self, reason: answer::Reason) {
         self.is_ended = true;
         let metrics = &self.state.metrics;
--- a/crates/node/src/gateway/proxy/tries.rs
+++ b/crates/node/src/gateway/proxy/tries.rs
@@ -1,7 +1,7 @@
-//! Tries: sends a request to upstreams until one answers or it is given up.
+//! Tries: sends a request to upstreams until one responds or the request fails.
 //!
-//! Owns the I/O of one request's tries: connections, sends, answers. Relies on
-//! [`steer::dispatch::retry`] for every decision; called by the handler within the request's deadline.
+//! Owns the I/O of one request's tries: connections, sends, responses. [`steer::dispatch::retry`] makes every decision. The
+//! handler calls it and enforces the request's deadline.
 
 use std::rc;
 use std::sync;
@@ -35,30 +35,30 @@
 use crate::gateway::proxy::request_body;
 use crate::gateway::proxy::server;
 
-/// End of a try whose upstream takes no more requests since it was chosen, as the log shows it.
+/// Log text of a try whose upstream stopped accepting requests after it was selected.
 const WITHDRAWN: &str = "withdrawn";
 
-/// End of a try that needed a new connection while none comes up, as the log shows it.
+/// Log text of a try that needed a new connection to a group of upstreams that cannot be connected to.
 const UNREACHED: &str = "unreached";
 
-/// What is sent, and until when.
+/// A request as it is sent to upstreams.
 #[derive(Debug)]
 pub struct Request<'a> {
-    /// Its head.
+    /// The head.
     pub head: &'a head::Head,
-    /// Its body, as far as it can be sent again.
+    /// The body, with its buffered beginning.
     pub body: request_body::Body,
-    /// Its route.
+    /// The route.
     pub route: &'a route::Route,
-    /// The service of the route that answers it.
+    /// The service selected by the route.
     pub service: &'a id::Service,
-    /// Rules of that service, if the configuration has any.
+    /// The rules of that service, if the configuration contains any.
     pub rules: Option<&'a routing::ServiceRules>,
-    /// Time at which its caller stops waiting.
+    /// Time at which the caller stops waiting.
     pub deadline: Instant,
-    /// The organisation that sends it, where its route wants one.
+    /// The organisation that sends the request; `None` if the route requires none.
     pub organisation: Option<&'a organisation::Organisation>,
-    /// Regions that may serve it; all when empty.
+    /// Regions that may serve the request; all regions if empty.
     pub homes: &'a [id::Region],
 }
 
@@ -68,13 +68,13 @@
     server: &'a server::Server,
     request: Request<'a>,
     identity: identity::Identity<'a>,
-    /// Why the request was held back, if it was.
+    /// Why the request is quarantined; `None` if it is not.
     held: Option<quarantine::Hold>,
     progress: retry::Progress,
 }
 
 impl<'a> Tries<'a> {
-    /// Starts without a try.
+    /// Creates the tries of a request, none of which has started.
     #[must_use]
     pub fn new(server: &'a server::Server, request: Request<'a>) -> Self {
         let progress = retry::Progress::new(request.route);
@@ -96,7 +96,7 @@
         self.progress.refusal()
     }
 
-    /// Returns why the request was held back, if it was.
+    /// Returns why the request is quarantined; `None` if it is not.
     #[must_use]
     pub fn held(&self) -> Option<&quarantine::Hold> {
         self.held.as_ref()
@@ -107,11 +107,11 @@
         self.progress.expire()
     }
 
-    /// Tries upstreams until one answers.
+    /// Sends the request to upstreams until one responds.
     ///
     /// # Errors
     ///
-    /// Returns why the request is given up.
+    /// Returns the reason why the request fails.
     pub async fn run(&mut self) -> Result<Response<body::Body>, give_up::Reason> {
         loop {
             let choice = self.choose()?;
@@ -178,7 +178,7 @@
         chosen
     }
 
-    /// Returns the request as the rules see it.
+    /// Returns the properties of the request that the dispatch rules use.
     fn for_choice(&self) -> retry::Request<'a> {
         retry::Request {
             route: self.request.route,
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Records that the request goes elsewhere than it would without what upstreams say of themselves.
+    /// Records that statements of upstreams about themselves changed the selection.
     fn record_diverted(&self, choice: &retry::Choice) {
         self.server.state.metrics.diverted.add(1);
         let limited: Vec<&str> = choice.skipped.iter().map(id::Upstream::as_str).collect();
@@ -204,7 +204,7 @@
         );
     }
 
-    /// Returns whether the configuration in force, which may be newer than the request, takes its key away.
+    /// Returns whether the current configuration, which may be newer than the request, revokes its key.
     fn is_revoked(&self) -> bool {
         let routing = self.server.state.routing.borrow();
         let in_force = routing.as_ref().and_then(|routing| routing.organisations.as_ref());
@@ -216,7 +216,7 @@
         }
     }
 
-    /// Ends the current try; fails when the request is given up.
+    /// Ends the current try; returns an error if the request fails.
     fn end(&mut self, outcome: retry::Outcome) -> Result<(), give_up::Reason> {
         let state = &self.server.state;
         let service = self.request.service;
@@ -232,27 +232,28 @@
         }
     }
 
-    /// Returns why a request is given up that was refused at last: no retry of its caller succeeds while all upstreams rest.
+    /// Returns the failure reason after a refusal, which is different if all upstreams have asked for a rest period.
     fn turned_away(&self) -> give_up::Reason {
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         self.progress.reason_after_refusal(self.for_choice(), &mut dispatcher, Instant::now())
     }
 
-    /// Sends the request on a resting connection, or on a new one.
+    /// Sends the request on a pooled connection, or on a new one.
     async fn send(
         &mut self,
         upstream: &discovery::Entry,
     ) -> Result<(connection::Connection, exchange::Answer), exchange::Failure> {
         loop {
             self.progress.connecting();
-            let (mut connection, is_rested) = self.connect(upstream).await?;
-            // Opening a connection takes time, in which another answer may have said more of the upstream.
+            let (mut connection, is_reused) = self.connect(upstream).await?;
+            // While the connection was being opened, another response may have changed the state of the upstream.
             if !self.server.state.dispatcher.borrow().takes_work(upstream, Instant::now()) {
                 return Err(exchange::Failure::Withdrawn);
             }
             self.progress.sending();
-            let doubt = is_rested
-                .then(|| pool::Doubt::new(&self.server.pool, upstream, self.request.deadline));
+            let guard = is_reused.then(|| {
+                pool::SilenceGuard::new(&self.server.pool, upstream, self.request.deadline)
+            });
             let left = self.request.deadline.saturating_duration_since(Instant::now());
             let body = self.request.body.take();
             let organisation = self.request.organisation.map(|o| &o.name);
@@ -265,13 +266,13 @@
                 |statement, headers| self.server.state.observe(upstream, statement, headers),
             )
             .await;
-            if let Some(doubt) = doubt {
-                doubt.end();
+            if let Some(guard) = guard {
+                guard.end();
             }
             match answer {
                 Ok(answer) => return Ok((connection, answer)),
-                // The upstream closed the connection while it rested.
-                Err(exchange::Failure::NotSent(_)) if is_rested && self.request.body.is_ready() => {
+                // The upstream had closed the idle connection.
+                Err(exchange::Failure::NotSent(_)) if is_reused && self.request.body.is_ready() => {
                 }
                 Err(failure) => return Err(failure),
             }
@@ -303,7 +304,7 @@
         }
     }
 
-    /// Ends a try whose upstream did not run the request.
+    /// Ends a try whose upstream refused the request without executing it.
     fn refused(
         &mut self,
         attempt: attempt::Attempt,
@@ -351,7 +352,7 @@
     }
 }
 
-/// Returns whether an answer is the caller's, rather than a reason for another try.
+/// Returns whether a response is forwarded to the caller rather than followed by another try.
 fn is_final(answer: &exchange::Answer) -> bool {
     answer.execution == execution::Execution::Ran || answer.head.status() == StatusCode::BAD_REQUEST
 }
