Tests: a deployment of nodes that own upstreams has a network of its own

Deployments of several test processes used the same addresses (127.20.n and 127.21.n), so a port that a killed node of one frees may be taken by a node of another. callers_get_whole_answers_and_clear_errors failed once with five suites at once; that this is its cause was not shown by a run, so it stays listed.

--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 use node::owner::operators::access;
 use serde_json::Value;
-use standin::{client, pattern, record, store, upstream, vms};
+use standin::{client, loopback, pattern, record, store, upstream, vms};
 
 /// The operators' token.
 pub const TOKEN: &str = "rig-token";
@@ -34,8 +34,8 @@
 const UPSTREAMS: usize = 3;
 const SLOTS: u32 = 4;
 
-/// Number of rigs started, so that each has addresses of its own.
-static RIGS: atomic::AtomicU8 = atomic::AtomicU8::new(0);
+/// Last byte from which on addresses are those of nodes; upstreams have the ones below.
+const NODES_FROM: u8 = 100;
 
 /// Stand-ins and nodes.
 pub struct Rig {
@@ -46,7 +46,8 @@
     pub http: client::Client,
     upstreams: Vec<upstream::Upstream>,
     folder: tempfile::TempDir,
-    number: u8,
+    /// Network of its addresses, by its second and third byte.
+    network: [u8; 2],
 }
 
 /// A node's process.
@@ -77,7 +78,10 @@
 impl Rig {
     /// Starts `nodes` nodes in each of `regions`, with the service declared and in force.
     pub async fn start(regions: &[&str], nodes: usize) -> Self {
-        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        // Another deployment may take a port that this one frees, in this process or another.
+        let own = loopback::next();
+        let [_, high, middle, _] = own.octets();
+        let any = net::SocketAddr::from((own, 0));
         let mut rig = Self {
             store: store::Store::start(any).await.expect("the store starts"),
             vms: vms::Vms::start(any, Duration::from_millis(500)).await.expect("the list starts"),
@@ -86,7 +90,7 @@
             http: client::Client::new(None),
             upstreams: Vec::new(),
             folder: tempfile::tempdir().expect("a folder can be made"),
-            number: RIGS.fetch_add(1, atomic::Ordering::Relaxed),
+            network: [high, middle],
         };
         for region in regions {
             rig.start_upstreams(region).await;
@@ -104,14 +108,21 @@
         rig
     }
 
+    /// Returns an address of this deployment.
+    fn ip(&self, last: u8) -> net::Ipv4Addr {
+        let [high, middle] = self.network;
+        net::Ipv4Addr::new(127, high, middle, last)
+    }
+
     /// Starts a gateway that follows the declarations.
     pub fn start_gateway(&self, region: &str, hall: &str) -> Process {
         let settings = format!(
             "role: gateway\nnode: gate\nregion: {region}\nhall: {hall}\n\
-             halls: {{ {hall}: {region} }}\nlisten:\n  callers: 127.0.0.1:0\n  \
-             ready: 127.0.0.1:0\n  directory: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
+             halls: {{ {hall}: {region} }}\nlisten:\n  callers: {own}:0\n  \
+             ready: {own}:0\n  directory: {own}:0\n  peers: {own}:0\n\
              declarations: {}\n",
-            self.store.address
+            self.store.address,
+            own = self.store.address.ip()
         );
         let file = self.folder.path().join("gate.yaml");
         std::fs::write(&file, settings).expect("the settings are written");
@@ -128,8 +139,8 @@
     pub fn start_node(&mut self, region: &str, number: usize, nodes: usize) {
         let name = format!("{region}-{number}");
         let region_number = u8::try_from(region.len()).expect("names are short");
-        let last = region_number * 10 + u8::try_from(number).expect("nodes are few");
-        let ip = net::Ipv4Addr::new(127, 20, self.number, last);
+        let last = NODES_FROM + region_number * 10 + u8::try_from(number).expect("nodes are few");
+        let ip = self.ip(last);
         self.vms.fill([ip.into()]);
         let seeds: Vec<String> = self.nodes.values().map(|n| format!("\"{}\"", n.peers)).collect();
         let settings = format!(
@@ -287,7 +298,7 @@
     async fn start_upstreams(&mut self, region: &str) {
         for number in 0..UPSTREAMS {
             let last = u8::try_from(self.upstreams.len() + 1).expect("upstreams are few");
-            let ip = net::Ipv4Addr::new(127, 21, self.number, last);
+            let ip = self.ip(last);
             let spec = upstream::Spec {
                 service: "catalogue".to_owned(),
                 name: format!("{region}-{number}"),
