A check of connectivity that a pause interrupts is not taken for a cut

Seen: on an overloaded machine (load 28; the kernel logged worker pools stuck for 32 and 49 s), gateways lost a service for moments: requests that a living upstream would have taken got 503, once each in upstreams_that_cannot_be_reached_cost_no_request and in three other tests.

Cause, by reading: the connections of a check were tasks of their own. After a pause of the process the timer was seen before them, so connections that had come up in time counted as failed. A single slow moment then cut the gateway off for at least half a second.

Change: they are polled in the check's own task, before its timer, as requests' connections are.

--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -3,10 +3,12 @@
 //! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when a check is made, which upstreams it
 //! connects to, and what its result means. A change is announced in an immediate heartbeat.
 
+use std::io;
 use std::net;
 use std::rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future;
 use model::discovery;
 use rand::RngExt as _;
 use steer::dispatch::connectivity::group::Change;
@@ -92,21 +94,18 @@
 
 /// Returns whether a connection to any of `addresses` is established within `timeout`.
 pub async fn connects_to_any(addresses: &[net::SocketAddr], timeout: Duration) -> bool {
-    let mut connections = task::JoinSet::new();
-    for address in addresses.iter().copied() {
-        connections.spawn_local(async move {
-            let stream = TcpStream::connect(address).await?;
-            // With a reset, the upstream releases the connection immediately.
-            socket::reset_when_closed(&stream)
-        });
+    if addresses.is_empty() {
+        return false;
     }
-    let first = async {
-        while let Some(connected) = connections.join_next().await {
-            if let Ok(Ok(())) = connected {
-                return true;
-            }
-        }
-        false
-    };
-    tokio::time::timeout(timeout, first).await.unwrap_or(false)
+    // Polled within this task and before the timer, so that a connection that was established while the process was paused
+    // counts although the timeout has passed by then.
+    let connections = addresses.iter().map(|address| Box::pin(connect(*address)));
+    let first = future::select_ok(connections);
+    tokio::time::timeout(timeout, first).await.is_ok_and(|connected| connected.is_ok())
+}
+
+async fn connect(address: net::SocketAddr) -> io::Result<()> {
+    let stream = TcpStream::connect(address).await?;
+    // With a reset, the upstream releases the connection immediately.
+    socket::reset_when_closed(&stream)
 }
