--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! the node away, from other nodes; the decisions are those of [`steer::dispatch`].
 
 pub mod catch_up;
+pub mod connection_check;
 pub mod connectivity;
 pub mod control;
 pub mod control_server;
--- a/crates/node/src/gateway/proxy/crash.rs
+++ b/crates/node/src/gateway/proxy/crash.rs
@@ -1,7 +1,8 @@
 //! Crashes: whether an upstream ended when its connection closed before an answer, and under which requests.
 //!
-//! Owns the checks that distinguish an upstream that ended from one that lives on: its address refuses a new connection, and this
-//! node is not cut off from the others too. [`steer::dispatch::quarantine`] decides what follows.
+//! Owns the checks that distinguish an upstream that ended from one that lives on: its address
+//! refuses a new connection, and this node is not cut off from the others too.
+//! [`steer::dispatch::quarantine`] decides what follows.
 
 use std::io;
 use std::net;
@@ -16,6 +17,7 @@
 use steer::dispatch::quarantine::sighting;
 use tokio::net::TcpStream;
 
+use crate::gateway::connection_check;
 use crate::gateway::member;
 use crate::gateway::state;
 
@@ -35,7 +37,8 @@
     pub at: Instant,
 }
 
-/// Checks whether the upstream whose connection was closed has crashed, and records that the request was in flight there.
+/// Checks whether the upstream whose connection was closed has crashed, and records that the
+/// request was in flight there.
 ///
 /// Continues if the caller disconnects, because the request may be repeated.
 pub async fn check(state: &rc::Rc<state::State>, sent: Sent) {
@@ -65,7 +68,8 @@
     }
 }
 
-/// Returns whether this node reaches no other upstream either, since `since`, while another node reaches the service.
+/// Returns whether this node reaches no other upstream either, since `since`, while another node
+/// reaches the service.
 ///
 /// A network may refuse connections in the place of the upstreams, and then every upstream looks crashed.
 async fn is_cut_off(state: &state::State, upstream: &discovery::Entry, since: Instant) -> bool {
@@ -73,7 +77,12 @@
     let reaches =
         |member: &member::Member| member.is_serving() && member.connectivity.reaches(&service);
     let is_reached_elsewhere = state.members.borrow().staying(Instant::now()).any(reaches);
-    is_reached_elsewhere && !state.others.are_reached(state, upstream, since).await
+    let others = |now| {
+        let dispatcher = state.dispatcher.borrow();
+        let others = dispatcher.others_than(upstream, &mut connection_check::draw, now);
+        others.iter().map(|other| other.address).collect()
+    };
+    is_reached_elsewhere && !state.others.are_reached(since, others).await
 }
 
 fn record(state: &state::State, sent: &Sent, ended: Instant) {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -1,7 +1,8 @@
 //! State shared by the tasks of a gateway, which all run on one thread.
 //!
-//! Owns the configuration in force, the copy of the store, the members and the dispatcher, and applies each change to
-//! them. Relies on [`steer::dispatch`] for every decision. No borrow is held across an `await`.
+//! Owns the configuration in force, the copy of the store, the members and the dispatcher, and
+//! applies each change to them. Relies on [`steer::dispatch`] for every decision. No borrow is held
+//! across an `await`.
 
 mod era;
 mod fleet;
@@ -27,7 +28,7 @@
 use steer::dispatch::{dispatcher, position, quota};
 use tokio::sync::Notify;
 
-use crate::gateway::connectivity;
+use crate::gateway::connection_check;
 use crate::gateway::dialect;
 use crate::gateway::extracts;
 use crate::gateway::foreign;
@@ -90,7 +91,7 @@
     /// Wakes the task that fetches changes from other nodes.
     pub behind: Notify,
     /// Whether upstreams are reached while one refuses connections.
-    pub others: connectivity::Others,
+    pub others: connection_check::Others,
     /// Wakes the task that checks whether services are reached.
     pub check_due: Notify,
     /// Wakes the task that reports crashes to other nodes.
@@ -152,7 +153,7 @@
             behind: Notify::new(),
             quarantine_changed: Notify::new(),
             beat: Notify::new(),
-            others: connectivity::Others::default(),
+            others: connection_check::Others::default(),
             check_due: Notify::new(),
         }
     }
