--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -1,8 +1,9 @@
 //! Cost of control at one gateway in fleets of 300 to 16,000 gateways and 1,000 to 100,000 upstreams.
 //!
-//! It stays because the users' bench charges a process as a whole, and a day with a thousand gateways takes a quarter of an hour:
-//! this names the parts that every gateway pays whether it takes requests or not, and shows how each grows. It owns the
-//! fleet's entries; it relies on the state of a real gateway, without its sockets and tasks.
+//! It stays because the users' bench charges a process as a whole, and a day with a thousand
+//! gateways takes a quarter of an hour: this names the parts that every gateway pays whether it
+//! takes requests or not, and shows how each grows. It owns the fleet's entries; it relies on the
+//! state of a real gateway, without its sockets and tasks.
 
 use std::hint;
 use std::net;
--- a/crates/node/src/common/socket.rs
+++ b/crates/node/src/common/socket.rs
@@ -1,6 +1,7 @@
 //! Socket options that close unresponsive connections.
 //!
-//! Defines the options that both roles set, and the timeouts of connections from callers, nodes and operators.
+//! Defines the options that both roles set, and the timeouts of connections from callers, nodes and
+//! operators.
 
 use std::io;
 use std::time::Duration;
@@ -30,8 +31,8 @@
 
 /// Number of unanswered probes after which a connection is closed, so that lost packets do not close it.
 ///
-/// On a socket with `TCP_USER_TIMEOUT`, Linux ignores this number and closes the connection once that time has passed since
-/// the latest acknowledgement.
+/// On a socket with `TCP_USER_TIMEOUT`, Linux ignores this number and closes the connection once
+/// that time has passed since the latest acknowledgement.
 const MAX_PROBES: u32 = 3;
 
 /// A socket as the HTTP library holds it.
@@ -54,9 +55,9 @@
 
 /// Makes `stream` send a reset when it is closed and discard data that is not acknowledged by then.
 ///
-/// Usually the operating system continues to send written data after a connection is closed. An abandoned request would then
-/// still arrive, possibly at an upstream that is leaving. After a reset no more data is sent, and the upstream can stop its
-/// work.
+/// Usually the operating system continues to send written data after a connection is closed. An
+/// abandoned request would then still arrive, possibly at an upstream that is leaving. After a
+/// reset no more data is sent, and the upstream can stop its work.
 ///
 /// # Errors
 ///
@@ -65,10 +66,10 @@
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
-/// Enables keep-alive probes on `stream`, so that the connection is closed soon after the other VM has failed.
+/// Enables keep-alive probes on `stream`, so that it is closed soon after the other VM fails.
 ///
-/// The VM of an upstream that loses power sends nothing. Without probes, a request in flight there would wait until its
-/// deadline. An upstream that is only slow acknowledges the probes.
+/// The VM of an upstream that loses power sends nothing. Without probes, a request in flight there
+/// would wait until its deadline. An upstream that is only slow acknowledges the probes.
 ///
 /// # Errors
 ///
@@ -81,8 +82,8 @@
     socket2::SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
-/// Prepares an accepted connection: small responses are sent immediately, and the connection is closed if the client does not
-/// acknowledge data for [`TCP_USER_TIMEOUT`].
+/// Prepares an accepted connection: small responses are sent immediately, and the connection is
+/// closed if the client does not acknowledge data for [`TCP_USER_TIMEOUT`].
 pub fn accepted(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let set = stream.set_nodelay(true);
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -177,7 +177,8 @@
     dispatcher.upstreams().map(upstream).collect()
 }
 
-/// Returns the limit that an upstream announces, its origin, and this node's usage; null if there is no limit.
+/// Returns the limit that an upstream announces, its origin, and this node's usage; null if there
+/// is no limit.
 fn limit(
     dispatcher: &dispatcher::Dispatcher,
     upstream: &upstream::Upstream,
--- a/crates/node/src/gateway/directory.rs
+++ b/crates/node/src/gateway/directory.rs
@@ -42,7 +42,7 @@
     directory::answer(&chosen, lookup::cache(&state.settings.borrow().bounds()))
 }
 
-/// Returns the addresses that a caller in `region` is told.
+/// Returns the addresses in the lookup response for a caller in `region`.
 pub fn addresses(
     state: &state::State,
     region: &id::Region,
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -163,8 +163,9 @@
     pub control_bytes: Counter,
     /// Bytes of heartbeats and loads from other nodes.
     pub control_bytes_received: Counter,
-    /// Time spent on heartbeats and loads, sent and received, in microseconds. All tasks share one thread, and these
-    /// parts never wait, so it is processor time but for what other processes of the VM take.
+    /// Time spent on heartbeats and loads, sent and received, in microseconds. All tasks share one
+    /// thread, and these parts never wait, so it is processor time but for what other processes of
+    /// the VM take.
     pub control_micros: Counter,
     /// Datagrams of other nodes that could not be read.
     pub malformed_datagrams: Counter,
--- a/crates/node/src/gateway/proxy/answer.rs
+++ b/crates/node/src/gateway/proxy/answer.rs
@@ -1,7 +1,8 @@
 //! Responses that the gateway creates itself.
 //!
-//! Defines the status of each [`Reason`]. [`steer::dispatch::give_up`] defines the reasons of requests that no upstream
-//! responded to, and [`dialect`] writes the headers that describe the reason.
+//! Defines the status of each [`Reason`]. [`steer::dispatch::give_up`] defines the reasons of
+//! requests that no upstream responded to, and [`dialect`] writes the headers that describe the
+//! reason.
 
 use std::time::Duration;
 
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempt at an upstream, whose end is always reported to the dispatcher.
 //!
-//! Owns the start time and the crowding of one attempt. Dropping an attempt ends it, because its deadline passed or its caller
-//! disconnected.
+//! Owns the start time and the crowding of one attempt. Dropping an attempt ends it, because its
+//! deadline passed or its caller disconnected.
 
 use std::rc;
 use std::sync;
@@ -107,7 +107,8 @@
         dispatcher.ended(&self.upstream, outcome, waited, now);
     }
 
-    /// Returns the result that counts for the upstream's version; `None` if the upstream did not execute the request.
+    /// Returns the result that counts for the upstream's version; `None` if the upstream did not
+    /// execute the request.
     fn answer(&self, outcome: outcome::Outcome) -> Option<rollouts::Answer> {
         match outcome {
             outcome::Outcome::Answered { .. } if self.has_failed => Some(rollouts::Answer::Failure),
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -1,6 +1,7 @@
 //! Exchange with an upstream: one request and the response to it.
 //!
-//! Defines the order of the checks on a response. [`execution`] decides whether a response proves that the request was executed.
+//! Defines the order of the checks on a response. [`execution`] decides whether a response proves
+//! that the request was executed.
 
 use std::time::Duration;
 
@@ -21,8 +22,8 @@
 /// Header with the idle timeout of the upstream's connections.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Maximum size of a response body that is read completely before it is forwarded, in bytes; the remainder of a larger
-/// one is streamed.
+/// Maximum size of a response body that is read completely before it is forwarded, in bytes; the
+/// remainder of a larger one is streamed.
 const MAX_BUFFERED_BYTES: usize = 512 * 1_024;
 
 /// Idle timeout of a connection whose upstream does not announce one.
@@ -68,8 +69,8 @@
     pub load: Option<load::Report>,
 }
 
-/// Sends a request on `connection` and reads the response. `observe` receives the statements of the upstream about itself in
-/// the response headers.
+/// Sends a request on `connection` and reads the response. `observe` receives the statements of the
+/// upstream about itself in the response headers.
 ///
 /// # Errors
 ///
@@ -94,8 +95,8 @@
     let said = dialect.answer(&parts.headers, parts.status, rules);
     let (load, execution) = (said.statement.load, execution::execution(&said));
     let fault = execution::fault(&said, dialect.requirements(), request_id);
-    // Called before the body is read, which may take long. A refusal is observed even if it does not prove that the
-    // request was not executed.
+    // Called before the body is read, which may take long. A refusal is observed even if it does
+    // not prove that the request was not executed.
     if fault.is_none() && execution != execution::Execution::Replaced {
         observe(&said.statement, &parts.headers);
     }
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -1,7 +1,8 @@
 //! Handler of one request, from its head to the response of an upstream or of the gateway.
 //!
-//! Defines the order of the steps: head, route, organisation, deadline, body, quota, service, tries. [`tries`] sends the request
-//! to upstreams, [`answer`] creates the gateway's own responses, and [`trace`] writes the log line.
+//! Defines the order of the steps: head, route, organisation, deadline, body, quota, service,
+//! tries. [`tries`] sends the request to upstreams, [`answer`] creates the gateway's own responses,
+//! and [`trace`] writes the log line.
 
 use std::net;
 use std::sync;
@@ -43,9 +44,9 @@
             answer::make(reason, server.state.dialect)
         }
     };
-    // A chunked request may also have a length, which the HTTP library does not report. Such a request can smuggle a second
-    // one (RFC 9112, section 6.1), so no further request is read from its connection. A caller that this gateway cannot serve
-    // must connect to another gateway.
+    // A chunked request may also have a length, which the HTTP library does not report. Such a
+    // request can smuggle a second one (RFC 9112, section 6.1), so no further request is read from
+    // its connection. A caller that this gateway cannot serve must connect to another gateway.
     if is_chunked || is_unreachable || server.state.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -115,7 +116,8 @@
     outcome
 }
 
-/// Returns the organisation that sends a request; `None` if the route or the configuration requires no organisation.
+/// Returns the organisation that sends a request; `None` if the route or the configuration requires
+/// no organisation.
 ///
 /// The key of a request on a public route is ignored, and the request belongs to no organisation.
 fn organisation(
--- a/crates/node/src/gateway/proxy/head.rs
+++ b/crates/node/src/gateway/proxy/head.rs
@@ -1,6 +1,7 @@
 //! Request heads: how the gateway reads and forwards them.
 //!
-//! Rejects ambiguous heads and removes headers of a single hop. [`dialect`] defines the headers of the deployment.
+//! Rejects ambiguous heads and removes headers of a single hop. [`dialect`] defines the headers of
+//! the deployment.
 
 use std::net;
 use std::time::{Duration, Instant};
@@ -200,8 +201,9 @@
 
 /// Removes from a response the headers of the upstream's connection and those that only yokespoke may set.
 ///
-/// A caller goes by the verdict on whether its request has run, so an upstream must not write it. It also goes by what names its
-/// request and what proves the answer, so these stay whatever the upstream's connection names.
+/// A caller goes by the verdict on whether its request has run, so an upstream must not write it.
+/// It also goes by what names its request and what proves the answer, so these stay whatever the
+/// upstream's connection names.
 pub fn clean_answer(headers: &mut HeaderMap) {
     let is_proof = |name: &HeaderName| dialect::Dialect::ALL.iter().any(|d| d.is_proof(name));
     names::remove_hop(headers, |name| PROTECTED.contains(name) || is_proof(name));
--- a/crates/node/src/gateway/proxy/identity.rs
+++ b/crates/node/src/gateway/proxy/identity.rs
@@ -1,7 +1,7 @@
 //! Identity of a request, by which a repetition of it is recognized.
 //!
-//! Computes the fingerprint of one request, and only if upstreams crashed while they ran this request or a similar one,
-//! because hashing a long body takes time.
+//! Computes the fingerprint of one request, and only if upstreams crashed while they ran this
+//! request or a similar one, because hashing a long body takes time.
 
 use std::cell;
 use std::rc;
@@ -52,10 +52,11 @@
         self.suspect().and_then(|suspect| self.state.check_quarantine(&suspect))
     }
 
-    /// Returns the hash that upstreams are selected by: that of the object, or of the request if it has no object.
+    /// Returns the hash that upstreams are selected by: that of the object, or of the request if it
+    /// has no object.
     ///
-    /// A request that was in flight at several crashes is sent to other upstreams than the rest of its object, so that further
-    /// crashes show which request causes them.
+    /// A request that was in flight at several crashes is sent to other upstreams than the rest of
+    /// its object, so that further crashes show which request causes them.
     #[must_use]
     pub fn key(&self) -> u64 {
         let suspect = self.suspect();
@@ -95,7 +96,8 @@
         *self.fingerprint.get_or_init(of_request)
     }
 
-    /// Returns the fingerprint if upstreams crashed while they ran a request with the same head; `None` otherwise.
+    /// Returns the fingerprint if upstreams crashed while they ran a request with the same head;
+    /// `None` otherwise.
     fn suspect(&self) -> Option<fingerprint::Fingerprint> {
         let quarantine = self.state.quarantine.borrow();
         let hash = || *self.hash.get_or_init(|| self.head.hash(self.organisation));
--- a/crates/node/src/gateway/proxy/listener.rs
+++ b/crates/node/src/gateway/proxy/listener.rs
@@ -72,8 +72,8 @@
     let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
-        // A caller that disconnects or violates HTTP only affects its own connection; the trace of each interrupted
-        // request logs it.
+        // A caller that disconnects or violates HTTP only affects its own connection; the trace of
+        // each interrupted request logs it.
         _ = connection.as_mut() => return,
         _ = close.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
     }
--- a/crates/node/src/gateway/proxy/pool.rs
+++ b/crates/node/src/gateway/proxy/pool.rs
@@ -1,7 +1,8 @@
 //! Pool of idle connections to upstreams.
 //!
-//! Owns the idle connections and limits their number; a connection beyond the limits is closed. When one connection turns out to be
-//! unresponsive, those to the same upstream that have been idle as long are closed too.
+//! Owns the idle connections and limits their number; a connection beyond the limits is closed.
+//! When one connection turns out to be unresponsive, those to the same upstream that have been idle
+//! as long are closed too.
 
 use std::cell;
 use std::collections;
@@ -106,9 +107,9 @@
 
 /// Closes the other idle connections to an upstream if a request on one of them gets no response.
 ///
-/// All open connections may become unresponsive at once and stay so. When the deadline of a request passes without a
-/// response, the connections to its upstream that were last used before the request are closed. Connections that were
-/// used since then are known to work.
+/// All open connections may become unresponsive at once and stay so. When the deadline of a request
+/// passes without a response, the connections to its upstream that were last used before the
+/// request are closed. Connections that were used since then are known to work.
 #[derive(Debug)]
 pub struct SilenceGuard<'a> {
     pool: &'a Pool,
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -21,7 +21,8 @@
 use crate::gateway::proxy::head;
 use crate::gateway::state;
 
-/// Maximum number of frames buffered for a slow caller; no more are read from the upstream until the caller has taken one.
+/// Maximum number of frames buffered for a slow caller; no more are read from the upstream until
+/// the caller has taken one.
 const MAX_BUFFERED_FRAMES: usize = 4;
 
 /// An attempt whose response is streamed to the caller.
--- a/crates/node/src/gateway/proxy/request_body.rs
+++ b/crates/node/src/gateway/proxy/request_body.rs
@@ -39,7 +39,8 @@
 }
 
 impl Body {
-    /// Reads a body and buffers it completely if its size allows that while `in_flight` requests are in flight.
+    /// Reads a body and buffers it completely if its size allows that while `in_flight` requests
+    /// are in flight.
     ///
     /// # Errors
     ///
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -1,7 +1,7 @@
 //! Trace of one request, written to the log and the metrics when the request ends.
 //!
-//! Writes the log events `request-failed`, `request-retried` and `request-abandoned`, whose keys docs/OPERATING-GATEWAYS.md
-//! lists. The handler records each step.
+//! Writes the log events `request-failed`, `request-retried` and `request-abandoned`, whose keys
+//! docs/OPERATING-GATEWAYS.md lists. The handler records each step.
 
 use std::fmt::Write as _;
 use std::rc;
--- a/crates/node/src/gateway/proxy/tries/choice.rs
+++ b/crates/node/src/gateway/proxy/tries/choice.rs
@@ -73,7 +73,8 @@
         }
     }
 
-    /// Returns the failure reason after a refusal, which is different if all upstreams have asked for a rest period.
+    /// Returns the failure reason after a refusal, which is different if all upstreams have asked
+    /// for a rest period.
     pub(super) fn turned_away(&self) -> give_up::Reason {
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         self.progress.reason_after_refusal(self.for_choice(), &mut dispatcher, Instant::now())
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -1,6 +1,7 @@
 //! Tries: sends a request to upstreams until one responds or the request fails.
 //!
-//! Owns the progress of one request. `choice` selects the upstream of each try, and `sending` sends the request there.
+//! Owns the progress of one request. `choice` selects the upstream of each try, and `sending` sends
+//! the request there.
 //! [`steer::dispatch::retry`] makes every decision. The handler calls it and enforces the request's deadline.
 
 mod choice;
@@ -126,14 +127,8 @@
                     attempt.end(outcome::Outcome::NotSent);
                     self.end(retry::Outcome::NotSent(cause))?;
                 }
-                Err(exchange::Failure::Withdrawn) => {
-                    attempt.end(outcome::Outcome::Abandoned);
-                    self.end(retry::Outcome::NotSent(WITHDRAWN.to_owned()))?;
-                }
-                Err(exchange::Failure::Unreached) => {
-                    attempt.end(outcome::Outcome::Abandoned);
-                    self.end(retry::Outcome::NotSent(UNREACHED.to_owned()))?;
-                }
+                Err(exchange::Failure::Withdrawn) => self.abandon(attempt, WITHDRAWN)?,
+                Err(exchange::Failure::Unreached) => self.abandon(attempt, UNREACHED)?,
                 Err(exchange::Failure::Closed(cause)) => {
                     attempt.end(outcome::Outcome::Broken);
                     self.server.state.metrics.broken.add(1);
@@ -151,6 +146,12 @@
         }
     }
 
+    /// Ends a try in which nothing was sent, for a cause that is no failure of the upstream.
+    fn abandon(&mut self, attempt: attempt::Attempt, cause: &str) -> Result<(), give_up::Reason> {
+        attempt.end(outcome::Outcome::Abandoned);
+        self.end(retry::Outcome::NotSent(cause.to_owned()))
+    }
+
     /// Ends the current try; returns an error if the request fails.
     fn end(&mut self, outcome: retry::Outcome) -> Result<(), give_up::Reason> {
         let state = &self.server.state;
--- a/crates/node/src/gateway/proxy/tries/sending.rs
+++ b/crates/node/src/gateway/proxy/tries/sending.rs
@@ -31,7 +31,8 @@
         loop {
             self.progress.connecting();
             let (mut connection, is_reused) = self.connect(upstream).await?;
-            // While the connection was being opened, another response may have changed the state of the upstream.
+            // While the connection was being opened, another response may have changed the state of
+            // the upstream.
             if !self.server.state.dispatcher.borrow().takes_work(upstream, Instant::now()) {
                 return Err(exchange::Failure::Withdrawn);
             }
--- a/crates/standin/src/loopback.rs
+++ b/crates/standin/src/loopback.rs
@@ -1,12 +1,14 @@
 //! Loopback: addresses on which stand-ins listen.
 //!
-//! On a shared address, a port that one deployment frees may be taken by another one, whose requests then reach the wrong
-//! upstreams. So each deployment of a process has an address of its own, and so has each process.
+//! On a shared address, a port that one deployment frees may be taken by another one, whose
+//! requests then reach the wrong upstreams. So each deployment of a process has an address of its
+//! own, and so has each process.
 
 use std::net;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Step between the addresses of a process, in process ids; a prime far above the number of processes that run at once.
+/// Step between the addresses of a process, in process ids; a prime far above the number of
+/// processes that run at once.
 const STEP: u32 = 1_299_709;
 
 /// Deployments of this process so far.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -155,7 +155,8 @@
         lock(&self.shared.items).clone()
     }
 
-    /// Goes back to a copy, as a store does that lost its newest seconds; answers name the next era from now on.
+    /// Goes back to a copy, as a store does that lost its newest seconds; answers name the next era
+    /// from now on.
     pub fn restore(&self, copy: &items::Items) {
         self.shared.change(|items| items.restore(copy));
     }
@@ -214,7 +215,8 @@
     }
 }
 
-/// Names the era in an answer, refusals among them; the first one has no number, as in stores that are never restored from a copy.
+/// Names the era in an answer, refusals among them; the first one has no number, as in stores that
+/// are never restored from a copy.
 async fn name_era(State(context): State<Context>, mut response: Response) -> Response {
     let era = lock(&context.shared.items).era();
     if era > 0 {
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -182,7 +182,8 @@
         *lock(&self.shared.rests) = values.iter().map(|&value| value.to_owned()).collect();
     }
 
-    /// Lets it crash `after` it begins a request whose path begins with `path`; it is back when it was `down` that long.
+    /// Lets it crash `after` it begins a request whose path begins with `path`; it is back when it
+    /// was `down` that long.
     pub fn crash_on(&self, path: &str, after: Duration, down: Duration) {
         *lock(&self.shared.fragility) = Some(Fragility { path: path.to_owned(), after, down });
     }
@@ -194,7 +195,8 @@
         self.shared.crashed.notify_one();
     }
 
-    /// Returns whether nothing listens at its address, since it crashed; true shortly before its connections end.
+    /// Returns whether nothing listens at its address, since it crashed; true shortly before its
+    /// connections end.
     #[must_use]
     pub fn is_down(&self) -> watch::Receiver<bool> {
         self.shared.is_down.subscribe()
--- a/crates/steer/src/dispatch/connectivity/group.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -17,7 +17,7 @@
 /// Time after which a failure no longer counts; failures so far apart have different causes.
 const FAILURE_RETENTION: Duration = Duration::from_secs(10);
 
-/// Consecutive successful checks after which other nodes are told that the group is reached.
+/// Consecutive successful checks after which the group is reported as reached to other nodes.
 ///
 /// Callers return then, so a link that works now and then must not attract them.
 const PASSED_CHECKS: u32 = 2;
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Returns whether the group is reached, as other nodes are told.
+    /// Returns whether the group is reached, as reported to other nodes.
     #[must_use]
     pub fn is_reached(&self) -> bool {
         self.unreached.is_none()
--- a/crates/steer/src/dispatch/connectivity/mod.rs
+++ b/crates/steer/src/dispatch/connectivity/mod.rs
@@ -5,11 +5,11 @@
 //! callers' requests. This rule concludes from failures at several upstreams of a [`group`] that the
 //! node itself may be cut off, and has that checked: the gateway connects to a few of them
 //! ([`sample`]) without sending a request. While none can be connected to, the group gets no
-//! requests. A service without another group is refused at once, other nodes are told ([`report`]),
+//! requests. A service without another group is refused at once and reported to other nodes ([`report`]),
 //! and [`lookup`] returns nodes that can connect. Only checks find out that the group can be
 //! connected to again.
 //!
-//! A node that is cut off and a service whose upstreams are all down are not told apart. In the
+//! A node that is cut off and a service whose upstreams are all down are not distinguished. In the
 //! second case all nodes report the same, and look-ups return them as if none did.
 //!
 //! [`lookup`]: crate::dispatch::fleet::lookup
@@ -130,7 +130,7 @@
         group.map_or(Access::Full, |group| group.access(now))
     }
 
-    /// Returns whether a group is reached, as other nodes are told.
+    /// Returns whether a group is reached, as reported to other nodes.
     #[must_use]
     pub fn is_reached(&self, service: &id::Service, region: &id::Region) -> bool {
         self.group(service, region).is_none_or(Group::is_reached)
--- a/crates/steer/src/dispatch/connectivity/report.rs
+++ b/crates/steer/src/dispatch/connectivity/report.rs
@@ -1,4 +1,4 @@
-//! Report: the services that a node cannot connect to, as it tells other nodes.
+//! Report: the services that a node cannot connect to, as reported to other nodes.
 
 use model::id;
 use xxhash_rust::xxh3;
--- a/crates/steer/src/dispatch/dispatcher/connectivity.rs
+++ b/crates/steer/src/dispatch/dispatcher/connectivity.rs
@@ -110,7 +110,7 @@
         self.connectivity.unreached()
     }
 
-    /// Returns the services that this node cannot connect to, as it tells other nodes.
+    /// Returns the services that this node cannot connect to, as reported to other nodes.
     #[must_use]
     pub fn connectivity_report(&self) -> report::Report {
         report::Report::new(
