Connectivity: only a response shows that upstreams are reached

Cause: the check of a group opened connections and sent nothing, and an opened connection cleared earlier failures. Something on the way that accepts connections passed the check, although it reset them or stayed silent. Silence was noticed only where two upstreams with requests in flight were silent and none was within its time; requests for one object go to one upstream, and later requests to others that are not silent yet.

A service without a path keeps the check that opens a connection. A response on a new connection clears failures, an opened connection does not; a new connection that ends before its request was sent, and a deadline that passes at a silent upstream, count as failures. One silent upstream leads to a check where no other responds. Requests in flight at silent upstreams of a group whose checks fail end as possibly executed instead of waiting for their deadlines. The crash check asks other upstreams for a response too. The stand-in serves a health check, and paths can accept and reset or stay silent.

--- a/crates/cli/src/demo/gateways/deployment.rs
+++ b/crates/cli/src/demo/gateways/deployment.rs
@@ -83,6 +83,7 @@
             a_route("bookings", "/book/", route::Kind::NonIdempotent, SERVICES[1]),
         ];
         let rules = routing::ServiceRules {
+            health_check_path: None,
             max_connections: None,
             cold_start: Duration::from_secs(1),
             cold_rate: None,
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -21,6 +21,8 @@
     pub cold_rate: Option<f64>,
     /// HTTP statuses that prove that the upstream did not run the request.
     pub shed: Vec<u16>,
+    /// Path of the health check of the upstreams; absent if they have none.
+    pub health_check_path: Option<String>,
 }
 
 /// Limits on the requests of callers.
--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -1,7 +1,8 @@
-//! Connections that are opened without a request, to find out whether upstreams can be connected to.
+//! Checks whether upstreams respond, without a request of a caller.
 //!
-//! Opens the connections and shares their result between requests; the callers decide which
-//! upstreams are checked.
+//! Requests the health check of upstreams and shares the result between requests; the callers decide
+//! which upstreams are checked. The first byte is enough: an upstream that is full, draining or failing
+//! responds too, and a response of any status shows that it is reached.
 
 use std::io;
 use std::net;
@@ -9,6 +10,8 @@
 
 use futures_util::future;
 use rand::RngExt as _;
+use steer::dispatch::dispatcher::connectivity::Target;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync;
 
@@ -20,21 +23,21 @@
     rand::rng().random_range(0..end)
 }
 
-/// Determines whether this node can connect to any upstream besides one that refuses connections.
+/// Determines whether this node reaches any upstream besides one that refuses connections.
 ///
 /// Requests that fail together share one attempt, because a crash or a partition ends many of them at once.
 #[derive(Debug, Default)]
 pub struct Others {
-    /// Start time of the latest attempt, and whether a connection was established.
+    /// Start time of the latest attempt, and whether an upstream responded.
     latest: sync::Mutex<Option<(Instant, bool)>>,
 }
 
 impl Others {
-    /// Returns whether any of the addresses that `others` returns accepted a connection after `since`.
+    /// Returns whether any of the upstreams that `others` returns responded after `since`.
     pub async fn are_reached(
         &self,
         since: Instant,
-        others: impl FnOnce(Instant) -> Vec<net::SocketAddr>,
+        others: impl FnOnce(Instant) -> Vec<Target>,
     ) -> bool {
         let mut latest = self.latest.lock().await;
         if let Some((began, are_reached)) = *latest
@@ -43,29 +46,49 @@
             return are_reached;
         }
         let began = Instant::now();
-        let addresses = others(began);
+        let targets = others(began);
         // Without other upstreams, the refusal is taken for a crash.
         let are_reached =
-            addresses.is_empty() || connects_to_any(&addresses, connection::CONNECT_TIMEOUT).await;
+            targets.is_empty() || reaches_any(&targets, connection::CONNECT_TIMEOUT).await;
         *latest = Some((began, are_reached));
         are_reached
     }
 }
 
-/// Returns whether a connection to any of `addresses` is established within `timeout`.
-pub async fn connects_to_any(addresses: &[net::SocketAddr], timeout: Duration) -> bool {
-    if addresses.is_empty() {
+/// Returns whether any of `targets` responds. `timeout` applies to opening the connection, and then
+/// to the first byte.
+pub async fn reaches_any(targets: &[Target], timeout: Duration) -> bool {
+    if targets.is_empty() {
         return false;
     }
-    // Polled within this task and before the timer, so that a connection that was established while
-    // the process was paused counts although the timeout has passed by then.
-    let connections = addresses.iter().map(|address| Box::pin(connect(*address)));
-    let first = future::select_ok(connections);
-    tokio::time::timeout(timeout, first).await.is_ok_and(|connected| connected.is_ok())
+    // Polled within this task and before the timers, so that a connection or a response that arrived
+    // while the process was paused counts although the timeout has passed by then.
+    let checks = targets.iter().map(|target| Box::pin(check(target, timeout)));
+    future::select_ok(checks).await.is_ok()
 }
 
-async fn connect(address: net::SocketAddr) -> io::Result<()> {
-    let stream = TcpStream::connect(address).await?;
+/// Opens a connection to an upstream and waits for the first byte of its health check.
+async fn check(target: &Target, timeout: Duration) -> io::Result<()> {
+    let mut stream = tokio::time::timeout(timeout, TcpStream::connect(target.address)).await??;
     // With a reset, the upstream releases the connection immediately.
-    socket::reset_when_closed(&stream)
+    socket::reset_when_closed(&stream)?;
+    match &target.health_check_path {
+        Some(path) => {
+            let first_byte = request(&mut stream, path, target.address);
+            tokio::time::timeout(timeout, first_byte).await?
+        }
+        None => Ok(()),
+    }
+}
+
+/// Sends the request of a health check and waits for the first byte of the response.
+///
+/// It is a `GET`, as health checks are defined for it; an upstream may take another method for work.
+async fn request(stream: &mut TcpStream, path: &str, host: net::SocketAddr) -> io::Result<()> {
+    let head = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    match stream.read(&mut [0; 1]).await? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(()),
+    }
 }
--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -1,10 +1,9 @@
-//! Connectivity: checks whether this node can connect to the upstreams of a service in a region.
+//! Connectivity: checks whether this node reaches the upstreams of a service in a region.
 //!
 //! Owns the task that makes the checks. [`steer::dispatch::connectivity`] decides when a check is
-//! made, which upstreams it connects to, and what its result means. A change is announced in an
+//! made, which upstreams it asks, and what its result means. A change is announced in an
 //! immediate heartbeat.
 
-use std::net;
 use std::rc;
 use std::time::Instant;
 
@@ -33,15 +32,17 @@
 }
 
 async fn make(state: rc::Rc<state::State>, check: Check) {
-    let addresses: Vec<net::SocketAddr> = check.upstreams.iter().map(|u| u.address).collect();
     state.metrics.connectivity_checks.add(1);
     // An empty sample does not show that this node is cut off.
-    let is_connected = addresses.is_empty()
-        || connection_check::connects_to_any(&addresses, connection::CONNECT_TIMEOUT).await;
-    let change = state.dispatcher.borrow_mut().end_check(&check.scope, is_connected);
+    let has_responded = check.targets.is_empty()
+        || connection_check::reaches_any(&check.targets, connection::CONNECT_TIMEOUT).await;
+    let change = state.dispatcher.borrow_mut().end_check(&check.scope, has_responded);
     state.check_due.notify_one();
+    if !has_responded {
+        state.check_failed.notify_waiters();
+    }
     let (service, region) = (check.scope.service.as_str(), check.scope.region.as_str());
-    let upstreams = addresses.len();
+    let upstreams = check.targets.len();
     match change {
         None => return,
         Some(Change::Lost) => log::warn!(service, region, upstreams; "service-unreached"),
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -117,6 +117,7 @@
     let routes = snapshot.routes.values().map(|stored| (*stored.spec).clone()).collect();
     let services = snapshot.services.iter().map(|(name, stored)| {
         let rules = routing::ServiceRules {
+            health_check_path: None,
             max_connections: None,
             cold_start: Duration::ZERO,
             cold_rate: None,
--- a/crates/node/src/gateway/proxy/crash.rs
+++ b/crates/node/src/gateway/proxy/crash.rs
@@ -79,8 +79,7 @@
     let is_reached_elsewhere = state.members.borrow().staying(Instant::now()).any(reaches);
     let others = |now| {
         let dispatcher = state.dispatcher.borrow();
-        let others = dispatcher.others_than(upstream, &mut connection_check::draw, now);
-        others.iter().map(|other| other.address).collect()
+        dispatcher.others_than(upstream, &mut connection_check::draw, now)
     };
     is_reached_elsewhere && !state.others.are_reached(since, others).await
 }
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -41,6 +41,8 @@
     Withdrawn,
     /// Nothing was sent, because no connection is open and the upstream's group cannot be connected to.
     Unreached,
+    /// The request was sent, and its upstream was found out of reach before the response. It may have been executed.
+    Unanswered,
     /// The request was sent, and the connection was closed before the response. It may have been executed.
     Closed(String),
     /// The request was sent, and the received data is not a response to it. It may have been executed.
@@ -70,7 +72,8 @@
 }
 
 /// Sends a request on `connection` and reads the response. `observe` receives the statements of the
-/// upstream about itself in the response headers.
+/// upstream about itself in the response headers. `out_of_reach` ends the wait for the response head:
+/// a request has no limit of its own but its deadline, because its upstream may work on it for long.
 ///
 /// # Errors
 ///
@@ -82,8 +85,14 @@
     dialect: dialect::Dialect,
     rules: Option<&routing::ServiceRules>,
     observe: impl FnOnce(&statement::Statement, &HeaderMap),
+    out_of_reach: impl Future<Output = ()>,
 ) -> Result<Answer, Failure> {
-    let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
+    let response = tokio::select! {
+        biased;
+        response = connection.sender.try_send_request(request) => response,
+        () = out_of_reach => return Err(Failure::Unanswered),
+    };
+    let response = response.map_err(|mut error| {
         let is_sent = error.take_message().is_none();
         let cause = error.into_error().to_string();
         match is_sent {
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -36,6 +36,9 @@
 /// Log text of a try that needed a new connection to a group of upstreams that cannot be connected to.
 const UNREACHED: &str = "unreached";
 
+/// Log text of a try that was sent and whose upstream was found out of reach before a response.
+const UNANSWERED: &str = "unanswered";
+
 /// A request as it is sent to upstreams.
 #[derive(Debug)]
 pub struct Request<'a> {
@@ -137,11 +140,10 @@
                     crash::check(&self.server.state, sent).await;
                     self.end(retry::Outcome::Broken(cause))?;
                 }
-                Err(exchange::Failure::Broken(cause)) => {
-                    attempt.end(outcome::Outcome::Broken);
-                    self.server.state.metrics.broken.add(1);
-                    self.end(retry::Outcome::Broken(cause))?;
+                Err(exchange::Failure::Unanswered) => {
+                    self.broken(attempt, UNANSWERED.to_owned())?;
                 }
+                Err(exchange::Failure::Broken(cause)) => self.broken(attempt, cause)?,
             }
         }
     }
@@ -152,6 +154,13 @@
         self.end(retry::Outcome::NotSent(cause.to_owned()))
     }
 
+    /// Ends a try after which the request may have been executed.
+    fn broken(&mut self, attempt: attempt::Attempt, cause: String) -> Result<(), give_up::Reason> {
+        attempt.end(outcome::Outcome::Broken);
+        self.server.state.metrics.broken.add(1);
+        self.end(retry::Outcome::Broken(cause))
+    }
+
     /// Ends the current try; returns an error if the request fails.
     fn end(&mut self, outcome: retry::Outcome) -> Result<(), give_up::Reason> {
         let state = &self.server.state;
--- a/crates/node/src/gateway/proxy/tries/sending.rs
+++ b/crates/node/src/gateway/proxy/tries/sending.rs
@@ -31,6 +31,7 @@
         loop {
             self.progress.connecting();
             let (mut connection, is_reused) = self.connect(upstream).await?;
+            let opened = Instant::now();
             // While the connection was being opened, another response may have changed the state of
             // the upstream.
             if !self.server.state.dispatcher.borrow().takes_work(upstream, Instant::now()) {
@@ -50,11 +51,15 @@
                 self.server.state.dialect,
                 self.request.rules,
                 |statement, headers| self.server.state.observe(upstream, statement, headers),
+                self.server.state.out_of_reach(upstream),
             )
             .await;
             if let Some(guard) = guard {
                 guard.end();
             }
+            if !is_reused {
+                self.record_new_connection(upstream, opened, answer.as_ref().err());
+            }
             match answer {
                 Ok(answer) => return Ok((connection, answer)),
                 // The upstream had closed the idle connection.
@@ -78,10 +83,7 @@
         }
         state.metrics.connections.add(1);
         match connection::Connection::open(upstream.address).await {
-            Ok(connection) => {
-                state.dispatcher.borrow_mut().record_connection(upstream);
-                Ok((connection, false))
-            }
+            Ok(connection) => Ok((connection, false)),
             Err(error) => {
                 state.metrics.connections_failed.add(1);
                 state.record_connection_failure(upstream);
@@ -90,6 +92,26 @@
         }
     }
 
+    /// Records what the first exchange on a new connection shows about whether the upstream is reached.
+    ///
+    /// That the connection was opened shows nothing, since a device on the way may have accepted it.
+    fn record_new_connection(
+        &self,
+        upstream: &discovery::Entry,
+        opened: Instant,
+        failure: Option<&exchange::Failure>,
+    ) {
+        let state = &self.server.state;
+        match failure {
+            None | Some(exchange::Failure::Broken(_)) => {
+                state.dispatcher.borrow_mut().record_new_connection_response(upstream, opened);
+            }
+            Some(exchange::Failure::NotSent(_)) => state.record_connection_failure(upstream),
+            // Recorded where the try ends, or found by a check.
+            Some(_) => {}
+        }
+    }
+
     /// Ends a try whose upstream refused the request without executing it.
     pub(super) fn refused(
         &mut self,
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -94,6 +94,8 @@
     pub others: connection_check::Others,
     /// Wakes the task that checks whether services are reached.
     pub check_due: Notify,
+    /// Wakes the requests in flight, which end if their upstream is out of reach.
+    pub check_failed: Notify,
     /// Wakes the task that reports crashes to other nodes.
     pub quarantine_changed: Notify,
 }
@@ -155,6 +157,7 @@
             beat: Notify::new(),
             others: connection_check::Others::default(),
             check_due: Notify::new(),
+            check_failed: Notify::new(),
         }
     }
 
--- a/crates/node/src/gateway/state/upstreams.rs
+++ b/crates/node/src/gateway/state/upstreams.rs
@@ -31,6 +31,16 @@
         })
     }
 
+    /// Waits until an upstream is out of reach, as [`steer::dispatch::connectivity`] defines it.
+    pub async fn out_of_reach(&self, upstream: &discovery::Entry) {
+        loop {
+            self.check_failed.notified().await;
+            if self.dispatcher.borrow().is_out_of_reach(upstream, Instant::now()) {
+                return;
+            }
+        }
+    }
+
     /// Records that a connection to an upstream could not be opened, or was closed before a response.
     pub fn record_connection_failure(&self, upstream: &discovery::Entry) {
         let mut dispatcher = self.dispatcher.borrow_mut();
--- a/crates/node/tests/forms/headers.rs
+++ b/crates/node/tests/forms/headers.rs
@@ -238,6 +238,7 @@
 #[test]
 fn executions_by_the_upstream_s_answer() {
     let rules = routing::ServiceRules {
+        health_check_path: None,
         max_connections: None,
         cold_start: Duration::ZERO,
         cold_rate: None,
--- a/crates/node/tests/gateway/path.rs
+++ b/crates/node/tests/gateway/path.rs
@@ -24,6 +24,17 @@
     Hang,
     /// Open connections live on, and new ones are refused.
     LivesOn,
+    /// Open connections are reset, and new ones are accepted and reset immediately.
+    ResetAccepted,
+    /// Nothing arrives on open connections, and new ones are accepted and get no response.
+    Silent,
+}
+
+impl Cut {
+    /// Returns whether new connections are accepted.
+    fn accepts(self) -> bool {
+        matches!(self, Self::ResetAccepted | Self::Silent)
+    }
 }
 
 /// A path to one address.
@@ -67,7 +78,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => Some(accepted),
-            _ = cuts.wait_for(Option::is_some) => None,
+            _ = cuts.wait_for(|cut| cut.is_some_and(|cut| !cut.accepts())) => None,
         };
         if let Some(accepted) = accepted {
             let Ok((near, _)) = accepted else { return };
@@ -114,18 +125,26 @@
     target: net::SocketAddr,
     mut cuts: watch::Receiver<Option<Cut>>,
 ) {
+    if *cuts.borrow() == Some(Cut::ResetAccepted) {
+        reset(&near);
+        return;
+    }
+    if *cuts.borrow() == Some(Cut::Silent) {
+        // Fails when the test has ended.
+        let _ = cuts.wait_for(Option::is_none).await;
+        return;
+    }
     let Ok(mut far) = TcpStream::connect(target).await else { return };
     // Without it answers are only slower.
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     loop {
-        let stops = |cut: &Option<Cut>| matches!(cut, Some(Cut::Reset | Cut::Hang));
+        let stops = |cut: &Option<Cut>| cut.is_some_and(|cut| cut != Cut::LivesOn);
         tokio::select! {
             _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
             _ = cuts.wait_for(stops) => {}
         }
-        if *cuts.borrow() == Some(Cut::Reset) {
-            // Fails when the connection has ended already.
-            let _ = socket2::SockRef::from(&near).set_linger(Some(Duration::ZERO));
+        if matches!(*cuts.borrow(), Some(Cut::Reset | Cut::ResetAccepted)) {
+            reset(&near);
             return;
         }
         if cuts.wait_for(Option::is_none).await.is_err() {
@@ -133,3 +152,9 @@
         }
     }
 }
+
+/// Makes the connection end with a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    // Fails when the connection has ended already.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -394,8 +394,11 @@
         "version": version,
         "routes": { "columns": columns, "rows": rows.collect::<Vec<_>>() },
         "services": {
-            "columns": ["name", "max_conns", "cold_start", "cold_per_s"],
-            "rows": [["desk", 100, "1s", 50.0], ["shelf", 100, "1s", 50.0]],
+            "columns": ["name", "health_path", "max_conns", "cold_start", "cold_per_s"],
+            "rows": [
+                ["desk", upstream::HEALTH_CHECK_PATH, 100, "1s", 50.0],
+                ["shelf", null, 100, "1s", 50.0],
+            ],
         },
     })
 }
--- a/crates/node/tests/own_dialect.rs
+++ b/crates/node/tests/own_dialect.rs
@@ -31,6 +31,7 @@
 #[test]
 fn only_a_refusal_by_the_service_s_rules_asks_for_rest() {
     let rules = |shed| routing::ServiceRules {
+        health_check_path: None,
         max_connections: None,
         cold_start: Duration::ZERO,
         cold_rate: None,
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -27,6 +27,9 @@
 /// Time by which links in this process see that it is down before its connections end.
 const NOTICE: Duration = Duration::from_millis(3);
 
+/// Path of its health check, which runs nothing.
+pub const HEALTH_CHECK_PATH: &str = "/health";
+
 /// How an upstream answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behavior {
@@ -98,6 +101,8 @@
     pub arrivals: u32,
     /// When each of them did.
     pub arrived_at: Vec<Instant>,
+    /// Health checks that arrived.
+    pub health_checks: u32,
     /// Requests whose caller left before the answer.
     pub abandoned: u32,
     /// Requests that were meant for another upstream.
@@ -255,6 +260,12 @@
     let mut buffer = Vec::new();
     while let Some(request) = read(&mut stream, &mut buffer).await? {
         let behavior = *lock(&shared.behavior);
+        if request.head.split(' ').nth(1) == Some(HEALTH_CHECK_PATH) {
+            lock(&shared.record).health_checks += 1;
+            let status = if behavior == Behavior::Full { 503 } else { 200 };
+            stream.write_all(&plain(status, &request.id, "", "")).await?;
+            continue;
+        }
         note(shared, &request, behavior);
         if let Some(fragility) = fatal(shared, &request) {
             tokio::time::sleep(fragility.after).await;
--- a/crates/steer/src/dispatch/connectivity/group.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -1,20 +1,25 @@
 //! Connectivity of one group of upstreams, those of one service in one region: when it is checked,
 //! and what follows from the checks.
+//!
+//! Only a response shows that a group is reached. A device between this node and the upstreams may accept
+//! connections in their place, and then reset them or stay silent.
 
 use std::collections;
 use std::time::{Duration, Instant};
 
 use model::id;
 
-/// Number of upstreams that fail, with no connection opened in between, from which a check is due.
+/// Number of upstreams that fail, with no response on a new connection in between, from which a check is due.
 ///
 /// One failure is usually that of its upstream.
 pub const SUSPECT_UPSTREAMS: usize = 2;
 
-/// Minimum time between the starts of two checks; longer than a connection may take to come up.
+/// Minimum time between the starts of two checks, which limits what checks cost the upstreams.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time after which a failure no longer counts; failures so far apart have different causes.
+///
+/// A successful check is remembered as long, so that one long silence does not cause one check after the other.
 const FAILURE_RETENTION: Duration = Duration::from_secs(10);
 
 /// Consecutive successful checks after which the group is reported as reached to other nodes.
@@ -39,9 +44,9 @@
 /// A change of whether a group is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// None of the checked upstreams could be connected to.
+    /// None of the checked upstreams responded.
     Lost,
-    /// Upstreams can be connected to again.
+    /// Upstreams respond to checks again.
     Regained,
 }
 
@@ -59,7 +64,7 @@
 /// Connectivity of one group.
 #[derive(Clone, Debug, Default)]
 pub struct Group {
-    /// Upstreams that failed since a connection was opened, at most [`SUSPECT_UPSTREAMS`].
+    /// Upstreams that failed since a response on a new connection, at most [`SUSPECT_UPSTREAMS`].
     failed: collections::BTreeSet<id::Upstream>,
     /// When the latest of them failed.
     failed_at: Option<Instant>,
@@ -67,11 +72,15 @@
     /// When the latest check began.
     checked: Option<Instant>,
     is_checking: bool,
+    /// When the latest successful check began.
+    passed: Option<Instant>,
+    /// When the latest of the new connections that brought a response was opened.
+    responding_connection: Option<Instant>,
     unreached: Option<Unreached>,
 }
 
 impl Group {
-    /// Records a failed connection to an upstream, of which `usable` are known.
+    /// Records a connection to an upstream that failed or brought no response; `usable` upstreams are known.
     pub fn record_failure(&mut self, upstream: &id::Upstream, usable: usize, now: Instant) {
         if self.has_old_failures(now) {
             self.failed.clear();
@@ -83,9 +92,13 @@
         self.is_suspect |= self.failed.len() >= usable.clamp(1, SUSPECT_UPSTREAMS);
     }
 
-    /// Records that a request opened a connection.
-    pub fn record_connection(&mut self) {
+    /// Records a response on a new connection, which was opened at `opened`.
+    ///
+    /// Responses on older connections are not recorded here, because such connections may live on
+    /// while new ones fail.
+    pub fn record_new_connection_response(&mut self, opened: Instant) {
         self.failed.clear();
+        self.responding_connection = self.responding_connection.max(Some(opened));
     }
 
     /// Records a response.
@@ -114,11 +127,18 @@
         self.is_suspect = false;
     }
 
-    /// Records whether any of the checked upstreams could be connected to.
-    pub fn end_check(&mut self, is_connected: bool) -> Option<Change> {
+    /// Records whether any of the checked upstreams responded.
+    ///
+    /// A response to a request on a connection that was opened during the check counts as well:
+    /// upstreams that are full may respond to the check too late.
+    pub fn end_check(&mut self, has_responded: bool) -> Option<Change> {
         self.is_checking = false;
         let since = self.checked?;
-        match (&mut self.unreached, is_connected) {
+        let is_reached = has_responded || self.responding_connection.is_some_and(|at| at > since);
+        if is_reached {
+            self.passed = Some(since);
+        }
+        match (&mut self.unreached, is_reached) {
             (None, true) => self.failed.clear(),
             (None, false) => {
                 self.unreached = Some(Unreached { since, passed: 0, responded: None });
@@ -128,7 +148,7 @@
             (Some(unreached), true) => {
                 unreached.passed += 1;
                 if unreached.passed >= PASSED_CHECKS {
-                    *self = Self { checked: self.checked, ..Self::default() };
+                    *self = Self { checked: self.checked, passed: self.passed, ..Self::default() };
                     return Some(Change::Regained);
                 }
             }
@@ -136,12 +156,19 @@
         None
     }
 
+    /// Returns whether a check that began after `since` succeeded.
+    #[must_use]
+    pub fn has_passed_since(&self, since: Instant) -> bool {
+        self.passed.is_some_and(|began| began > since)
+    }
+
     /// Returns whether nothing needs to be known of the group any more.
     #[must_use]
     pub fn is_idle(&self, now: Instant) -> bool {
         let has_failures = !self.failed.is_empty() && !self.has_old_failures(now);
         let is_wanted = self.is_suspect || self.is_checking || self.unreached.is_some();
-        !is_wanted && !has_failures && !self.was_checked_lately(now)
+        let is_recent = |began| now.saturating_duration_since(began) < FAILURE_RETENTION;
+        !is_wanted && !has_failures && !self.passed.is_some_and(is_recent)
     }
 
     fn has_old_failures(&self, now: Instant) -> bool {
--- a/crates/steer/src/dispatch/connectivity/mod.rs
+++ b/crates/steer/src/dispatch/connectivity/mod.rs
@@ -1,13 +1,18 @@
-//! Connectivity: whether this node can connect to the upstreams of a service in a region.
+//! Connectivity: whether this node reaches the upstreams of a service in a region.
 //!
 //! Health judges each upstream alone, and only by requests. A node that is cut off from all
 //! upstreams, or from those of a region, would eject one after the other and try them again with its
 //! callers' requests. This rule concludes from failures at several upstreams of a [`group`] that the
-//! node itself may be cut off, and has that checked: the gateway connects to a few of them
-//! ([`sample`]) without sending a request. While none can be connected to, the group gets no
+//! node itself may be cut off, and has that checked: the gateway requests the health check of
+//! a few of them ([`sample`]) and waits for the first byte. Any status shows that the upstream is reached. A
+//! service without a health check has its connections opened only. While none responds, the group gets no
 //! requests. A service without another group is refused at once and reported to other nodes ([`report`]),
-//! and [`lookup`] returns nodes that can connect. Only checks find out that the group can be
-//! connected to again.
+//! and [`lookup`] returns nodes that reach it. Only checks find out that the group is
+//! reached again.
+//!
+//! A request without a response is no failure by itself, because the upstream may work on it for long. It
+//! leads to a check where its upstream is silent while no other responds, or where its deadline passes at a
+//! silent upstream, and the check decides.
 //!
 //! A node that is cut off and a service whose upstreams are all down are not distinguished. In the
 //! second case all nodes report the same, and look-ups return them as if none did.
@@ -58,8 +63,8 @@
 }
 
 impl Connectivity {
-    /// Records a failed connection to an upstream, one of `usable` in its group; returns whether a
-    /// check is due.
+    /// Records a connection to an upstream that failed or brought no response, one of `usable` in its
+    /// group; returns whether a check is due.
     pub fn record_failure(
         &mut self,
         upstream: &upstream::Upstream,
@@ -71,10 +76,14 @@
         group.is_check_due(now)
     }
 
-    /// Records that a request opened a connection to an upstream.
-    pub fn record_connection(&mut self, upstream: &upstream::Upstream) {
+    /// Records a response of an upstream on a new connection, which was opened at `opened`.
+    pub fn record_new_connection_response(
+        &mut self,
+        upstream: &upstream::Upstream,
+        opened: Instant,
+    ) {
         if let Some(group) = self.group_mut(&upstream.entry.service, &upstream.region) {
-            group.record_connection();
+            group.record_new_connection_response(opened);
         }
     }
 
@@ -107,10 +116,10 @@
     pub fn end_check(
         &mut self,
         scope: &Scope,
-        is_connected: bool,
+        has_responded: bool,
         known: impl Iterator<Item = Scope>,
     ) -> Option<Change> {
-        let change = self.group_mut(&scope.service, &scope.region)?.end_check(is_connected);
+        let change = self.group_mut(&scope.service, &scope.region)?.end_check(has_responded);
         if change == Some(Change::Lost) {
             known.filter(|other| scope.is_related(other)).for_each(|other| self.suspect(other));
         }
@@ -136,6 +145,13 @@
         self.group(service, region).is_none_or(Group::is_reached)
     }
 
+    /// Returns whether a check of a group that began after `since` succeeded.
+    #[must_use]
+    pub fn has_passed_since(&self, scope: &Scope, since: Instant) -> bool {
+        let group = self.group(&scope.service, &scope.region);
+        group.is_some_and(|group| group.has_passed_since(since))
+    }
+
     /// Iterates over the services and regions of the groups that are not reached.
     pub fn unreached(&self) -> impl Iterator<Item = (&id::Service, &id::Region)> {
         let unreached = self.groups().filter(|(_, _, group)| !group.is_reached());
--- a/crates/steer/src/dispatch/connectivity/sample.rs
+++ b/crates/steer/src/dispatch/connectivity/sample.rs
@@ -1,4 +1,4 @@
-//! Sample: the upstreams of a group that a check connects to.
+//! Sample: the upstreams of a group that a check requests a response from.
 //!
 //! Upstreams that are not ejected come first, so that a crash of many upstreams does not look like a
 //! cut.
--- a/crates/steer/src/dispatch/dispatcher/connectivity.rs
+++ b/crates/steer/src/dispatch/dispatcher/connectivity.rs
@@ -1,11 +1,11 @@
-//! Connectivity: passes connections, their failures and the results of checks to the rule.
+//! Connectivity: passes responses, failed connections and the results of checks to the rule.
 //!
 //! [`connectivity`] implements the rule.
 //!
 //! [`connectivity`]: crate::dispatch::connectivity
 
 use std::collections;
-use std::sync;
+use std::net;
 use std::time::{Duration, Instant};
 
 use model::discovery;
@@ -17,25 +17,34 @@
 use crate::dispatch::eligibility;
 use crate::dispatch::upstream;
 
-/// A check that is to be made: connections to some upstreams of a group, without a request.
+/// A check that is to be made: whether any of some upstreams of a group responds.
 #[derive(Clone, Debug)]
 pub struct Check {
     /// The group.
     pub scope: Scope,
     /// The upstreams.
-    pub upstreams: Vec<sync::Arc<discovery::Entry>>,
+    pub targets: Vec<Target>,
+}
+
+/// An upstream that is checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Path of its health check; without one, a connection that opens counts as a response.
+    pub health_check_path: Option<String>,
 }
 
 impl Dispatcher {
-    /// Records that a request opened a connection to an upstream.
-    pub fn record_connection(&mut self, upstream: &discovery::Entry) {
+    /// Records a response of an upstream on a new connection, which was opened at `opened`.
+    pub fn record_new_connection_response(&mut self, upstream: &discovery::Entry, opened: Instant) {
         if let Some(upstream) = self.upstreams.get(&upstream.id) {
-            self.connectivity.record_connection(upstream);
+            self.connectivity.record_new_connection_response(upstream, opened);
         }
     }
 
-    /// Records that a connection to an upstream could not be opened or was closed; returns whether a
-    /// check is due.
+    /// Records that a connection to an upstream could not be opened or brought no response; returns
+    /// whether a check is due.
     pub fn record_connection_failure(&mut self, upstream: &discovery::Entry, now: Instant) -> bool {
         let Some(upstream) = self.upstreams.get(&upstream.id) else { return false };
         let usable = self.checkable(&Scope::of(upstream), now).take(SUSPECT_UPSTREAMS).count();
@@ -54,18 +63,18 @@
         let due = self.connectivity.begin_checks(now).into_iter();
         let check = |scope| {
             let sample = sample::take(self.checkable(&scope, now), draw, now);
-            let upstreams = sample.into_iter().map(|u| sync::Arc::clone(&u.entry)).collect();
-            Check { scope, upstreams }
+            let targets = sample.into_iter().map(|u| self.target(u)).collect();
+            Check { scope, targets }
         };
         due.map(check).collect()
     }
 
-    /// Records whether any upstream of a check could be connected to.
-    pub fn end_check(&mut self, scope: &Scope, is_connected: bool) -> Option<Change> {
+    /// Records whether any upstream of a check responded.
+    pub fn end_check(&mut self, scope: &Scope, has_responded: bool) -> Option<Change> {
         let known = self.upstreams.groups();
         let known = known
             .map(|(service, region)| Scope { service: service.clone(), region: region.clone() });
-        self.connectivity.end_check(scope, is_connected, known)
+        self.connectivity.end_check(scope, has_responded, known)
     }
 
     /// Returns whether a check is due, after applying what time changes.
@@ -78,19 +87,41 @@
         self.connectivity.is_check_due(now)
     }
 
-    /// Returns the groups whose upstreams with requests in flight are all silent or ejected.
-    fn silent_groups(&self, now: Instant) -> Vec<Scope> {
+    /// Returns the groups in which an upstream is silent, none has responded for the time from which that
+    /// silence is suspect, and no check has succeeded since it began.
+    ///
+    /// A single silent upstream is enough: requests for one object go to one upstream, and those that
+    /// follow go to others, which are not silent yet.
+    fn silent_groups(&self, now: Instant) -> collections::BTreeSet<Scope> {
         let busy = self.busy.iter().filter_map(|name| self.upstreams.get(name));
-        let mut groups: collections::BTreeMap<Scope, (usize, bool)> = collections::BTreeMap::new();
+        let mut groups = collections::BTreeSet::new();
         for upstream in busy.filter(|upstream| upstream.load.in_flight() > 0) {
             let mean = self.work.get(&upstream.entry.service).copied().unwrap_or_default().mean();
-            let (count, is_silent) = groups.entry(Scope::of(upstream)).or_insert((0, true));
-            *count += 1;
-            *is_silent &= !upstream.health.is_healthy(mean, now);
+            let Some(silence) = upstream.health.suspect_silence(mean, now) else { continue };
+            let entry = &upstream.entry;
+            let responds = |u: &upstream::Upstream| {
+                u.health
+                    .answered()
+                    .is_some_and(|at| now.saturating_duration_since(at) <= silence.limit)
+            };
+            let scope = Scope::of(upstream);
+            if !groups.contains(&scope)
+                && !self.connectivity.has_passed_since(&scope, silence.since)
+                && !self.upstreams.of_region(&entry.service, &upstream.region).any(responds)
+            {
+                groups.insert(scope);
+            }
         }
-        let is_suspect =
-            |(count, is_silent): &(usize, bool)| *is_silent && *count >= SUSPECT_UPSTREAMS;
-        groups.into_iter().filter(|(_, group)| is_suspect(group)).map(|(scope, _)| scope).collect()
+        groups
+    }
+
+    /// Returns whether a request in flight at an upstream gets no response any more: checks of its group
+    /// fail, and the upstream is silent for longer than its work explains.
+    #[must_use]
+    pub fn is_out_of_reach(&self, upstream: &discovery::Entry, now: Instant) -> bool {
+        let Some(known) = self.upstreams.get(&upstream.id) else { return false };
+        let mean = self.work.get(&upstream.service).copied().unwrap_or_default().mean();
+        self.connectivity.access(known, now) == Access::None && known.health.is_silent(mean, now)
     }
 
     /// Returns the services that this node cannot connect to in any region.
@@ -132,14 +163,20 @@
         upstream: &discovery::Entry,
         draw: sample::Draw<'_>,
         now: Instant,
-    ) -> Vec<sync::Arc<discovery::Entry>> {
+    ) -> Vec<Target> {
         let others = self.upstreams.iter().filter(|u| u.entry.address != upstream.address);
         let others = others.filter(|u| eligibility::takes_work(u, &self.evacuated, now));
         let sample = sample::take(others, draw, now);
-        sample.into_iter().map(|u| sync::Arc::clone(&u.entry)).collect()
+        sample.into_iter().map(|u| self.target(u)).collect()
+    }
+
+    fn target(&self, upstream: &upstream::Upstream) -> Target {
+        let rules = self.routing.services.get(&upstream.entry.service);
+        let health_check_path = rules.and_then(|rules| rules.health_check_path.clone());
+        Target { address: upstream.entry.address, health_check_path }
     }
 
-    /// Iterates over the upstreams of a group that a check may connect to.
+    /// Iterates over the upstreams of a group that may be checked.
     fn checkable(&self, scope: &Scope, now: Instant) -> impl Iterator<Item = &upstream::Upstream> {
         let of_group = self.upstreams.of_region(&scope.service, &scope.region);
         of_group.filter(move |u| eligibility::takes_work(u, &self.evacuated, now))
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -58,8 +58,9 @@
         waited: Duration,
         now: Instant,
     ) {
-        let Some(known) = self.upstreams.get_mut(&upstream.id) else { return };
-        if known.entry.born != upstream.born {
+        let entry = upstream;
+        let Some(known) = self.upstreams.get_mut(&entry.id) else { return };
+        if known.entry.born != entry.born {
             return;
         }
         let upstream = known;
@@ -69,6 +70,8 @@
         upstream.load.record_end();
         let in_flight = upstream.load.in_flight();
         let work = self.work.entry(upstream.entry.service.clone()).or_default();
+        let has_silent_timeout =
+            outcome == outcome::Outcome::TimedOut && upstream.health.is_silent(work.mean(), now);
         match outcome {
             outcome::Outcome::Answered { latency, crowding, object, load } => {
                 let time = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
@@ -100,6 +103,10 @@
             outcome::Outcome::Abandoned => {}
         }
         upstream.health.record_end(in_flight);
+        if has_silent_timeout {
+            // The next tick starts the check, if one is due.
+            self.record_connection_failure(entry, now);
+        }
     }
 
     fn allowance(&self) -> retry_budget::Allowance {
--- a/crates/steer/src/dispatch/health.rs
+++ b/crates/steer/src/dispatch/health.rs
@@ -118,7 +118,26 @@
         self.failures.get(now)
     }
 
-    fn is_silent(&self, service_mean: seconds::Seconds, now: Instant) -> bool {
-        self.silence.is_suspect(self.processing_time(service_mean, now), now)
+    /// Returns whether the upstream has requests in flight and responds to none of them for longer than
+    /// its work explains.
+    #[must_use]
+    pub fn is_silent(&self, service_mean: seconds::Seconds, now: Instant) -> bool {
+        self.suspect_silence(service_mean, now).is_some()
+    }
+
+    /// Returns the silence of the upstream, if it is too long.
+    #[must_use]
+    pub fn suspect_silence(
+        &self,
+        service_mean: seconds::Seconds,
+        now: Instant,
+    ) -> Option<silence::Suspect> {
+        self.silence.suspect(self.processing_time(service_mean, now), now)
+    }
+
+    /// Returns the time of the latest response.
+    #[must_use]
+    pub fn answered(&self) -> Option<Instant> {
+        self.silence.answered()
     }
 }
--- a/crates/steer/tests/connectivity.rs
+++ b/crates/steer/tests/connectivity.rs
@@ -31,9 +31,9 @@
     group.record_failure(&upstream(0), 5, now);
     group.record_failure(&upstream(0), 5, now);
     assert!(!group.is_check_due(now), "one upstream fails");
-    group.record_connection();
+    group.record_new_connection_response(now);
     group.record_failure(&upstream(1), 5, now);
-    assert!(!group.is_check_due(now), "a connection came up in between");
+    assert!(!group.is_check_due(now), "a response came in between");
     group.record_failure(&upstream(2), 5, now);
     assert!(group.is_check_due(now));
 }
@@ -69,6 +69,20 @@
     assert!(group.is_reached() && !group.is_check_due(now + INTERVAL));
 }
 
+/// Upstreams that are full may respond to checks too late, although requests show that they are reached.
+#[test]
+fn a_response_on_a_connection_opened_during_a_check_makes_it_succeed() {
+    let now = Instant::now();
+    let (before, during) = (now, now + INTERVAL / 10);
+    for (opened, change) in [(before, Some(Change::Lost)), (during, None)] {
+        let mut group = Group::default();
+        group.suspect();
+        group.begin_check(now);
+        group.record_new_connection_response(opened);
+        assert_eq!(group.end_check(false), change);
+    }
+}
+
 #[test]
 fn a_lost_group_is_used_over_open_connections_that_bring_responses() {
     let now = Instant::now();
@@ -100,7 +114,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Failure(usize),
-    Connection,
+    NewResponse,
     Response,
     Wait(u64),
     Check(bool),
@@ -110,7 +124,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         match u8::arbitrary(g) % 5 {
             0 => Self::Failure(usize::arbitrary(g) % 4),
-            1 => Self::Connection,
+            1 => Self::NewResponse,
             2 => Self::Response,
             3 => Self::Wait(u64::arbitrary(g) % 1_000),
             _ => Self::Check(bool::arbitrary(g)),
@@ -128,7 +142,7 @@
             let was_reached = group.is_reached();
             match step {
                 Step::Failure(number) => group.record_failure(&upstream(number), 4, now),
-                Step::Connection => group.record_connection(),
+                Step::NewResponse => group.record_new_connection_response(now),
                 Step::Response => group.record_response(now),
                 Step::Wait(millis) => now += Duration::from_millis(millis),
                 Step::Check(_) if !group.is_check_due(now) => {}
--- a/crates/steer/tests/dispatch/connectivity.rs
+++ b/crates/steer/tests/dispatch/connectivity.rs
@@ -4,7 +4,7 @@
 
 use model::{discovery, id};
 use steer::dispatch::connectivity::{Scope, report, sample};
-use steer::dispatch::{dispatcher, refusal, upstream};
+use steer::dispatch::{dispatcher, outcome, refusal, upstream};
 
 use crate::setup;
 
@@ -124,3 +124,98 @@
     assert!(!dispatcher.is_check_due(now + Duration::from_millis(100)));
     assert!(dispatcher.is_check_due(now + 20 * INTERVAL));
 }
+
+/// Requests that trickle to one upstream after the other kept a group from being checked.
+#[test]
+fn deadlines_that_pass_at_two_silent_upstreams_start_a_check() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = dispatcher(now);
+    let waited = 20 * INTERVAL;
+    entries[..2].iter().for_each(|entry| _ = dispatcher.sent(&entry.id, true, now));
+    let later = now + waited;
+    dispatcher.sent(&entries[3].id, true, later);
+    for entry in &entries[..2] {
+        dispatcher.ended(entry, outcome::Outcome::TimedOut, waited, later);
+    }
+    assert_eq!(check(&mut dispatcher, &["desk@north"], later), ["desk@north"]);
+}
+
+/// The requests of a service's only upstream fell silent, and nothing was checked.
+#[test]
+fn the_only_upstream_of_a_group_falls_silent_and_is_checked() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = setup::dispatcher("n");
+    setup::set(&mut dispatcher, &entries[..1], now);
+    dispatcher.sent(&entries[0].id, true, now);
+    assert!(!dispatcher.is_check_due(now + Duration::from_millis(100)));
+    assert!(dispatcher.is_check_due(now + 20 * INTERVAL));
+}
+
+/// A request at an upstream that is at work must not end; one at an upstream out of reach waited for its deadline.
+#[test]
+fn requests_are_out_of_reach_only_where_a_check_failed_and_the_upstream_is_silent() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = dispatcher(now);
+    entries[..2].iter().for_each(|entry| _ = dispatcher.sent(&entry.id, true, now));
+    let later = now + 20 * INTERVAL;
+    assert!(dispatcher.is_check_due(later));
+    assert!(!dispatcher.is_out_of_reach(&entries[0], later), "no check was made");
+    check(&mut dispatcher, &[], later);
+    assert!(dispatcher.is_out_of_reach(&entries[0], later));
+    dispatcher.ended(&entries[0], outcome::Outcome::Abandoned, 20 * INTERVAL, later);
+    dispatcher.sent(&entries[0].id, true, later);
+    assert!(!dispatcher.is_out_of_reach(&entries[0], later), "the upstream may be at work");
+}
+
+/// A check that only opened a connection could not tell an upstream from a device that accepts for it.
+#[test]
+fn checks_carry_the_health_check_path_of_the_service() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let mut routing = (*setup::rules(1.0)).clone();
+    let rules = routing.services.get_mut(&id::Service::new("desk")).expect("the service has rules");
+    rules.health_check_path = Some("/health".to_owned());
+    dispatcher.configure(routing.into());
+    fail_desk_in_north(&mut dispatcher, now);
+    let checks = dispatcher.begin_checks(&mut |_| 0, now);
+    let paths = checks[0].targets.iter().map(|target| target.health_check_path.as_deref());
+    assert_eq!(paths.collect::<Vec<_>>(), [Some("/health"); 2]);
+}
+
+/// Requests for one object go to one upstream; its silence alone started no check, and later requests went to
+/// other upstreams that were not silent yet.
+#[test]
+fn one_silent_upstream_starts_a_check_where_no_other_responds() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = dispatcher(now);
+    dispatcher.sent(&entries[0].id, true, now);
+    let later = now + 20 * INTERVAL;
+    dispatcher.sent(&entries[1].id, true, later);
+    assert_eq!(check_if_due(&mut dispatcher, later), ["desk@north"]);
+    // The check that succeeded explains the silence.
+    assert_eq!(check_if_due(&mut dispatcher, later + INTERVAL), [""; 0]);
+}
+
+/// One upstream that hangs must not have the others checked again and again.
+#[test]
+fn a_silent_upstream_starts_no_check_where_another_responds() {
+    let now = Instant::now();
+    let entries = entries();
+    let mut dispatcher = dispatcher(now);
+    let later = now + 20 * INTERVAL;
+    dispatcher.sent(&entries[0].id, true, now);
+    dispatcher.sent(&entries[1].id, true, later);
+    dispatcher.ended(&entries[1], setup::answered(), INTERVAL, later);
+    assert!(!dispatcher.is_check_due(later));
+    assert!(dispatcher.is_check_due(later + 20 * INTERVAL), "the other responds no more");
+}
+
+/// Makes the checks that are due after a tick, all of which succeed.
+fn check_if_due(dispatcher: &mut dispatcher::Dispatcher, now: Instant) -> Vec<String> {
+    dispatcher.is_check_due(now);
+    check(dispatcher, &["desk@north"], now)
+}
--- a/crates/steer/tests/dispatch/setup.rs
+++ b/crates/steer/tests/dispatch/setup.rs
@@ -58,6 +58,7 @@
 
 pub fn rules(cold_rate: f64) -> sync::Arc<routing::Routing> {
     let rules = routing::ServiceRules {
+        health_check_path: None,
         max_connections: None,
         cold_start: Duration::from_secs(3),
         cold_rate: Some(cold_rate),
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -466,6 +466,7 @@
 
 fn service_rules() -> routing::ServiceRules {
     routing::ServiceRules {
+        health_check_path: None,
         max_connections: None,
         cold_start: COLD_TIME,
         cold_rate: Some(COLD_RATE),
