Splits between regions follow the demand of each region

Cause: a region's share was computed as if demand were equal in all regions. With waves that pass the regions a third of a period apart, the regions at their peaks were overloaded while others had free slots.

Change: each gateway measures the first attempts that arrive at it, by service, and reports the rate once in 0.9 s (load reports, tag 15, keyed by a hash of region and service; the first representatives forward sums every 0.45 s). Old builds skip the field. Only services with upstreams in several regions are reported. `region::demand` forecasts the shares of all regions by a regression that learns from the recent past, since a split moves a twentieth in 2 s and one that follows the present demand, or its trend, comes too late. `region::share::target` takes the expected shares where regions differ by more than a quarter of the mean for 5 s; they move only as far as a region is expected to be loaded above 0.8. Where regions differ little, where the demand of a region is not known, and for requests with home regions, the targets are those of before. Setting `demand_split: auto | on | off`; the dump lists the demand.

Equal demand, also with a lost gateway and a restarted region: no move.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -122,6 +122,7 @@
         "organisations_near_limit": near_limit(state),
         "quarantine": held(state, now),
         "splits": splits(&dispatcher),
+        "demand": demand(&dispatcher),
         "upstreams": upstreams(&dispatcher, now),
     });
     serde_json::to_vec_pretty(&dump).unwrap_or_else(|error| {
@@ -225,6 +226,21 @@
     splits.collect()
 }
 
+/// Returns the demand by service and region; services whose upstreams are all in one region have none.
+fn demand(dispatcher: &dispatcher::Dispatcher) -> Vec<serde_json::Value> {
+    let demand = dispatcher.demand();
+    let rate = |(service, region, per_second): (&id::Service, &id::Region, f64)| {
+        let share = demand.shares(service).and_then(|shares| shares.get(region));
+        serde_json::json!({
+            "service": service.as_str(),
+            "region": region.as_str(),
+            "per_second": per_second,
+            "share_used": share,
+        })
+    };
+    demand.rates().map(rate).collect()
+}
+
 /// Logs a response that could not be encoded, which would be a bug.
 fn log_not_written(answer: &str, error: &dyn std::error::Error) {
     let error = error.to_string();
--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -11,6 +11,7 @@
 use steer::dispatch::leaving;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
+use steer::dispatch::region::demand::report as demand;
 use steer::dispatch::rollout;
 use steer::dispatch::upstream_limit::{self, announcement};
 use wire::gateway::loads as message;
@@ -30,6 +31,9 @@
 /// Maximum number of leaving upstreams in one datagram, about 3 KB.
 const MOST_LEAVING: usize = 100;
 
+/// Maximum number of regions and services with their demand in one datagram, about 2 KB.
+const MOST_DEMANDS: usize = 250;
+
 /// Encodes that an upstream has withdrawn its limit.
 const NO_LIMIT: f64 = -1.0;
 
@@ -52,6 +56,8 @@
     pub leavings: Vec<leaving::Announcement>,
     /// Answers by version, for each roll-out in progress.
     pub rollouts: Vec<rollout::Report>,
+    /// Demand by region and service.
+    pub demand: Vec<demand::Rate>,
 }
 
 /// Content of one datagram.
@@ -78,8 +84,10 @@
     let sends: Vec<_> = content.limits.usages.chunks(MOST_LIMITED).collect();
     let announcements: Vec<_> = content.limits.announcements.chunks(MOST_LIMITED).collect();
     let leavings: Vec<_> = content.leavings.chunks(MOST_LEAVING).collect();
+    let demand: Vec<_> = content.demand.chunks(MOST_DEMANDS).collect();
     let limited = sends.len().max(announcements.len());
-    let parts = [loads.len(), usages.len(), limited, leavings.len(), 1].into_iter().max();
+    let parts =
+        [loads.len(), usages.len(), limited, leavings.len(), demand.len(), 1].into_iter().max();
     let part = |number: usize| {
         let loads = message::Loads {
             node: name(number),
@@ -90,6 +98,7 @@
                 0 => content.rollouts.iter().map(rollout_report::encode).collect(),
                 _ => Vec::new(),
             },
+            demand: demand.get(number).map(|rates| encode_demand(rates)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -133,6 +142,13 @@
     }
 }
 
+fn encode_demand(rates: &[demand::Rate]) -> message::Demand {
+    message::Demand {
+        keys: rates.iter().map(|rate| rate.key.0).collect(),
+        rates: rates.iter().map(|rate| hundredths(rate.per_second)).collect(),
+    }
+}
+
 /// Usages as the parallel lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -229,7 +245,9 @@
             loads.rollouts.iter().map(rollout_report::read).collect();
         let rollouts =
             rollouts.map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
-        let content = Content { requests, usages: figures.read()?, limits, leavings, rollouts };
+        let demand = read_demand(&loads.demand.unwrap_or_default())?;
+        let usages = figures.read()?;
+        let content = Content { requests, usages, limits, leavings, rollouts, demand };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
@@ -239,6 +257,18 @@
     Figures { keys, asked, admitted, excess, debts }.read()
 }
 
+fn read_demand(demand: &message::Demand) -> Result<Vec<demand::Rate>, Malformed> {
+    let message::Demand { keys, rates } = demand;
+    if keys.len() != rates.len() {
+        return Err(Malformed::Uneven(keys.len(), rates.len()));
+    }
+    let rate = |(key, rate): (&u32, &u32)| demand::Rate {
+        key: demand::Key(*key),
+        per_second: f64::from(*rate) / SCALE,
+    };
+    Ok(keys.iter().zip(rates).map(rate).collect())
+}
+
 fn read_announcements(
     limits: &message::Limits,
 ) -> Result<Vec<announcement::Announcement>, Malformed> {
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -14,6 +14,7 @@
 use steer::dispatch::fleet::representatives;
 use steer::dispatch::leaving;
 use steer::dispatch::quota::forwarder;
+use steer::dispatch::region::demand::report;
 use steer::dispatch::upstream_limit;
 use tokio::net::UdpSocket;
 
@@ -58,6 +59,7 @@
     usages: forwarder::Forwarder,
     limits: upstream_limit::Forwarder,
     leavings: leaving::Announcer,
+    demand: report::Timer,
 }
 
 impl Sum {
@@ -75,6 +77,7 @@
             limits: dispatcher.limits_mut().report_sum(&wanted, &mut self.limits, now),
             leavings: dispatcher.leavings().report_sum(&wanted, &mut self.leavings, now),
             rollouts: dispatcher.rollouts().report_sum(&wanted),
+            demand: dispatcher.peer_demand(&wanted, &mut self.demand, now),
         }
     }
 }
@@ -88,6 +91,7 @@
         limits: dispatcher.limits_mut().report(now),
         leavings: dispatcher.leavings_mut().report(now),
         rollouts: dispatcher.rollouts().report(),
+        demand: dispatcher.own_demand(now),
     }
 }
 
@@ -180,11 +184,13 @@
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits, leavings, rollouts } = report.content;
+    let Content { requests, usages, limits, leavings, rollouts, demand } = report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
     state.receive_leavings(&sender, &leavings, now);
     state.receive_rollouts(&report.node, &rollouts);
-    state.dispatcher.borrow_mut().set_peer_load(report.node, requests, now);
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.set_peer_demand(report.node.clone(), demand, now);
+    dispatcher.set_peer_load(report.node, requests, now);
     Ok(())
 }
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use model::duration;
 use model::id;
 use serde::{Deserialize, Serialize};
+use steer::dispatch::region::demand;
 
 use crate::common::logging;
 use crate::common::settings;
@@ -48,11 +49,37 @@
     /// Bounds of the deployment.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Whether splits between regions follow the demand of each region.
+    #[serde(default)]
+    pub demand_split: DemandSplit,
     /// What is logged.
     #[serde(default)]
     pub log: logging::Level,
 }
 
+/// Whether splits between regions follow the demand of each region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DemandSplit {
+    /// Where the regions' demand differs by more than a threshold.
+    #[default]
+    Auto,
+    /// Wherever the demand of all regions is known.
+    On,
+    /// Nowhere: demand is not reported, and equal demand is assumed.
+    Off,
+}
+
+impl From<DemandSplit> for demand::Mode {
+    fn from(setting: DemandSplit) -> Self {
+        match setting {
+            DemandSplit::Auto => Self::Auto,
+            DemandSplit::On => Self::On,
+            DemandSplit::Off => Self::Off,
+        }
+    }
+}
+
 /// Where configuration and upstreams come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -127,7 +127,8 @@
             connectivity: report::Report::default(),
         };
         let bounds = settings.bounds();
-        let dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        let mut dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        dispatcher.set_demand_mode(settings.demand_split.into());
         let quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
         Self {
             dialect: settings.source().dialect(),
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -84,6 +84,7 @@
         limits: None,
         leavings: None,
         rollouts: Vec::new(),
+        demand: None,
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -105,6 +105,7 @@
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.processor, gateway_settings::Processor { cores: 1.5, share: 0.5 });
     assert_eq!(settings.processor.capacity(), 750);
+    assert_eq!(settings.demand_split, gateway_settings::DemandSplit::On);
     assert_eq!(settings.log, logging::Level::Warn);
 }
 
@@ -129,6 +130,7 @@
         expose_slack: 0.0,
     };
     assert_eq!(settings.bounds(), expected);
+    assert_eq!(settings.demand_split, gateway_settings::DemandSplit::Auto);
     assert_eq!(settings.log, logging::Level::Info);
 }
 
@@ -177,6 +179,25 @@
     assert_eq!(faults.join("\n"), expected.trim_end());
 }
 
+/// Guards against a mistyped mode that silently becomes the default.
+#[test]
+fn modes_of_the_demand_split_are_words() {
+    let modes = [
+        ("auto", gateway_settings::DemandSplit::Auto),
+        ("on", gateway_settings::DemandSplit::On),
+        ("off", gateway_settings::DemandSplit::Off),
+    ];
+    for (word, mode) in modes {
+        let read: gateway_settings::DemandSplit = serde_yaml_ng::from_str(word).expect("a mode");
+        assert_eq!(read, mode);
+    }
+    let wrong = fault("gateway-every-field.yaml", "demand_split: on", "demand_split: yes");
+    assert_eq!(
+        wrong,
+        "27: demand_split: unknown variant `yes`, expected one of `auto`, `on`, `off`"
+    );
+}
+
 const TEMPLATE: &str = "../../platform/settings.yaml.template";
 
 /// Sample values of the placeholders of the platform's template.
@@ -224,6 +245,7 @@
     let rendered = gateway_settings::Settings::read(&file).expect("the settings are valid");
     let mut expected = read_gateway("gateway-every-field.yaml");
     expected.log = logging::Level::Info;
+    expected.demand_split = gateway_settings::DemandSplit::Auto;
     assert_eq!(rendered, expected);
 }
 
--- a/crates/node/tests/load_reports.rs
+++ b/crates/node/tests/load_reports.rs
@@ -7,6 +7,7 @@
 use prost::Message as _;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
+use steer::dispatch::region::demand::report as demand;
 use steer::dispatch::upstream_limit::{self, announcement::Announcement};
 use wire::gateway::loads as message;
 
@@ -104,6 +105,48 @@
     assert_eq!((datagrams.len(), said), (3, limits));
 }
 
+/// Guards against reports of the previous build that are refused, since they carry no demand, and
+/// against demand in a form that the previous build cannot skip.
+#[test]
+fn demand_is_read_as_it_was_written_and_older_reports_have_none() {
+    let node = id::Node::new("n-1");
+    let rate =
+        |key: u32| demand::Rate { key: demand::Key(key), per_second: f64::from(key) / 4.0 + 0.25 };
+    let rates: Vec<demand::Rate> = (0..600).map(rate).collect();
+    let sent = loads::Content { demand: rates.clone(), ..of_requests(&in_flight(3)) };
+    let datagrams = loads::encode(&node, &sent);
+    let mut said = Vec::new();
+    for datagram in &datagrams {
+        let report = load_report::Report::read(&datagram[1..]).expect("a report");
+        said.extend(report.content.demand);
+    }
+    assert_eq!((datagrams.len(), said), (3, rates));
+    let without = loads::encode(&node, &of_requests(&in_flight(3)));
+    let report = load_report::Report::read(&without[0][1..]).expect("a report");
+    assert!(report.content.demand.is_empty());
+    assert!(datagrams[0].len() > without[0].len());
+    // The previous build knows the fields up to 12, and skips others.
+    #[derive(Clone, PartialEq, prost::Message)]
+    struct Previous {
+        #[prost(string, tag = "1")]
+        node: String,
+        #[prost(uint32, repeated, tag = "3")]
+        requests: Vec<u32>,
+    }
+    let previous = Previous::decode(&datagrams[0][1..]).expect("it skips what it does not know");
+    assert_eq!((previous.node.as_str(), previous.requests.len()), ("n-1", 3));
+}
+
+#[test]
+fn demand_with_lists_of_different_lengths_is_malformed() {
+    let demand = Some(message::Demand { keys: vec![1, 2], rates: vec![1] });
+    let loads = message::Loads { demand, ..message::Loads::default() };
+    assert_eq!(
+        load_report::Report::read(&loads.encode_to_vec()),
+        Err(loads::Malformed::Uneven(2, 1))
+    );
+}
+
 #[test]
 fn a_limit_that_is_no_rate_and_uneven_lists_are_malformed() {
     let limits = |rates: &[f64]| message::Loads {
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -65,6 +65,7 @@
             let distance = self.distances.entry(request.service.clone()).or_default();
             distance.record_request(request.route.target_latency);
             self.overflow.refill(self.bounds.greatest_shift);
+            self.demand.record(request.service, now);
         }
         let chosen = self.choose_version(request, now);
         if request.is_first_try() {
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 pub mod connectivity;
+mod demand;
 mod peers;
 mod regions;
 pub mod rollouts;
@@ -33,6 +34,7 @@
 use crate::dispatch::peer_load;
 use crate::dispatch::position;
 use crate::dispatch::priority;
+use crate::dispatch::region::demand::Demand;
 use crate::dispatch::region::distance;
 use crate::dispatch::region::order;
 use crate::dispatch::region::shift;
@@ -64,6 +66,7 @@
     regions: collections::BTreeMap<order::Scope, order::Rotation>,
     distances: collections::BTreeMap<id::Service, distance::Distance>,
     peers: peer_load::PeerLoads,
+    demand: Demand,
     overflow: overflow::Bucket,
     source: lapsed::Source,
     owners: slow_start_owner::Owners,
@@ -97,6 +100,7 @@
             regions: collections::BTreeMap::new(),
             distances: collections::BTreeMap::new(),
             peers: peer_load::PeerLoads::default(),
+            demand: Demand::default(),
             overflow: overflow::Bucket::default(),
             source: lapsed::Source::default(),
             owners: slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() },
@@ -137,6 +141,7 @@
         self.limits.tick(|key| upstreams.get_by_key(key).is_some(), now);
         self.leavings.tick(|process| upstreams.get(&process.upstream).is_some(), now);
         self.rests.tick(now);
+        self.tick_demand(now);
         let limit = shift::limit(&self.bounds);
         let scopes: Vec<order::Scope> = self.regions.keys().cloned().collect();
         for scope in scopes {
--- a/crates/steer/src/dispatch/dispatcher/regions.rs
+++ b/crates/steer/src/dispatch/dispatcher/regions.rs
@@ -23,14 +23,14 @@
 impl Dispatcher {
     /// Returns the target split between regions for the capacities of a scope.
     pub(super) fn region_target(&self, scope: &order::Scope, now: Instant) -> split::Split {
-        let regions = self.position.allowed_regions(&scope.home_regions).into_iter();
-        let capacities: Vec<share::Capacity> = regions
-            .map(|region| {
-                let slots = self.region_slots(&scope.service, &region, now);
-                share::Capacity { region, slots }
-            })
-            .collect();
-        let balanced = share::target(&self.position.region, &capacities);
+        let regions = self.position.allowed_regions(&scope.home_regions);
+        let capacities = self.capacities(&scope.service, regions, now);
+        // The demand for a scope with home regions is not known; that for its service is no measure of it.
+        let demand = match scope.home_regions.is_empty() {
+            true => self.demand.shares(&scope.service),
+            false => None,
+        };
+        let balanced = share::target(&self.position.region, &capacities, demand);
         let own = &self.position.region;
         let is_far = self.distances.get(&scope.service).is_some_and(|d| d.is_far(own));
         match (is_far, self.regions.get(scope)) {
@@ -44,6 +44,20 @@
         }
     }
 
+    /// Returns the capacity of each of `regions` for a service.
+    pub(super) fn capacities(
+        &self,
+        service: &id::Service,
+        regions: Vec<id::Region>,
+        now: Instant,
+    ) -> Vec<share::Capacity> {
+        let capacity = |region: id::Region| {
+            let slots = self.region_slots(service, &region, now);
+            share::Capacity { region, slots }
+        };
+        regions.into_iter().map(capacity).collect()
+    }
+
     /// Returns the mean number of requests per slot of the upstreams in a region that accept requests.
     fn requests_per_slot(&self, service: &id::Service, region: &id::Region, now: Instant) -> f64 {
         let of_region = self.upstreams.of_region(service, region);
--- a/crates/steer/src/dispatch/index.rs
+++ b/crates/steer/src/dispatch/index.rs
@@ -133,6 +133,12 @@
         self.services.keys()
     }
 
+    /// Returns whether a service has upstreams in several regions.
+    #[must_use]
+    pub fn is_split(&self, service: &id::Service) -> bool {
+        self.services.get(service).is_some_and(|regions| regions.len() > 1)
+    }
+
     /// Iterates over the groups of upstreams, by service and region.
     pub fn groups(&self) -> impl Iterator<Item = (&id::Service, &id::Region)> {
         let services = self.services.iter();
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod choice;
 mod connectivity;
+mod demand;
 mod entries;
 mod health;
 mod limits;
--- a/crates/steer/tests/dispatch/regions.rs
+++ b/crates/steer/tests/dispatch/regions.rs
@@ -88,13 +88,13 @@
     let capacities = [capacity("a", 12.0), capacity("b", 48.0), capacity("c", 60.0)];
     let share =
         |split: &steer::common::split::Split, region: &str| split.share(&id::Region::new(region));
-    let small = share::target(&id::Region::new("a"), &capacities);
+    let small = share::target(&id::Region::new("a"), &capacities, None);
     assert_eq!(share(&small, "a"), 300_000);
     // The rest goes to spare slots: 8 of 28 to b and 20 of 28 to c.
     assert!(share(&small, "b").abs_diff(200_000) <= 2 && share(&small, "c").abs_diff(500_000) <= 2);
-    let large = share::target(&id::Region::new("c"), &capacities);
+    let large = share::target(&id::Region::new("c"), &capacities, None);
     assert_eq!(share(&large, "c"), 1_000_000);
-    assert!(share::target(&id::Region::new("a"), &[capacity("a", 0.0)]).is_empty());
+    assert!(share::target(&id::Region::new("a"), &[capacity("a", 0.0)], None).is_empty());
 }
 
 quickcheck! {
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -13,6 +13,8 @@
 use model::{bounds, discovery, id, route, routing};
 use rand::RngExt as _;
 use rand::SeedableRng as _;
+use steer::common::split;
+use steer::dispatch::region::demand::{self, report};
 use steer::dispatch::{
     dispatcher, outcome, peer_load, position, request, seen_objects, slow_start_owner, urgency,
 };
@@ -23,6 +25,9 @@
 /// Interval between ticks of a dispatcher, as in a real gateway.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Delay of demand that representatives forward to another region.
+const FORWARD_DELAY: Duration = Duration::from_millis(700);
+
 /// Queue capacity of an upstream per slot, in requests.
 const QUEUE_PER_SLOT: usize = 3;
 
@@ -47,8 +52,10 @@
 #[derive(Clone, Debug)]
 pub struct Load {
     pub route: route::Route,
-    /// Requests per second in each region.
+    /// Mean requests per second in each region.
     pub rate: f64,
+    /// Change of the rate with time; constant if `None`.
+    pub wave: Option<Wave>,
     /// Processing time if the upstream does not have the object cached.
     pub uncached_work: Duration,
     /// Processing time if the upstream has the object cached.
@@ -57,6 +64,34 @@
     pub objects: u64,
 }
 
+/// Sine wave of a rate. The waves of the regions follow each other at equal parts of the period.
+#[derive(Clone, Copy, Debug)]
+pub struct Wave {
+    /// Greatest deviation from the mean, as a fraction of the mean.
+    pub depth: f64,
+    pub period: Duration,
+}
+
+impl Wave {
+    /// Returns the rate in a region as a multiple of its mean.
+    fn factor(self, region: usize, regions: usize, elapsed: Duration) -> f64 {
+        let periods = elapsed.as_secs_f64() / self.period.as_secs_f64();
+        let phase = region as f64 / regions as f64;
+        1.0 + self.depth * (std::f64::consts::TAU * (periods - phase)).sin()
+    }
+}
+
+/// A failure during the simulation.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// Demand reports from and to a region are lost.
+    Cut { region: usize, from: Duration, until: Duration },
+    /// All gateways of a region lose their state.
+    Restart { region: usize, at: Duration },
+    /// A gateway ends; its callers use the next one.
+    End { gateway: usize, at: Duration },
+}
+
 /// A deployment and its load.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -72,6 +107,11 @@
     pub warm_up: Duration,
     /// Upstreams that are added during the simulation.
     pub join: Option<Join>,
+    /// Whether splits follow the demand of regions.
+    pub demand: demand::Mode,
+    /// Fraction of demand reports that are lost.
+    pub report_loss: f64,
+    pub faults: Vec<Fault>,
 }
 
 /// Cold upstreams with empty caches that join every region at the same time. While cold, they
@@ -165,8 +205,10 @@
     Answered { upstream: usize, job: Job, load: model::load::Report },
     TurnedAway { upstream: usize, job: Job, load: model::load::Report },
     Report,
+    Demand { from: usize, to: usize, rates: Vec<report::Rate> },
     Tick,
     Join,
+    Fault(Fault),
 }
 
 struct Upstream {
@@ -187,11 +229,22 @@
     upstreams: Vec<Upstream>,
     gateways: Vec<(dispatcher::Dispatcher, usize)>,
     random: rand::rngs::StdRng,
+    /// Gateways that have ended.
+    ended: collections::BTreeSet<usize>,
     tallies: Tallies,
+    /// Movement of all splits after the warm-up, in shares of a region's requests.
+    moved: f64,
+    splits: Vec<Vec<split::Split>>,
 }
 
 /// Simulates a plan and returns the tallies of the requests after the warm-up.
 pub fn simulate(plan: &Plan, seed: u64) -> Tallies {
+    simulate_splits(plan, seed).0
+}
+
+/// Simulates a plan; returns the tallies, and how far the split of a gateway moved on average, both
+/// after the warm-up.
+pub fn simulate_splits(plan: &Plan, seed: u64) -> (Tallies, f64) {
     let mut simulation = Simulation::new(plan.clone(), seed);
     let end = simulation.began + plan.duration;
     while let Some(((now, _), event)) = simulation.events.pop_first() {
@@ -200,7 +253,7 @@
         }
         simulation.apply(event, now);
     }
-    simulation.tallies
+    (simulation.tallies, simulation.moved)
 }
 
 impl Simulation {
@@ -211,26 +264,25 @@
             gateways: gateways(&plan),
             random: rand::rngs::StdRng::seed_from_u64(seed),
             events: collections::BTreeMap::new(),
+            ended: collections::BTreeSet::new(),
             tallies: Tallies::new(),
+            moved: 0.0,
+            splits: Vec::new(),
             count: 0,
             plan,
             began,
         };
-        let entries: Vec<_> =
-            simulation.upstreams.iter().map(|u| sync::Arc::new(u.entry.clone())).collect();
-        let routes = simulation.plan.loads.iter().map(|load| load.route.clone()).collect();
-        let limits = routing::CallerLimits::default();
-        let services = collections::BTreeMap::from([(id::Service::new("desk"), service_rules())]);
-        let routing = sync::Arc::new(routing::Routing::new(1, routes, services, limits));
-        let owners = owners(&simulation.plan, &simulation.gateways);
-        for (gateway, region) in &mut simulation.gateways {
-            gateway.configure(sync::Arc::clone(&routing));
-            gateway.set_upstreams(entries.iter().cloned(), began);
-            gateway.set_nodes(owners[*region].clone(), owners[*region].near.len(), began);
+        for gateway in 0..simulation.gateways.len() {
+            simulation.start_gateway(gateway, began);
         }
         if let Some(join) = &simulation.plan.join {
             simulation.schedule(began + join.at, Event::Join);
         }
+        for fault in simulation.plan.faults.clone() {
+            if let Fault::Restart { at, .. } | Fault::End { at, .. } = fault {
+                simulation.schedule(began + at, Event::Fault(fault));
+            }
+        }
         for gateway in 0..simulation.gateways.len() {
             for load in 0..simulation.plan.loads.len() {
                 simulation.next_request(load, gateway, began);
@@ -241,6 +293,21 @@
         simulation
     }
 
+    fn start_gateway(&mut self, gateway: usize, now: Instant) {
+        let entries: Vec<_> =
+            self.upstreams.iter().map(|u| sync::Arc::new(u.entry.clone())).collect();
+        let routes = self.plan.loads.iter().map(|load| load.route.clone()).collect();
+        let limits = routing::CallerLimits::default();
+        let services = collections::BTreeMap::from([(id::Service::new("desk"), service_rules())]);
+        let routing = sync::Arc::new(routing::Routing::new(1, routes, services, limits));
+        let owners = owners(&self.plan, &self.gateways);
+        let (gateway, region) = &mut self.gateways[gateway];
+        gateway.configure(routing);
+        gateway.set_demand_mode(self.plan.demand);
+        gateway.set_upstreams(entries.into_iter(), now);
+        gateway.set_nodes(owners[*region].clone(), owners[*region].near.len(), now);
+    }
+
     fn schedule(&mut self, at: Instant, event: Event) {
         self.count += 1;
         self.events.insert((at, self.count), event);
@@ -248,7 +315,9 @@
 
     fn next_request(&mut self, load: usize, gateway: usize, now: Instant) {
         let region = &self.plan.regions[self.gateways[gateway].1];
-        let rate = self.plan.loads[load].rate / region.gateways as f64;
+        let load_plan = &self.plan.loads[load];
+        let highest = load_plan.wave.map_or(1.0, |wave| 1.0 + wave.depth);
+        let rate = load_plan.rate * highest / region.gateways as f64;
         let uniform: f64 = self.random.random_range(0.0..1.0);
         let pause = Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
         self.schedule(now + pause, Event::Request { load, gateway });
@@ -257,7 +326,9 @@
     fn apply(&mut self, event: Event, now: Instant) {
         match event {
             Event::Request { load, gateway } => {
-                self.request(load, gateway, now);
+                if self.is_due(load, gateway, now) {
+                    self.request(load, self.serving(gateway), now);
+                }
                 self.next_request(load, gateway, now);
             }
             Event::Arrives { upstream, job } => self.arrive(upstream, job, now),
@@ -270,16 +341,54 @@
                 self.tally(&job, now, |tally| tally.refused += 1);
             }
             Event::Report => self.report(now),
+            Event::Demand { from, to, rates } => {
+                let node = id::Node::new(&format!("g-{from}"));
+                self.gateways[to].0.set_peer_demand(node, rates, now);
+            }
+            Event::Fault(fault) => self.fail(fault, now),
             Event::Join => self.join(now),
             Event::Tick => {
                 for (gateway, _) in &mut self.gateways {
                     gateway.tick(now);
                 }
+                self.record_splits(now);
                 self.schedule(now + TICK_INTERVAL, Event::Tick);
             }
         }
     }
 
+    /// Returns whether a request arrives, where requests are drawn at the highest rate of a wave.
+    fn is_due(&mut self, load: usize, gateway: usize, now: Instant) -> bool {
+        let Some(wave) = self.plan.loads[load].wave else { return true };
+        let region = self.gateways[gateway].1;
+        let factor = wave.factor(region, self.plan.regions.len(), now - self.began);
+        self.random.random_range(0.0..1.0 + wave.depth) < factor
+    }
+
+    /// Returns the gateway that the callers of `gateway` use.
+    fn serving(&self, gateway: usize) -> usize {
+        let region = self.gateways[gateway].1;
+        let others = (gateway..self.gateways.len()).chain(0..gateway);
+        let mut live = others.filter(|g| self.gateways[*g].1 == region && !self.ended.contains(g));
+        live.next().expect("a region keeps a gateway")
+    }
+
+    fn fail(&mut self, fault: Fault, now: Instant) {
+        match fault {
+            Fault::Cut { .. } => {}
+            Fault::End { gateway, .. } => _ = self.ended.insert(gateway),
+            Fault::Restart { region, .. } => {
+                let fresh = gateways(&self.plan);
+                for (index, (gateway, of)) in fresh.into_iter().enumerate() {
+                    if of == region {
+                        self.gateways[index].0 = gateway;
+                        self.start_gateway(index, now);
+                    }
+                }
+            }
+        }
+    }
+
     fn request(&mut self, load: usize, gateway: usize, now: Instant) {
         let plan = &self.plan.loads[load];
         let region = self.gateways[gateway].1;
@@ -425,8 +534,52 @@
                 gateway.set_peer_load(id::Node::new(&format!("g-{from}")), report, now);
             }
         }
+        self.report_demand(now);
         self.schedule(now + REPORT_INTERVAL, Event::Report);
     }
+
+    fn report_demand(&mut self, now: Instant) {
+        let own: Vec<_> = self.gateways.iter_mut().map(|(g, _)| g.own_demand(now)).collect();
+        for (from, rates) in own.into_iter().enumerate() {
+            if rates.is_empty() || self.ended.contains(&from) {
+                continue;
+            }
+            for to in (0..self.gateways.len()).filter(|to| *to != from) {
+                let (near, far) = (self.gateways[from].1, self.gateways[to].1);
+                let delay = if near == far { Duration::ZERO } else { FORWARD_DELAY };
+                if !self.is_lost(near, far, now) {
+                    let rates = rates.clone();
+                    self.schedule(now + delay, Event::Demand { from, to, rates });
+                }
+            }
+        }
+    }
+
+    fn is_lost(&mut self, from: usize, to: usize, now: Instant) -> bool {
+        let elapsed = now - self.began;
+        let cuts = |fault: &Fault| match fault {
+            Fault::Cut { region, from: begin, until } => {
+                from != to && [from, to].contains(region) && (*begin..*until).contains(&elapsed)
+            }
+            Fault::Restart { .. } | Fault::End { .. } => false,
+        };
+        let loss = self.plan.report_loss;
+        self.plan.faults.iter().any(cuts) || loss > 0.0 && self.random.random_range(0.0..1.0) < loss
+    }
+
+    /// Adds up how far the splits moved.
+    fn record_splits(&mut self, now: Instant) {
+        let of = |gateway: &dispatcher::Dispatcher| {
+            gateway.splits().map(|(_, split)| split.clone()).collect::<Vec<_>>()
+        };
+        let splits: Vec<_> = self.gateways.iter().map(|(gateway, _)| of(gateway)).collect();
+        if now >= self.began + self.plan.warm_up {
+            let pairs = self.splits.iter().flatten().zip(splits.iter().flatten());
+            let moved: f64 = pairs.map(|(old, new)| old.distance(new).as_f64()).sum();
+            self.moved += moved / self.gateways.len() as f64;
+        }
+        self.splits = splits;
+    }
 }
 
 impl Upstream {
--- a/crates/steer/tests/load/main.rs
+++ b/crates/steer/tests/load/main.rs
@@ -1,4 +1,5 @@
 //! Load tests of the dispatch rules on a simulated deployment.
 
+mod demand;
 mod deployment;
 mod replays;
--- a/crates/steer/tests/load/replays.rs
+++ b/crates/steer/tests/load/replays.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use steer::dispatch::region::demand;
+
 use crate::deployment::{self, Load, Plan, Region, Tally};
 
 /// Seeds of each simulation; the asserted bounds apply to the mean over all seeds.
@@ -18,6 +20,7 @@
     Load {
         route: deployment::route(name, priority, target),
         rate,
+        wave: None,
         uncached_work: 360 * MS,
         cached_work: 108 * MS,
         objects: 60,
@@ -34,6 +37,9 @@
         duration: Duration::from_secs(30),
         warm_up: Duration::from_secs(6),
         join: None,
+        demand: demand::Mode::Auto,
+        report_loss: 0.0,
+        faults: Vec::new(),
     }
 }
 
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -48,6 +48,20 @@
     /// Counts of answers by version, for services whose version is being rolled out.
     #[prost(message, repeated, tag = "12")]
     pub rollouts: Vec<RolloutAnswers>,
+    /// Rates of requests that arrive in each region for each service.
+    #[prost(message, optional, tag = "15")]
+    pub demand: Option<Demand>,
+}
+
+/// Rates of callers' requests by region and service, retries by gateways not counted, as parallel lists.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Demand {
+    /// Hashes of the region in which the requests arrive and their service.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub keys: Vec<u32>,
+    /// Requests per second, in hundredths.
+    #[prost(uint32, repeated, tag = "2")]
+    pub rates: Vec<u32>,
 }
 
 /// Counts of answers of a new version and of the old ones in one stage of a roll-out, by route, as
