Pace: the expected time of an upstream follows what its machine reports

Cause: other work on an upstream's machine changes how long work takes several times a second. The fourth figure of a load report says so, but was only parsed: the learned times mixed in the pace of the moment, and a request could be sent where work takes several times as long.

Change: `steer::dispatch::pace`. Observed times are divided by the reported pace before the service's mean, the upstream's ratio, the distance of regions and the judgement of versions take them. A pace is believed from a quarter to four times the usual time. Nothing changes where no pace is reported.

--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -112,10 +112,11 @@
     fn answer(&self, outcome: outcome::Outcome) -> Option<rollouts::Answer> {
         match outcome {
             outcome::Outcome::Answered { .. } if self.has_failed => Some(rollouts::Answer::Failure),
-            outcome::Outcome::Answered { latency, crowding, object, .. } => {
+            outcome::Outcome::Answered { latency, crowding, object, load } => {
                 let familiarity = object
                     .map_or(seen_objects::Familiarity::Preferred, |object| object.familiarity);
-                Some(rollouts::Answer::Success { latency, crowding, familiarity })
+                let pace = load.and_then(|load| load.pace);
+                Some(rollouts::Answer::Success { latency, crowding, familiarity, pace })
             }
             outcome::Outcome::Broken | outcome::Outcome::TimedOut => {
                 Some(rollouts::Answer::Failure)
--- a/crates/steer/src/dispatch/dispatcher/rollouts.rs
+++ b/crates/steer/src/dispatch/dispatcher/rollouts.rs
@@ -10,6 +10,7 @@
 
 use crate::dispatch::connectivity::group;
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::pace;
 use crate::dispatch::request;
 use crate::dispatch::rollout::{self, Rollouts, evidence, progress};
 use crate::dispatch::seconds;
@@ -28,6 +29,8 @@
         crowding: f64,
         /// How the upstream knew the request's object.
         familiarity: seen_objects::Familiarity,
+        /// How long work took on the upstream's machine, in percent of the usual time, if it reports it.
+        pace: Option<u32>,
     },
 }
 
@@ -75,8 +78,9 @@
         let quality = match answer {
             Answer::Failure => evidence::Quality::Failed,
             Answer::Success { .. } if known.slow_start.is_cold(now) => evidence::Quality::Good,
-            Answer::Success { latency, crowding, familiarity } => {
+            Answer::Success { latency, crowding, familiarity, pace } => {
                 let time = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
+                let time = pace::usual_time(time, pace);
                 let is_slow = time.0 > work.mean_for(familiarity).0 * evidence::SLOW_FACTOR;
                 if is_slow { evidence::Quality::Slow } else { evidence::Quality::Good }
             }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::expected_processing_time;
 use crate::dispatch::outcome;
+use crate::dispatch::pace;
 use crate::dispatch::region::distance;
 use crate::dispatch::retry_budget;
 use crate::dispatch::seconds;
@@ -72,6 +73,7 @@
         match outcome {
             outcome::Outcome::Answered { latency, crowding, object, load } => {
                 let time = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
+                let time = pace::usual_time(time, load.and_then(|load| load.pace));
                 let familiarity = object
                     .map_or(seen_objects::Familiarity::Preferred, |object| object.familiarity);
                 upstream.health.record_answer(time, work.mean_for(familiarity), in_flight, now);
@@ -116,6 +118,7 @@
 fn apply_report(upstream: &mut upstream::Upstream, report: Option<load::Report>, now: Instant) {
     if let Some(report) = report {
         upstream.load.record_report(report, now);
+        upstream.pace.record(report.pace, now);
     }
 }
 
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -12,7 +12,7 @@
 //! leaves its region), [`admission`] (whether it may wait), [`retry`] and [`retry_budget`] (whether
 //! it is retried), [`give_up`] (the error response to its caller).
 //!
-//! State per upstream: [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
+//! State per upstream: [`pace`], [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
 //! (combined in [`health`]), [`slow_start`] and [`slow_start_owner`], [`reported_load`],
 //! [`peer_load`], [`lapsed`] entries, and the upstream's own statements: [`upstream_limit`],
 //! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`]. State per service and
@@ -41,6 +41,7 @@
 pub mod leaving;
 pub mod outcome;
 pub mod overflow;
+pub mod pace;
 pub mod peer_load;
 pub mod position;
 pub mod preference;
--- a/crates/steer/src/dispatch/selection.rs
+++ b/crates/steer/src/dispatch/selection.rs
@@ -43,6 +43,8 @@
     familiarity: seen_objects::Familiarity,
     wait: seconds::Seconds,
     cost: f64,
+    /// Factor by which work takes longer there than usual at this moment.
+    pace: f64,
     load_age: Duration,
 }
 
@@ -94,9 +96,11 @@
             max_wait: self.max_wait,
             work: self.work.mean(),
             mean_latency: seconds::Seconds(
-                chosen.wait.0 + self.work.mean_for(chosen.familiarity).0,
+                chosen.wait.0 + self.work.mean_for(chosen.familiarity).0 * chosen.pace,
+            ),
+            cautious_latency: seconds::Seconds(
+                chosen.wait.0 + self.work.conservative().0 * chosen.pace,
             ),
-            cautious_latency: seconds::Seconds(chosen.wait.0 + self.work.conservative().0),
             load_age: chosen.load_age,
             avoided: None,
             skipped: Vec::new(),
@@ -135,12 +139,13 @@
         _ => affinity_factor,
     };
     let failure_factor = 1.0 + upstream.health.failure_rate(now) * FAILURE_COST_FACTOR;
-    let time = upstream.health.processing_time(work.mean(), now).0 * upstream.crowding(now);
+    let time = upstream.processing_time(work.mean(), now).0 * upstream.crowding(now);
     ScoredUpstream {
         entry: sync::Arc::clone(&upstream.entry),
         familiarity,
         wait: upstream.wait(work.mean(), now),
         cost: time * object_factor * failure_factor,
+        pace: upstream.pace.get(now),
         load_age: upstream.load.age(now),
     }
 }
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -10,6 +10,7 @@
 use model::id;
 
 use crate::dispatch::health;
+use crate::dispatch::pace;
 use crate::dispatch::peer_load;
 use crate::dispatch::reported_load;
 use crate::dispatch::seconds;
@@ -27,6 +28,8 @@
     pub region: id::Region,
     /// Requests in flight and reported load.
     pub load: reported_load::Load,
+    /// How long work takes on its machine at this moment.
+    pub pace: pace::Pace,
     /// Health as observed by this node.
     pub health: health::Health,
     /// Objects of the upstream's latest responses to this node.
@@ -59,6 +62,7 @@
             key,
             region,
             load: reported_load::Load::new(now),
+            pace: pace::Pace::default(),
             health: health::Health::new(now),
             objects: seen_objects::Objects::default(),
             slow_start,
@@ -92,11 +96,20 @@
         ((self.load.requests(now) + 1.0) / slots).max(1.0)
     }
 
+    /// Returns the expected processing time of a request that is sent now, without queueing.
+    #[must_use]
+    pub fn processing_time(
+        &self,
+        service_mean: seconds::Seconds,
+        now: Instant,
+    ) -> seconds::Seconds {
+        let usual = self.health.processing_time(service_mean, now);
+        seconds::Seconds(usual.0 * self.pace.get(now))
+    }
+
     /// Returns how long one more request would queue, given the service's mean processing time.
     #[must_use]
     pub fn wait(&self, service_mean: seconds::Seconds, now: Instant) -> seconds::Seconds {
-        seconds::Seconds(
-            self.health.processing_time(service_mean, now).0 * (self.crowding(now) - 1.0),
-        )
+        seconds::Seconds(self.processing_time(service_mean, now).0 * (self.crowding(now) - 1.0))
     }
 }
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod entries;
 mod health;
 mod limits;
+mod pace;
 mod regions;
 mod restarts;
 mod setup;
--- /dev/null
+++ b/crates/steer/tests/dispatch/pace.rs
@@ -0,0 +1,95 @@
+//! Pace: what upstreams report of how long work takes at the moment.
+
+use std::time::{Duration, Instant};
+
+use model::{discovery, id, load};
+use steer::dispatch::seconds::Seconds;
+use steer::dispatch::{dispatcher, outcome, pace, request, urgency};
+
+use crate::setup;
+
+fn report(pace: Option<u32>) -> load::Report {
+    load::Report { running: 0, waiting: 0, slots: 4, pace }
+}
+
+/// Returns the chosen upstream's expected work and mean latency, in seconds.
+fn estimate(dispatcher: &mut dispatcher::Dispatcher, key: u64, now: Instant) -> (f64, f64) {
+    let (route, service) = (setup::route(&[]), id::Service::new("desk"));
+    let request = request::Request {
+        route: &route,
+        service: &service,
+        key,
+        tried: &[],
+        time_left: Duration::from_secs(2),
+        homes: &[],
+        urgency: urgency::Urgency::of(&route, None),
+    };
+    let chosen = dispatcher.choose(&request, now).expect("all are idle");
+    (chosen.work.0, chosen.mean_latency.0)
+}
+
+fn answer(
+    dispatcher: &mut dispatcher::Dispatcher,
+    at: &discovery::Entry,
+    latency: Duration,
+    pace: Option<u32>,
+    now: Instant,
+) {
+    dispatcher.sent(&at.id, true, now);
+    let load = Some(report(pace));
+    let outcome = outcome::Outcome::Answered { latency, crowding: 1.0, object: None, load };
+    dispatcher.ended(at, outcome, latency, now);
+}
+
+/// Guards against a mean that follows the pace of the machines at the moment.
+#[test]
+fn pace_does_not_change_what_is_learned() {
+    let began = Instant::now();
+    let learned = |pace: Option<u32>, latency: u64| {
+        let mut dispatcher = setup::dispatcher("n");
+        setup::set(&mut dispatcher, &setup::six_upstreams()[..2], began);
+        for number in 0..200 {
+            let now = began + Duration::from_millis(10) * number;
+            let at = setup::entry("i-0", "n-1");
+            answer(&mut dispatcher, &at, Duration::from_millis(latency), pace, now);
+        }
+        // The last pace no longer counts after a few seconds.
+        estimate(&mut dispatcher, 1, began + Duration::from_secs(8))
+    };
+    let usual = learned(None, 120);
+    let slow = learned(Some(300), 360);
+    assert!((usual.0 - slow.0).abs() < 1e-6, "{usual:?} {slow:?}");
+    assert!((usual.1 - slow.1).abs() < 1e-3, "{usual:?} {slow:?}");
+}
+
+/// Guards against requests that are sent where work takes long at the moment, and against an upstream
+/// that is avoided for longer than its pace lasts.
+#[test]
+fn pace_keeps_requests_away_for_a_moment() {
+    let now = Instant::now();
+    let mut dispatcher = setup::dispatcher("n");
+    setup::set(&mut dispatcher, &setup::six_upstreams()[..2], now);
+    let preferred = setup::choose(&mut dispatcher, &setup::route(&[]), 7, now).expect("idle");
+    answer(&mut dispatcher, &preferred, Duration::from_millis(1_000), Some(400), now);
+    let chosen = |dispatcher: &mut dispatcher::Dispatcher, at| {
+        setup::choose(dispatcher, &setup::route(&[]), 7, at).expect("idle").id.clone()
+    };
+    assert_ne!(chosen(&mut dispatcher, now), preferred.id);
+    let later = now + Duration::from_millis(500);
+    assert_eq!(chosen(&mut dispatcher, later), preferred.id);
+}
+
+/// Guards against a report that makes a time zero or endless.
+#[test]
+fn pace_that_is_beyond_belief_is_bounded() {
+    let now = Instant::now();
+    for (percent, expected) in [(0, 0.4), (1, 0.4), (100, 0.1), (250, 0.04), (u32::MAX, 0.025)] {
+        let usual = pace::usual_time(Seconds(0.1), Some(percent));
+        assert!((usual.0 - expected).abs() < 1e-9, "{percent}: {usual:?}");
+        let mut latest = pace::Pace::default();
+        latest.record(Some(percent), now);
+        assert!((0.25..=4.0).contains(&latest.get(now)));
+        assert!((latest.get(now + Duration::from_secs(4)) - 1.0).abs() < 1e-6);
+    }
+    assert!((pace::Pace::default().get(now) - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/steer/tests/rollout.rs
+++ b/crates/steer/tests/rollout.rs
@@ -284,6 +284,7 @@
                 latency,
                 crowding,
                 familiarity: seen_objects::Familiarity::Preferred,
+                pace: None,
             },
         };
         gateway.judge(&chosen.entry, &route.name, answer, now);
