Splits follow a forecast only once it has shown skill

Half of the cold runs were of moved objects; moves by a forecast that has yet to learn the wave come too late.

Change: each forecast is compared with what is measured at the end of its horizon, and with equal shares. Splits follow it where its squared error is at most 0.4 of that of equal shares, and no longer where it is above 0.8. What was learned is kept while the reports of a region are lost.

--- a/crates/steer/src/dispatch/region/demand/forecast.rs
+++ b/crates/steer/src/dispatch/region/demand/forecast.rs
@@ -32,11 +32,15 @@
 /// Between 0.05 and 0.5, results of a fluid model hardly differ.
 const PRIOR_WEIGHT: f64 = 0.2;
 
-/// Measured shares at one time.
+/// Time over which the errors of the forecast are averaged.
+const ERROR_MEMORY: Duration = Duration::from_secs(15);
+
+/// Measured shares at one time, and those that were expected then for the end of the horizon.
 #[derive(Clone, Debug)]
 struct Sample {
     at: Instant,
     shares: Shares,
+    expected: Shares,
 }
 
 /// Sums of a linear regression with two inputs, without an intercept.
@@ -101,6 +105,8 @@
     mean: Shares,
     samples: collections::VecDeque<Sample>,
     regression: Regression,
+    /// Mean squared errors of this forecast and of equal shares; `None` until a forecast was due.
+    errors: Option<(f64, f64)>,
 }
 
 impl Forecast {
@@ -110,8 +116,13 @@
         Self {
             began: now,
             mean: shares.clone(),
-            samples: collections::VecDeque::from([Sample { at: now, shares }]),
+            samples: collections::VecDeque::from([Sample {
+                at: now,
+                expected: shares.clone(),
+                shares,
+            }]),
             regression: Regression::default(),
+            errors: None,
         }
     }
 
@@ -121,10 +132,25 @@
         self.mean.keys().eq(shares.keys())
     }
 
+    /// Forgets the measured shares, but not what was learned from them.
+    pub fn interrupt(&mut self) {
+        self.samples.clear();
+    }
+
+    /// Returns by how much the squared error of the forecast is below that of equal shares, as a
+    /// fraction of the latter; zero until a forecast was due.
+    #[must_use]
+    pub fn skill(&self) -> f64 {
+        match self.errors {
+            Some((error, equal)) if equal > 0.0 => 1.0 - error / equal,
+            _ => 0.0,
+        }
+    }
+
     /// Records measured shares, and learns from what was known `horizon` ago.
     pub fn record(&mut self, shares: Shares, horizon: Duration, now: Instant) {
-        let last = self.samples.back().map_or(self.began, |sample| sample.at);
-        let elapsed = now.saturating_duration_since(last);
+        let last = self.samples.back().map(|sample| sample.at);
+        let elapsed = last.map_or(SAMPLE_INTERVAL, |last| now.saturating_duration_since(last));
         if elapsed < SAMPLE_INTERVAL {
             return;
         }
@@ -135,13 +161,38 @@
         for (region, mean) in &mut self.mean {
             *mean += (shares.get(region).copied().unwrap_or(0.0) - *mean) * weight;
         }
-        self.samples.push_back(Sample { at: now, shares });
+        let expected = shares.clone();
+        self.samples.push_back(Sample { at: now, shares, expected });
         while self.samples.front().is_some_and(|sample| {
             now.saturating_duration_since(sample.at) > horizon + LAG + MAX_AGE_ERROR
         }) {
             self.samples.pop_front();
         }
-        self.learn(horizon, elapsed.min(MAX_AGE_ERROR), kept, now);
+        let elapsed = elapsed.min(MAX_AGE_ERROR);
+        self.learn(horizon, elapsed, kept, now);
+        self.record_errors(horizon, elapsed, now);
+        let expected = self.expected(now);
+        if let Some(latest) = self.samples.back_mut() {
+            latest.expected = expected;
+        }
+    }
+
+    /// Compares the measured shares with those that were expected a horizon ago, and with equal ones.
+    fn record_errors(&mut self, horizon: Duration, elapsed: Duration, now: Instant) {
+        let (Some(then), Some(latest)) = (self.sample(horizon, now), self.samples.back()) else {
+            return;
+        };
+        #[expect(clippy::cast_precision_loss, reason = "a handful of regions")]
+        let equal = 1.0 / self.mean.len().max(1) as f64;
+        let squared = |of: &dyn Fn(&id::Region) -> f64| -> f64 {
+            latest.shares.iter().map(|(region, share)| (of(region) - share).powi(2)).sum()
+        };
+        let error = squared(&|region| then.expected.get(region).copied().unwrap_or(equal));
+        let equal = squared(&|_| equal);
+        let weight = 1.0 - (-elapsed.as_secs_f64() / ERROR_MEMORY.as_secs_f64()).exp();
+        let (mean, mean_equal) = self.errors.unwrap_or((error, equal));
+        self.errors =
+            Some((mean + (error - mean) * weight, mean_equal + (equal - mean_equal) * weight));
     }
 
     fn learn(&mut self, horizon: Duration, elapsed: Duration, kept: f64, now: Instant) {
--- a/crates/steer/src/dispatch/region/demand/mod.rs
+++ b/crates/steer/src/dispatch/region/demand/mod.rs
@@ -61,6 +61,14 @@
 /// Waves pass through equal demand twice in each period.
 const EVEN_AFTER: Duration = Duration::from_secs(10);
 
+/// Skill of the forecast from which splits follow it.
+///
+/// Moves by a forecast that has yet to learn a wave come too late, and cost cold runs besides.
+const MIN_SKILL: f64 = 0.6;
+
+/// Skill below which splits no longer follow the forecast.
+const LOST_SKILL: f64 = 0.2;
+
 /// Load of a region, in requests that run at once per slot, above which splits move.
 ///
 /// Each move makes objects run at their full work until the new region knows them, so none is made
@@ -282,7 +290,9 @@
         self.record(rates, now);
         let total: f64 = self.levels.values().sum();
         if rates.len() < 2 || self.levels.len() < rates.len() || total <= 0.0 {
-            self.forecast = None;
+            if let Some(forecast) = &mut self.forecast {
+                forecast.interrupt();
+            }
             self.shares = None;
             self.since = None;
             return;
@@ -325,9 +335,10 @@
             return true;
         }
         let deviation = self.deviation();
+        let skill = self.forecast.as_ref().map_or(0.0, Forecast::skill);
         let (changes, delay) = match is_uneven {
-            true => (deviation < EVEN_DEVIATION, EVEN_AFTER),
-            false => (deviation > UNEVEN_DEVIATION, UNEVEN_AFTER),
+            true => (deviation < EVEN_DEVIATION || skill < LOST_SKILL, EVEN_AFTER),
+            false => (deviation > UNEVEN_DEVIATION && skill > MIN_SKILL, UNEVEN_AFTER),
         };
         if !changes {
             self.since = None;
