Load reports name the upstreams that are slow at this moment

What one gateway saw came too late for its own next request there.

Change: load reports (tag 16) carry key and pace of the upstreams whose latest answer since the last report showed a pace of 150 or more, at most 100 of them, once each. Receivers take it as the upstream's latest pace, which decays within 300 ms (200 ms before), unless they saw one themselves within 150 ms. Sums of regions carry none, since they would come too late. Nothing is sent where no upstream reports a pace; old builds skip the field.

Result: unit tests; not measured on a deployment.

--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -9,6 +9,7 @@
 use model::{id, limit};
 use prost::Message as _;
 use steer::dispatch::leaving;
+use steer::dispatch::pace;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
 use steer::dispatch::region::demand::report as demand;
@@ -58,6 +59,8 @@
     pub rollouts: Vec<rollout::Report>,
     /// Demand by region and service.
     pub demand: Vec<demand::Rate>,
+    /// Upstreams that are slow at this moment; in sums there are none, since they would come too late.
+    pub slow: Vec<pace::Slow>,
 }
 
 /// Content of one datagram.
@@ -99,6 +102,7 @@
                 _ => Vec::new(),
             },
             demand: demand.get(number).map(|rates| encode_demand(rates)),
+            slow: (number == 0 && !content.slow.is_empty()).then(|| encode_slow(&content.slow)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -149,6 +153,13 @@
     }
 }
 
+fn encode_slow(slow: &[pace::Slow]) -> message::SlowUpstreams {
+    message::SlowUpstreams {
+        upstreams: slow.iter().map(|observed| observed.upstream.0).collect(),
+        percents: slow.iter().map(|observed| observed.percent).collect(),
+    }
+}
+
 /// Usages as the parallel lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -246,8 +257,9 @@
         let rollouts =
             rollouts.map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
         let demand = read_demand(&loads.demand.unwrap_or_default())?;
+        let slow = read_slow(&loads.slow.unwrap_or_default())?;
         let usages = figures.read()?;
-        let content = Content { requests, usages, limits, leavings, rollouts, demand };
+        let content = Content { requests, usages, limits, leavings, rollouts, demand, slow };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
@@ -269,6 +281,18 @@
     Ok(keys.iter().zip(rates).map(rate).collect())
 }
 
+fn read_slow(slow: &message::SlowUpstreams) -> Result<Vec<pace::Slow>, Malformed> {
+    let message::SlowUpstreams { upstreams, percents } = slow;
+    if upstreams.len() != percents.len() {
+        return Err(Malformed::Uneven(upstreams.len(), percents.len()));
+    }
+    let observed = |(upstream, percent): (&u32, &u32)| pace::Slow {
+        upstream: peer_load::Key(*upstream),
+        percent: *percent,
+    };
+    Ok(upstreams.iter().zip(percents).map(observed).collect())
+}
+
 fn read_announcements(
     limits: &message::Limits,
 ) -> Result<Vec<announcement::Announcement>, Malformed> {
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -78,6 +78,7 @@
             leavings: dispatcher.leavings().report_sum(&wanted, &mut self.leavings, now),
             rollouts: dispatcher.rollouts().report_sum(&wanted),
             demand: dispatcher.peer_demand(&wanted, &mut self.demand, now),
+            slow: Vec::new(),
         }
     }
 }
@@ -92,6 +93,7 @@
         leavings: dispatcher.leavings_mut().report(now),
         rollouts: dispatcher.rollouts().report(),
         demand: dispatcher.own_demand(now),
+        slow: dispatcher.slow_upstreams(now),
     }
 }
 
@@ -184,13 +186,14 @@
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits, leavings, rollouts, demand } = report.content;
+    let Content { requests, usages, limits, leavings, rollouts, demand, slow } = report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
     state.receive_leavings(&sender, &leavings, now);
     state.receive_rollouts(&report.node, &rollouts);
     let mut dispatcher = state.dispatcher.borrow_mut();
     dispatcher.set_peer_demand(report.node.clone(), demand, now);
+    dispatcher.set_peer_slow_upstreams(&slow, now);
     dispatcher.set_peer_load(report.node, requests, now);
     Ok(())
 }
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -85,6 +85,7 @@
         leavings: None,
         rollouts: Vec::new(),
         demand: None,
+        slow: None,
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/node/tests/load_reports.rs
+++ b/crates/node/tests/load_reports.rs
@@ -5,6 +5,7 @@
 use model::{id, limit};
 use node::gateway::{load_report, loads};
 use prost::Message as _;
+use steer::dispatch::pace;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
 use steer::dispatch::region::demand::report as demand;
@@ -137,6 +138,25 @@
     assert_eq!((previous.node.as_str(), previous.requests.len()), ("n-1", 3));
 }
 
+/// Guards against bytes where no upstream is slow, and against lists that do not match.
+#[test]
+fn slow_upstreams_are_read_as_they_were_written() {
+    let node = id::Node::new("n-1");
+    let slow = |number| pace::Slow { upstream: peer_load::Key(number), percent: 150 + number };
+    let sent = loads::Content { slow: (0..3).map(slow).collect(), ..of_requests(&in_flight(2)) };
+    let datagrams = loads::encode(&node, &sent);
+    let report = load_report::Report::read(&datagrams[0][1..]).expect("a report");
+    assert_eq!((datagrams.len(), &report.content), (1, &sent));
+    let none = message::Loads::decode(&loads::encode(&node, &of_requests(&in_flight(2)))[0][1..]);
+    assert_eq!(none.expect("a report").slow, None);
+    let slow = Some(message::SlowUpstreams { upstreams: vec![1], percents: Vec::new() });
+    let uneven = message::Loads { slow, ..message::Loads::default() };
+    assert_eq!(
+        load_report::Report::read(&uneven.encode_to_vec()),
+        Err(loads::Malformed::Uneven(1, 0))
+    );
+}
+
 #[test]
 fn demand_with_lists_of_different_lengths_is_malformed() {
     let demand = Some(message::Demand { keys: vec![1, 2], rates: vec![1] });
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -31,6 +31,7 @@
 use crate::dispatch::lapsed;
 use crate::dispatch::leaving;
 use crate::dispatch::overflow;
+use crate::dispatch::pace;
 use crate::dispatch::peer_load;
 use crate::dispatch::position;
 use crate::dispatch::priority;
@@ -67,6 +68,7 @@
     distances: collections::BTreeMap<id::Service, distance::Distance>,
     peers: peer_load::PeerLoads,
     demand: Demand,
+    paces: pace::Observations,
     overflow: overflow::Bucket,
     source: lapsed::Source,
     owners: slow_start_owner::Owners,
@@ -101,6 +103,7 @@
             distances: collections::BTreeMap::new(),
             peers: peer_load::PeerLoads::default(),
             demand: Demand::default(),
+            paces: pace::Observations::default(),
             overflow: overflow::Bucket::default(),
             source: lapsed::Source::default(),
             owners: slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() },
--- a/crates/steer/src/dispatch/dispatcher/peers.rs
+++ b/crates/steer/src/dispatch/dispatcher/peers.rs
@@ -5,6 +5,7 @@
 use model::id;
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::pace;
 use crate::dispatch::peer_load;
 
 impl Dispatcher {
@@ -39,6 +40,20 @@
         self.apply_peer_load(&changed);
     }
 
+    /// Returns the upstreams on which work takes long, as seen in this node's answers since its last report.
+    pub fn slow_upstreams(&mut self, now: Instant) -> Vec<pace::Slow> {
+        self.paces.report(now)
+    }
+
+    /// Records the upstreams on which work takes long, as another node saw.
+    pub fn set_peer_slow_upstreams(&mut self, slow: &[pace::Slow], now: Instant) {
+        for observed in slow {
+            self.upstreams.update_by_key(observed.upstream, |upstream| {
+                upstream.pace.record_peer(observed.percent, now);
+            });
+        }
+    }
+
     /// Drops expired reports.
     pub(super) fn expire_peer_load(&mut self, now: Instant) {
         let changed = self.peers.expire(now);
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -69,6 +69,11 @@
         }
         upstream.load.record_end();
         let in_flight = upstream.load.in_flight();
+        if let outcome::Outcome::Answered { load: Some(load), .. }
+        | outcome::Outcome::Refused { load: Some(load) } = outcome
+        {
+            self.paces.record(upstream.key, load.pace, now);
+        }
         let work = self.work.entry(upstream.entry.service.clone()).or_default();
         match outcome {
             outcome::Outcome::Answered { latency, crowding, object, load } => {
--- a/crates/steer/src/dispatch/pace.rs
+++ b/crates/steer/src/dispatch/pace.rs
@@ -7,12 +7,29 @@
 //! [`expected_processing_time`]: crate::dispatch::expected_processing_time
 //! [`processing_time_ratio`]: crate::dispatch::processing_time_ratio
 
+use std::collections;
 use std::time::{Duration, Instant};
 
+use crate::dispatch::peer_load;
 use crate::dispatch::seconds;
 
-/// Time constant with which a reported pace decays to the usual one; it changes several times a second.
-const DECAY_TIME: Duration = Duration::from_millis(200);
+/// Time constant with which a reported pace decays to the usual one.
+///
+/// On a deployment, slow phases lasted about 600 ms, of which half is left on average when an answer
+/// shows one.
+const DECAY_TIME: Duration = Duration::from_millis(300);
+
+/// Pace from which other nodes are told, in percent.
+const SLOW: u32 = 150;
+
+/// Age up to which this node's own observation comes before that of another node.
+const OWN_PRECEDENCE: Duration = Duration::from_millis(150);
+
+/// Greatest age of an observation that is reported to other nodes.
+const MAX_REPORTED_AGE: Duration = Duration::from_millis(400);
+
+/// Greatest number of upstreams in one report, which bounds its size to about 600 bytes.
+const MAX_REPORTED: usize = 100;
 
 /// Reported pace of an upstream that works as usual, in percent.
 const USUAL: f64 = 100.0;
@@ -35,6 +52,15 @@
         }
     }
 
+    /// Records the pace that another node observed just now, in percent.
+    pub fn record_peer(&mut self, percent: u32, now: Instant) {
+        let is_known =
+            self.latest.is_some_and(|(_, at)| now.saturating_duration_since(at) < OWN_PRECEDENCE);
+        if !is_known {
+            self.record(Some(percent), now);
+        }
+    }
+
     /// Returns the factor by which work is expected to take longer than usual.
     #[must_use]
     pub fn get(&self, now: Instant) -> f64 {
@@ -55,3 +81,43 @@
 pub fn usual_time(time: seconds::Seconds, percent: Option<u32>) -> seconds::Seconds {
     seconds::Seconds(time.0 / factor(percent))
 }
+
+/// An upstream on which work takes long at this moment, as reported to other nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Slow {
+    /// The upstream.
+    pub upstream: peer_load::Key,
+    /// How long work takes, in percent of the usual time.
+    pub percent: u32,
+}
+
+/// Slow upstreams that this node's latest answers showed and that it has not reported yet.
+///
+/// A node gets an answer of a given upstream every few seconds only, so nodes tell each other.
+#[derive(Clone, Debug, Default)]
+pub struct Observations {
+    by_upstream: collections::BTreeMap<peer_load::Key, (u32, Instant)>,
+}
+
+impl Observations {
+    /// Records the pace of a response, in percent.
+    pub fn record(&mut self, upstream: peer_load::Key, percent: Option<u32>, now: Instant) {
+        match percent {
+            Some(percent) if percent >= SLOW => {
+                self.by_upstream.insert(upstream, (percent, now));
+            }
+            _ => _ = self.by_upstream.remove(&upstream),
+        }
+    }
+
+    /// Returns what was observed since the last report; empty where no upstream is slow.
+    pub fn report(&mut self, now: Instant) -> Vec<Slow> {
+        let observed = std::mem::take(&mut self.by_upstream).into_iter();
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) <= MAX_REPORTED_AGE;
+        let fresh = observed.filter(|(_, (_, at))| is_fresh(*at));
+        fresh
+            .map(|(upstream, (percent, _))| Slow { upstream, percent })
+            .take(MAX_REPORTED)
+            .collect()
+    }
+}
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -51,6 +51,20 @@
     /// Rates of requests that arrive in each region for each service.
     #[prost(message, optional, tag = "15")]
     pub demand: Option<Demand>,
+    /// Upstreams on which work takes long at this moment.
+    #[prost(message, optional, tag = "16")]
+    pub slow: Option<SlowUpstreams>,
+}
+
+/// Upstreams on which work takes long at this moment, as parallel lists.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlowUpstreams {
+    /// Hashes of the upstream names.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub upstreams: Vec<u32>,
+    /// How long work takes, in percent of the usual time.
+    #[prost(uint32, repeated, tag = "2")]
+    pub percents: Vec<u32>,
 }
 
 /// Rates of callers' requests by region and service, retries by gateways not counted, as parallel lists.
