--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::common::logging;
+use crate::gateway::demand_metrics;
 use crate::gateway::organisation_metrics;
 use crate::gateway::unknown_headers;
 
@@ -217,6 +218,8 @@
     pub held: Gauge,
     /// Upstreams that name a limit.
     pub upstreams_limited: Gauge,
+    /// Demand of regions.
+    pub demand: demand_metrics::Gauges,
     /// Time from a request to the end of its answer.
     pub latency: Latencies,
 }
@@ -301,6 +304,7 @@
                 writeln!(text, "# TYPE yokespoke_{name} gauge\nyokespoke_{name} {}", gauge.0.get());
         }
         self.organisations.write(&mut text);
+        self.demand.write(&mut text);
         self.unknown_headers.write(&mut text);
         self.latency.write(&mut text);
         text
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod control_server;
 pub mod datagram;
 pub mod declarations;
+pub mod demand_metrics;
 pub mod dialect;
 pub mod directory;
 pub mod extracts;
--- a/crates/node/src/gateway/state/gauges.rs
+++ b/crates/node/src/gateway/state/gauges.rs
@@ -20,6 +20,7 @@
         let dispatcher = self.dispatcher.borrow();
         let ejected = dispatcher.upstreams().filter(|u| u.health.is_ejected(now)).count();
         let unreached = dispatcher.unreached_groups().count();
+        figures.demand.set(dispatcher.demand());
         drop(dispatcher);
         figures.upstreams_ejected.set(u32::try_from(ejected).unwrap_or(u32::MAX).into());
         figures.groups_unreached.set(u32::try_from(unreached).unwrap_or(u32::MAX).into());
--- a/crates/node/tests/load_reports.rs
+++ b/crates/node/tests/load_reports.rs
@@ -1,17 +1,47 @@
 //! Load reports: long ones go into several datagrams, and nothing malformed is applied.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use model::{id, limit};
-use node::gateway::{load_report, loads};
+use model::{fraction, id, limit};
+use node::gateway::{demand_metrics, load_report, loads};
 use prost::Message as _;
+use steer::common::ramp;
 use steer::dispatch::pace;
 use steer::dispatch::peer_load;
 use steer::dispatch::quota::usage;
-use steer::dispatch::region::demand::report as demand;
+use steer::dispatch::region::demand::{Demand, report as demand};
 use steer::dispatch::upstream_limit::{self, announcement::Announcement};
+use steer::dispatch::{region, seconds};
 use wire::gateway::loads as message;
 
+/// Guards against gauges that are written where no demand is known, and against labels that break the
+/// format.
+#[test]
+fn demand_is_written_as_gauges() {
+    let gauges = demand_metrics::Gauges::default();
+    let mut text = String::new();
+    gauges.write(&mut text);
+    assert_eq!(text, "");
+    let mut demand = Demand::default();
+    let regions = ["north", "so\"uth"].map(id::Region::new);
+    let service = id::Service::new("desk");
+    let now = Instant::now();
+    let rate = |region| demand::Rate { key: demand::Key::of(region, &service), per_second: 2.5 };
+    demand.receive(id::Node::new("+all"), regions.iter().map(rate).collect(), now);
+    let limit = ramp::Limit { share: fraction::Fraction::ONE, window: Duration::from_secs(2) };
+    let capacity = |_: &id::Service| region::demand::Capacity {
+        regions: Vec::new(),
+        work: seconds::Seconds(0.1),
+    };
+    demand.tick(&regions[0], &regions, [&service].into_iter(), limit, capacity, now);
+    gauges.set(&demand);
+    gauges.write(&mut text);
+    let expected = "# TYPE yokespoke_demand_per_second gauge\n\
+        yokespoke_demand_per_second{service=\"desk\",region=\"north\"} 2.5\n\
+        yokespoke_demand_per_second{service=\"desk\",region=\"so\\\"uth\"} 2.5\n";
+    assert_eq!(text, expected);
+}
+
 fn in_flight(count: u32) -> Vec<(peer_load::Key, u32)> {
     (0..count).map(|number| (peer_load::Key(number), 1 + number % 7)).collect()
 }
