--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -65,6 +65,10 @@
             let distance = self.distances.entry(request.service.clone()).or_default();
             distance.record_request(request.route.target_latency);
             self.overflow.refill(self.bounds.greatest_shift);
+            // The split follows demand only where requests may go to any region.
+            if request.homes.is_empty() {
+                self.demand.record(request.service, now);
+            }
         }
         let chosen = self.choose_version(request, now);
         if request.is_first_try() {
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::expected_processing_time;
 use crate::dispatch::outcome;
+use crate::dispatch::pace;
 use crate::dispatch::region::distance;
 use crate::dispatch::retry_budget;
 use crate::dispatch::seconds;
@@ -69,12 +70,18 @@
         }
         upstream.load.record_end();
         let in_flight = upstream.load.in_flight();
+        if let outcome::Outcome::Answered { load: Some(load), .. }
+        | outcome::Outcome::Refused { load: Some(load) } = outcome
+        {
+            self.paces.record(upstream.key, load.pace, now);
+        }
         let work = self.work.entry(upstream.entry.service.clone()).or_default();
         let has_silent_timeout =
             outcome == outcome::Outcome::TimedOut && upstream.health.is_silent(work.mean(), now);
         match outcome {
             outcome::Outcome::Answered { latency, crowding, object, load } => {
                 let time = seconds::Seconds(latency.as_secs_f64() / crowding.max(1.0));
+                let time = pace::usual_time(time, load.and_then(|load| load.pace));
                 let familiarity = object
                     .map_or(seen_objects::Familiarity::Preferred, |object| object.familiarity);
                 upstream.health.record_answer(time, work.mean_for(familiarity), in_flight, now);
@@ -123,6 +130,7 @@
 fn apply_report(upstream: &mut upstream::Upstream, report: Option<load::Report>, now: Instant) {
     if let Some(report) = report {
         upstream.load.record_report(report, now);
+        upstream.pace.record(report.pace, now);
     }
 }
 
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -3,9 +3,11 @@
 mod changes;
 mod choice;
 mod connectivity;
+mod demand;
 mod entries;
 mod health;
 mod limits;
+mod pace;
 mod regions;
 mod restarts;
 mod setup;
