Slots: gateways ask, answer and release by datagram

Nothing is sent and no task runs before the first ask.

Result: tests with several gateways and one upstream: none turned away once asks began, urgent requests first, owner or asking gateway killed, a gateway with slots off beside one with slots, malformed datagrams.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -20,6 +20,7 @@
 
 use crate::gateway::directory;
 use crate::gateway::peer;
+use crate::gateway::slots;
 use crate::gateway::state;
 use crate::gateway::store_calls;
 
@@ -42,7 +43,8 @@
         peer::CHANGES => changes(state, request.uri().query().unwrap_or_default()),
         METRICS => {
             state.update_gauges(Instant::now());
-            with_type("text/plain; version=0.0.4", state.metrics.text().into_bytes())
+            let text = state.metrics.text() + &slots::text(state);
+            with_type("text/plain; version=0.0.4", text.into_bytes())
         }
         DUMP => with_type("application/json", dump(state)),
         RELEASE if request.method() == Method::POST => {
@@ -107,7 +109,7 @@
     let unreached: Vec<String> =
         unreached.map(|(service, region)| format!("{service}@{region}")).collect();
     let replica = state.replica.borrow();
-    let dump = serde_json::json!({
+    let mut dump = serde_json::json!({
         "me": *state.me.borrow(),
         "store_reached": state.is_store_reached(),
         "store_calls": store_calls(state, now),
@@ -124,6 +126,10 @@
         "splits": splits(&dispatcher),
         "upstreams": upstreams(&dispatcher, now),
     });
+    let slots = slots::shown(state, now);
+    if !slots.is_empty() {
+        dump["slots"] = slots.into();
+    }
     serde_json::to_vec_pretty(&dump).unwrap_or_else(|error| {
         log_not_written("dump", &error);
         Vec::new()
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -18,6 +18,7 @@
 use crate::gateway::member;
 use crate::gateway::metrics;
 use crate::gateway::quarantine;
+use crate::gateway::slots;
 use crate::gateway::state;
 
 /// Pause after a failed receive, so that a persistent failure does not keep the thread busy.
@@ -96,7 +97,7 @@
             state.metrics.foreign.add(1);
             continue;
         }
-        if let Err(error) = apply(&state, &socket, datagram, member) {
+        if let Err(error) = apply(&state, &socket, from, datagram, member) {
             state.metrics.malformed_datagrams.add(1);
             faults.log(Some(from), &error, Instant::now());
         }
@@ -129,8 +130,9 @@
 
 /// Applies a datagram of another node; `member` is its content if it is a heartbeat.
 fn apply(
-    state: &state::State,
+    state: &rc::Rc<state::State>,
     socket: &UdpSocket,
+    from: net::SocketAddr,
     datagram: &[u8],
     member: Option<member::Member>,
 ) -> anyhow::Result<()> {
@@ -139,6 +141,7 @@
         [wire::gateway::loads::MARK, loads @ ..] => Ok(loads::receive(state, loads)?),
         [wire::gateway::quarantine::MARK, report @ ..] => Ok(quarantine::receive(state, report)?),
         [wire::gateway::facts::MARK, facts @ ..] => Ok(facts::receive(state, facts)?),
+        [wire::gateway::slots::MARK, slots @ ..] => Ok(slots::receive(state, from, slots)?),
         [wire::gateway::heartbeat::MARK, ..] => {
             take_heartbeat(state, socket, member.context("no heartbeat")?);
             Ok(())
--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -21,6 +21,9 @@
 /// Maximum number of upstreams in one datagram, about 8 KB.
 const MOST_UPSTREAMS: usize = 1_000;
 
+/// Maximum number of upstreams with held slots, and with queued asks, in one datagram, about 4 KB.
+const MOST_COUNTED: usize = 250;
+
 /// Maximum number of organisations in one datagram, about 4 KB.
 const MOST_ORGANISATIONS: usize = 500;
 
@@ -52,6 +55,10 @@
     pub leavings: Vec<leaving::Announcement>,
     /// Answers by version, for each roll-out in progress.
     pub rollouts: Vec<rollout::Report>,
+    /// Requests in flight that hold a slot, by upstream.
+    pub held: Vec<(peer_load::Key, u32)>,
+    /// Asks queued at the owner of the upstream's slots, by upstream.
+    pub queued: Vec<(peer_load::Key, u32)>,
 }
 
 /// Content of one datagram.
@@ -78,8 +85,11 @@
     let sends: Vec<_> = content.limits.usages.chunks(MOST_LIMITED).collect();
     let announcements: Vec<_> = content.limits.announcements.chunks(MOST_LIMITED).collect();
     let leavings: Vec<_> = content.leavings.chunks(MOST_LEAVING).collect();
+    let held: Vec<_> = content.held.chunks(MOST_COUNTED).collect();
+    let queued: Vec<_> = content.queued.chunks(MOST_COUNTED).collect();
     let limited = sends.len().max(announcements.len());
-    let parts = [loads.len(), usages.len(), limited, leavings.len(), 1].into_iter().max();
+    let counted = held.len().max(queued.len());
+    let parts = [loads.len(), usages.len(), limited, leavings.len(), counted, 1].into_iter().max();
     let part = |number: usize| {
         let loads = message::Loads {
             node: name(number),
@@ -90,6 +100,8 @@
                 0 => content.rollouts.iter().map(rollout_report::encode).collect(),
                 _ => Vec::new(),
             },
+            held: held.get(number).map(|held| encode_counts(held)),
+            queued: queued.get(number).map(|queued| encode_counts(queued)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -133,6 +145,13 @@
     }
 }
 
+fn encode_counts(counts: &[(peer_load::Key, u32)]) -> message::Counts {
+    message::Counts {
+        upstreams: counts.iter().map(|(key, _)| key.0).collect(),
+        counts: counts.iter().map(|(_, count)| *count).collect(),
+    }
+}
+
 /// Usages as the parallel lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -229,7 +248,10 @@
             loads.rollouts.iter().map(rollout_report::read).collect();
         let rollouts =
             rollouts.map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
-        let content = Content { requests, usages: figures.read()?, limits, leavings, rollouts };
+        let held = read_counts(loads.held.unwrap_or_default())?;
+        let queued = read_counts(loads.queued.unwrap_or_default())?;
+        let usages = figures.read()?;
+        let content = Content { requests, usages, limits, leavings, rollouts, held, queued };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
@@ -239,6 +261,14 @@
     Figures { keys, asked, admitted, excess, debts }.read()
 }
 
+fn read_counts(counts: message::Counts) -> Result<Vec<(peer_load::Key, u32)>, Malformed> {
+    let message::Counts { upstreams, counts } = counts;
+    if upstreams.len() != counts.len() {
+        return Err(Malformed::Uneven(upstreams.len(), counts.len()));
+    }
+    Ok(upstreams.into_iter().map(peer_load::Key).zip(counts).collect())
+}
+
 fn read_announcements(
     limits: &message::Limits,
 ) -> Result<Vec<announcement::Announcement>, Malformed> {
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -40,7 +40,7 @@
         if had_any || own != Content::default() {
             report_own(&state, &socket, &own);
         }
-        had_any = !own.requests.is_empty();
+        had_any = !own.requests.is_empty() || !own.queued.is_empty();
         forward_sums(&state, &socket, &mut sums);
     }
 }
@@ -75,6 +75,8 @@
             limits: dispatcher.limits_mut().report_sum(&wanted, &mut self.limits, now),
             leavings: dispatcher.leavings().report_sum(&wanted, &mut self.leavings, now),
             rollouts: dispatcher.rollouts().report_sum(&wanted),
+            held: dispatcher.peer_held(&wanted, now),
+            queued: dispatcher.queued(&wanted, now),
         }
     }
 }
@@ -88,6 +90,8 @@
         limits: dispatcher.limits_mut().report(now),
         leavings: dispatcher.leavings_mut().report(now),
         rollouts: dispatcher.rollouts().report(),
+        held: dispatcher.held(),
+        queued: state.slots.queued(),
     }
 }
 
@@ -180,11 +184,14 @@
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits, leavings, rollouts } = report.content;
+    let Content { requests, usages, limits, leavings, rollouts, held, queued } = report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
     state.receive_leavings(&sender, &leavings, now);
     state.receive_rollouts(&report.node, &rollouts);
-    state.dispatcher.borrow_mut().set_peer_load(report.node, requests, now);
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.set_peer_held(report.node.clone(), held, now);
+    dispatcher.set_queued(report.node.clone(), queued, now);
+    dispatcher.set_peer_load(report.node, requests, now);
     Ok(())
 }
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -151,6 +151,21 @@
         self.known.contains_key(node) || self.listed.contains_key(node)
     }
 
+    /// Returns whether a node was alive and has stopped sending heartbeats.
+    ///
+    /// Most nodes of other regions send no heartbeats here, so a node without any is not counted as dead.
+    #[must_use]
+    pub fn is_dead(&self, node: &id::Node, now: Instant) -> bool {
+        self.known.get(node).is_some_and(|known| !self.is_alive(known, now))
+    }
+
+    /// Returns the address for other nodes of a live node.
+    #[must_use]
+    pub fn address(&self, node: &id::Node, now: Instant) -> Option<net::SocketAddr> {
+        let known = self.known.get(node).filter(|known| self.is_alive(known, now))?;
+        Some(known.member.peers)
+    }
+
     /// Returns the number of other nodes that are known or registered.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -217,6 +232,16 @@
         representatives::of_regions(far.map(|m| (&m.region, m)))
     }
 
+    /// Returns the first live representative of another region.
+    #[must_use]
+    pub fn first_far_representative(
+        &self,
+        region: &id::Region,
+        now: Instant,
+    ) -> Option<&member::Member> {
+        self.alive(now).find(|member| member.region == *region && !member.is_leaving)
+    }
+
     /// Returns the addresses that the `turn`-th heartbeat of `me` is sent to.
     #[must_use]
     pub fn addresses(
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod rollout_report;
 pub mod settings;
 pub mod shutdown;
+pub mod slots;
 pub mod state;
 pub mod store_calls;
 pub mod sync;
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -71,6 +71,7 @@
         let datagrams = rc::Rc::new(datagrams);
         let source = settings.source();
         let state = rc::Rc::new(state::State::new(settings, incarnation()));
+        state.slots.set_socket(rc::Rc::clone(&datagrams));
         let open = rc::Rc::new(server::Open::default());
         let (close, closed) = watch::channel(false);
         let pool = rc::Rc::new(pool::Pool::default());
--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -16,6 +16,7 @@
 use steer::dispatch::retry;
 use steer::dispatch::seen_objects;
 
+use crate::gateway::slots;
 use crate::gateway::state;
 
 /// An attempt in flight. Dropping it reports it as timed out or abandoned.
@@ -32,6 +33,8 @@
     crowding: f64,
     deadline: Instant,
     is_reported: bool,
+    /// The slot of the upstream that the attempt holds, if it needs one; released after the end was reported.
+    slot: Option<slots::Guard>,
 }
 
 impl Attempt {
@@ -42,6 +45,7 @@
         choice: &retry::Choice,
         route: &id::Route,
         deadline: Instant,
+        slot: Option<slots::Guard>,
     ) -> Self {
         let now = Instant::now();
         let retry::Choice { upstream, is_first, object, .. } = choice;
@@ -51,6 +55,9 @@
         if dispatcher.is_lapsed(&upstream.id) {
             state.metrics.tries_lapsed.add(1);
         }
+        if let Some(owner) = slot.as_ref().and_then(slots::Guard::owner) {
+            dispatcher.record_held(upstream, owner);
+        }
         drop(dispatcher);
         Self {
             state: rc::Rc::clone(state),
@@ -62,6 +69,7 @@
             crowding,
             deadline,
             is_reported: false,
+            slot,
         }
     }
 
@@ -105,6 +113,9 @@
             dispatcher.judge(&self.upstream, &self.route, answer, now);
         }
         dispatcher.ended(&self.upstream, outcome, waited, now);
+        if let Some(owner) = self.slot.as_ref().and_then(slots::Guard::owner) {
+            dispatcher.record_released(&self.upstream, owner);
+        }
     }
 
     /// Returns the result that counts for the upstream's version; `None` if the upstream did not
--- a/crates/node/src/gateway/proxy/tries/choice.rs
+++ b/crates/node/src/gateway/proxy/tries/choice.rs
@@ -15,14 +15,7 @@
 impl<'a> Tries<'a> {
     /// Selects the upstream of the next try.
     pub(super) fn choose(&mut self) -> Result<retry::Choice, give_up::Reason> {
-        if self.is_revoked() {
-            return Err(self.progress.reason_after_revocation());
-        }
-        self.held = self.identity.check();
-        if let Some(hold) = self.held {
-            self.server.state.metrics.held_back.add(1);
-            return Err(self.progress.reason_in_quarantine(hold.retry_after));
-        }
+        self.check()?;
         let request = self.for_choice();
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         let chosen = self.progress.choose(request, &mut dispatcher, Instant::now());
@@ -35,8 +28,21 @@
         chosen
     }
 
+    /// Checks whether the request may still be sent: its key is valid, and it is not quarantined.
+    pub(super) fn check(&mut self) -> Result<(), give_up::Reason> {
+        if self.is_revoked() {
+            return Err(self.progress.reason_after_revocation());
+        }
+        self.held = self.identity.check();
+        if let Some(hold) = self.held {
+            self.server.state.metrics.held_back.add(1);
+            return Err(self.progress.reason_in_quarantine(hold.retry_after));
+        }
+        Ok(())
+    }
+
     /// Returns the properties of the request that the dispatch rules use.
-    fn for_choice(&self) -> retry::Request<'a> {
+    pub(super) fn for_choice(&self) -> retry::Request<'a> {
         retry::Request {
             route: self.request.route,
             service: self.request.service,
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -1,11 +1,12 @@
 //! Tries: sends a request to upstreams until one responds or the request fails.
 //!
-//! Owns the progress of one request. `choice` selects the upstream of each try, and `sending` sends
-//! the request there.
+//! Owns the progress of one request. `choice` selects the upstream of each try, `slot` waits for a slot
+//! of the upstream where one is needed, and `sending` sends the request there.
 //! [`steer::dispatch::retry`] makes every decision. The handler calls it and enforces the request's deadline.
 
 mod choice;
 mod sending;
+mod slot;
 
 use std::time::Instant;
 
@@ -110,10 +111,12 @@
     pub async fn run(&mut self) -> Result<Response<body::Body>, give_up::Reason> {
         loop {
             let choice = self.choose()?;
+            let slot = self.hold_slot(&choice).await?;
             let deadline = self.request.deadline;
             let began = Instant::now();
             let route = &self.request.route.name;
-            let mut attempt = attempt::Attempt::start(&self.server.state, &choice, route, deadline);
+            let state = &self.server.state;
+            let mut attempt = attempt::Attempt::start(state, &choice, route, deadline, slot);
             match self.send(&choice.upstream).await {
                 Ok((connection, answer)) if is_final(&answer) => {
                     let status = answer.head.status().as_u16();
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use model::duration;
 use model::id;
 use serde::{Deserialize, Serialize};
+use steer::dispatch::slots;
 
 use crate::common::logging;
 use crate::common::settings;
@@ -48,11 +49,39 @@
     /// Bounds of the deployment.
     #[serde(default)]
     pub bounds: Bounds,
+    /// When requests wait for slots of upstreams.
+    #[serde(default)]
+    pub slots: Slots,
     /// What is logged.
     #[serde(default)]
     pub log: logging::Level,
 }
 
+/// When requests wait for slots of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Slots {
+    /// At services whose requests are of several urgencies.
+    #[default]
+    Auto,
+    /// At all services.
+    On,
+    /// At none; this node grants no slots either.
+    Off,
+}
+
+impl Slots {
+    /// Returns the mode of the dispatcher.
+    #[must_use]
+    pub fn mode(self) -> slots::Mode {
+        match self {
+            Self::Auto => slots::Mode::Auto,
+            Self::On => slots::Mode::On,
+            Self::Off => slots::Mode::Off,
+        }
+    }
+}
+
 /// Where configuration and upstreams come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -38,6 +38,7 @@
 use crate::gateway::metrics;
 use crate::gateway::replica;
 use crate::gateway::settings;
+use crate::gateway::slots;
 use crate::gateway::store_calls;
 
 /// Maximum number of upstreams named in one log line, about 300 characters.
@@ -96,6 +97,8 @@
     pub check_due: Notify,
     /// Wakes the task that reports crashes to other nodes.
     pub quarantine_changed: Notify,
+    /// Asks for slots of upstreams, and the slots that this node owns.
+    pub slots: slots::Slots,
 }
 
 impl State {
@@ -127,7 +130,8 @@
             connectivity: report::Report::default(),
         };
         let bounds = settings.bounds();
-        let dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        let mut dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        dispatcher.set_slots(settings.slots.mode());
         let quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
         Self {
             dialect: settings.source().dialect(),
@@ -155,6 +159,7 @@
             beat: Notify::new(),
             others: connection_check::Others::default(),
             check_due: Notify::new(),
+            slots: slots::Slots::new(),
         }
     }
 
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -90,6 +90,7 @@
         let owners =
             slow_start_owner::Owners { near, listed: sync::Arc::clone(members.listed_names()) };
         let others = members.count();
+        self.slots.forget_owners(|node| members.is_known(node));
         self.dispatcher.borrow_mut().set_nodes(owners, others + 1, now);
         drop(members);
         let is_store_known = self.is_store_known();
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -84,6 +84,8 @@
         limits: None,
         leavings: None,
         rollouts: Vec::new(),
+        held: None,
+        queued: None,
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod rig;
 mod rollouts;
 mod silence;
+mod slots;
 mod statements;
 mod stop;
 mod traffic;
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -129,6 +129,15 @@
         self.put_config(routes, Some(serde_json::json!({ "columns": columns, "rows": rows })));
     }
 
+    /// Puts a new version of the configuration as the test wrote it.
+    #[allow(dead_code, reason = "only the tests of slots have routes of several priorities")]
+    pub fn put(&mut self, mut config: serde_json::Value) {
+        self.version += 3;
+        config["version"] = self.version.into();
+        self.newest = config.to_string().into_bytes();
+        self.write_again();
+    }
+
     fn put_config(&mut self, routes: &[Route], tenants: Option<serde_json::Value>) {
         self.version += 3;
         let mut config = config(self.version, routes);
--- a/crates/node/tests/gateway_settings.rs
+++ b/crates/node/tests/gateway_settings.rs
@@ -33,8 +33,17 @@
         (format!("{SETTINGS}declarations: 127.0.0.1:2\n"), "expected either `store` or"),
         (format!("{SETTINGS}processor:\n  share: 1.5\n"), "processor.share: 1.5 is out of range"),
         (format!("{SETTINGS}processor:\n  cores: 0\n"), "processor.cores: 0 is out of range"),
+        (format!("{SETTINGS}slots: some\n"), ":16: slots: unknown variant `some`, expected one of"),
     ];
     for (text, message) in wrong {
         check(&text).code(2).stderr(contains(message));
     }
 }
+
+/// Guards against `on` and `off` being read as booleans, as earlier versions of YAML do.
+#[test]
+fn slots_are_auto_on_or_off() {
+    for value in ["auto", "on", "off"] {
+        check(&format!("{SETTINGS}slots: {value}\n")).code(0);
+    }
+}
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -14,7 +14,7 @@
 use http::header;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::loopback;
 
@@ -24,6 +24,12 @@
 /// Most headers of a head; not measured.
 const MOST_HEADERS: usize = 64;
 
+/// Bytes of a streamed body, more than a gateway buffers.
+pub const LONG: usize = 600 * 1_024;
+
+/// Bytes at the end of a streamed body that are written late.
+const LATE: usize = 64 * 1_024;
+
 /// Time by which links in this process see that it is down before its connections end.
 const NOTICE: Duration = Duration::from_millis(3);
 
@@ -34,6 +40,8 @@
     Sound,
     /// The same, after this time.
     Slow(Duration),
+    /// It runs the request, and answers with [`LONG`] bytes, the last of them after this time.
+    Streamed(Duration),
     /// It refuses requests without running them.
     Full,
     /// It runs the request, and then answers 503 without a header on whether it ran.
@@ -73,11 +81,52 @@
     limits: sync::Mutex<Vec<String>>,
     leavings: sync::Mutex<Vec<String>>,
     rests: sync::Mutex<Vec<String>>,
+    slots: sync::Mutex<Option<sync::Arc<Slots>>>,
     crashed: Notify,
     is_down: watch::Sender<bool>,
     record: sync::Mutex<Record>,
 }
 
+/// Slots of an upstream that runs only some requests at once.
+#[derive(Debug)]
+struct Slots {
+    /// Permits to run, given out in the order of the requests.
+    running: Semaphore,
+    /// Requests that run or wait.
+    inside: sync::atomic::AtomicU32,
+    count: u32,
+    queue: u32,
+    work: Duration,
+}
+
+/// A request that runs or waits at an upstream with slots, until it is dropped.
+#[derive(Debug)]
+struct Inside(sync::Arc<Slots>);
+
+impl Slots {
+    /// Lets a request in; none when the slots and the queue are full.
+    fn enter(self: &sync::Arc<Self>) -> Option<Inside> {
+        let order = sync::atomic::Ordering::SeqCst;
+        let most = self.count + self.queue;
+        let more = |inside| (inside < most).then_some(inside + 1);
+        self.inside.fetch_update(order, order, more).ok()?;
+        Some(Inside(sync::Arc::clone(self)))
+    }
+
+    /// Returns its load in the form of the header.
+    fn load(&self) -> String {
+        let inside = self.inside.load(sync::atomic::Ordering::SeqCst);
+        let running = inside.min(self.count);
+        format!("{running},{},{}", inside - running, self.count)
+    }
+}
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        self.0.inside.fetch_sub(1, sync::atomic::Ordering::SeqCst);
+    }
+}
+
 /// What makes an upstream crash.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Fragility {
@@ -94,6 +143,8 @@
 pub struct Record {
     /// How often each request ran, by its name.
     pub ran: collections::BTreeMap<String, u32>,
+    /// Requests that it refused, since its slots and its queue were full.
+    pub turned_away: u32,
     /// Requests that arrived.
     pub arrivals: u32,
     /// When each of them did.
@@ -154,6 +205,7 @@
             limits: sync::Mutex::default(),
             leavings: sync::Mutex::default(),
             rests: sync::Mutex::default(),
+            slots: sync::Mutex::default(),
             crashed: Notify::new(),
             is_down: watch::Sender::new(false),
             record: sync::Mutex::default(),
@@ -167,6 +219,15 @@
         *lock(&self.shared.behavior) = behavior;
     }
 
+    /// Lets it run `count` requests at once from now on, each for `work`; `queue` more wait in their
+    /// order, and it refuses the rest.
+    pub fn run_at_once(&self, count: u32, queue: u32, work: Duration) {
+        let running = Semaphore::new(usize::try_from(count).unwrap_or(Semaphore::MAX_PERMITS));
+        let inside = sync::atomic::AtomicU32::new(0);
+        let slots = Slots { running, inside, count, queue, work };
+        *lock(&self.shared.slots) = Some(sync::Arc::new(slots));
+    }
+
     /// Lets its answers name these limits from now on, one in a field; none where there are none.
     pub fn name_limits(&self, limits: &[&str]) {
         *lock(&self.shared.limits) = limits.iter().map(|&limit| limit.to_owned()).collect();
@@ -254,8 +315,16 @@
 async fn serve(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(request) = read(&mut stream, &mut buffer).await? {
-        let behavior = *lock(&shared.behavior);
+        let slots = lock(&shared.slots).clone();
+        let inside = slots.as_ref().map(Slots::enter);
+        let behavior = match inside {
+            Some(None) => Behavior::Full,
+            _ => *lock(&shared.behavior),
+        };
         note(shared, &request, behavior);
+        if let Some(None) = inside {
+            lock(&shared.record).turned_away += 1;
+        }
         if let Some(fragility) = fatal(shared, &request) {
             tokio::time::sleep(fragility.after).await;
             shared.crashed.notify_one();
@@ -271,8 +340,34 @@
                 }
             }
         }
+        if let Some(Some(inside)) = &inside {
+            let Inside(slots) = inside;
+            let mut probe = [0; 1];
+            let run = async {
+                let permit = slots.running.acquire().await;
+                tokio::time::sleep(slots.work).await;
+                drop(permit);
+            };
+            tokio::select! {
+                () = run => {}
+                _ = stream.peek(&mut probe) => {
+                    lock(&shared.record).abandoned += 1;
+                    return Ok(());
+                }
+            }
+        }
+        drop(inside);
         let (bytes, is_last) = answer(shared, &request, behavior);
-        stream.write_all(&bytes).await?;
+        let late = match behavior {
+            Behavior::Streamed(_) => LATE.min(bytes.len()),
+            _ => 0,
+        };
+        let (first, rest) = bytes.split_at(bytes.len() - late);
+        stream.write_all(first).await?;
+        if let Behavior::Streamed(pause) = behavior {
+            tokio::time::sleep(pause).await;
+            stream.write_all(rest).await?;
+        }
         if let Some(run) = lock(&shared.record).runs.get_mut(&request.id) {
             run.answered = Some(SystemTime::now());
         }
@@ -318,10 +413,12 @@
         return (plain(421, id, &other, ""), false);
     }
     let said = statement(shared);
-    let seal = format!("{}: seal-{id}\r\n{}: 1,0,4\r\n{said}", headers::SEAL, headers::LOAD);
+    let load = lock(&shared.slots).as_ref().map_or("1,0,4".to_owned(), |slots| slots.load());
+    let seal = format!("{}: seal-{id}\r\n{}: {load}\r\n{said}", headers::SEAL, headers::LOAD);
     let sound = plain(200, id, &seal, &whole);
     match behavior {
         Behavior::Sound | Behavior::Slow(_) => (sound, false),
+        Behavior::Streamed(_) => (plain(200, id, &seal, &"x".repeat(LONG)), false),
         Behavior::Full => {
             let extra = format!("{}: 1\r\n{said}", headers::NOT_EXECUTED);
             (plain(503, id, &extra, ""), false)
--- a/crates/steer/src/dispatch/attempt.rs
+++ b/crates/steer/src/dispatch/attempt.rs
@@ -28,6 +28,8 @@
 pub enum End {
     /// With this outcome, before the deadline.
     Outcome(Outcome),
+    /// The deadline passed while the request waited for a slot of the upstream.
+    NoSlot,
     /// The deadline passed while a connection was being opened.
     NoConnection,
     /// The deadline passed while waiting for the response.
@@ -44,6 +46,7 @@
             Self::Outcome(Outcome::NotSent(cause) | Outcome::Broken(cause)) => {
                 formatter.write_str(cause)
             }
+            Self::NoSlot => formatter.write_str("no-slot"),
             Self::NoConnection => formatter.write_str("no-connection"),
             Self::NoAnswer => formatter.write_str("no-answer"),
         }
--- a/crates/steer/src/dispatch/refusal.rs
+++ b/crates/steer/src/dispatch/refusal.rs
@@ -63,8 +63,9 @@
     pub upstream: id::Upstream,
     /// Node that owns its slots.
     pub owner: id::Node,
-    /// Number of asks that were ahead of it.
-    pub position: u32,
+    /// Number of asks that were ahead of it; `None` if the owner did not answer again after it queued
+    /// the ask.
+    pub position: Option<u32>,
     /// Longest time that the request could wait.
     pub max_wait: Duration,
 }
@@ -177,6 +178,8 @@
             }
             Self::NoSlot { ask, .. } => {
                 let SlotAsk { upstream, owner, position, max_wait } = ask;
+                let position =
+                    position.map_or("unknown".to_owned(), |position| position.to_string());
                 write!(
                     formatter,
                     "upstream={upstream} owner={owner} position={position} max_wait_ms={}",
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -16,11 +16,13 @@
 use model::id;
 use model::route;
 
+use crate::dispatch::candidate;
 use crate::dispatch::dispatcher;
 use crate::dispatch::give_up;
 use crate::dispatch::refusal;
 use crate::dispatch::request;
 use crate::dispatch::seen_objects;
+use crate::dispatch::slots;
 use crate::dispatch::urgency;
 
 pub use crate::dispatch::attempt::{Attempt, End, Outcome};
@@ -74,6 +76,16 @@
     pub avoided: Option<id::Upstream>,
     /// Better candidates that were skipped because their announced limits are used up.
     pub skipped: Vec<id::Upstream>,
+    /// The slot that the attempt needs; `None` if it is sent without one.
+    pub slot: Option<NeededSlot>,
+}
+
+/// The slot that an attempt needs, and the candidate that is to be checked where it gets none.
+#[derive(Clone, Debug)]
+pub struct NeededSlot {
+    /// What the owner is asked for.
+    pub need: slots::Need,
+    candidate: Box<candidate::Candidate>,
 }
 
 impl Choice {
@@ -90,6 +102,8 @@
 enum Stage {
     /// There is no attempt.
     Idle,
+    /// A slot of the upstream.
+    Slot,
     /// A connection to the upstream.
     Connection,
     /// The upstream's response.
@@ -161,12 +175,17 @@
                 let is_first = self.chosen.is_empty();
                 self.chosen.push(candidate.entry.id.clone());
                 self.stage = Stage::Connection;
+                let slot = candidate.slot.clone().map(|need| {
+                    let candidate = Box::new(candidate.clone());
+                    NeededSlot { need, candidate }
+                });
                 Ok(Choice {
                     upstream: candidate.entry,
                     is_first,
                     object: candidate.object,
                     avoided: candidate.avoided,
                     skipped: candidate.skipped,
+                    slot,
                 })
             }
             Err(refusal) => {
@@ -221,6 +240,37 @@
         self.unless_may_have_run(give_up::Reason::Quarantined { retry_after })
     }
 
+    /// Records that the current attempt waits for a slot of its upstream.
+    pub fn awaiting_slot(&mut self) {
+        self.stage = Stage::Slot;
+    }
+
+    /// Decides whether the current attempt, which got no answer from the owner of its slot or was
+    /// declined, is sent without a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure reason if the upstream is expected to respond too late.
+    pub fn admit_without_slot(
+        &mut self,
+        request: Request<'_>,
+        slot: &NeededSlot,
+        dispatcher: &dispatcher::Dispatcher,
+        now: Instant,
+    ) -> Result<(), give_up::Reason> {
+        let request = self.dispatcher_request(request, now);
+        let admitted = dispatcher.admit_without_slot(&slot.candidate, &request, now);
+        admitted.map_err(|refusal| self.refuse(refusal))
+    }
+
+    /// Ends the request before its current attempt started, because of a refusal by a slot owner.
+    pub fn refuse(&mut self, refusal: refusal::Refusal) -> give_up::Reason {
+        self.stage = Stage::Idle;
+        let reason = self.unless_may_have_run(refusal.reason());
+        self.refusal = Some(refusal);
+        reason
+    }
+
     /// Records that the current attempt opens a connection, for the first time or again.
     pub fn connecting(&mut self) {
         self.stage = Stage::Connection;
@@ -263,10 +313,11 @@
     pub fn expire(&mut self) -> give_up::Reason {
         let reason = match (self.may_have_run, self.stage) {
             (true, _) | (_, Stage::Answer) => give_up::Reason::TimedOut,
-            (false, Stage::Idle | Stage::Connection) => give_up::Reason::NotSent,
+            (false, Stage::Idle | Stage::Slot | Stage::Connection) => give_up::Reason::NotSent,
         };
         match self.stage {
             Stage::Idle => {}
+            Stage::Slot => self.record_end(End::NoSlot),
             Stage::Connection => self.record_end(End::NoConnection),
             Stage::Answer => self.record_end(End::NoAnswer),
         }
--- a/crates/wire/src/gateway/loads.rs
+++ b/crates/wire/src/gateway/loads.rs
@@ -48,6 +48,23 @@
     /// Counts of answers by version, for services whose version is being rolled out.
     #[prost(message, repeated, tag = "12")]
     pub rollouts: Vec<RolloutAnswers>,
+    /// Requests in flight that hold a slot.
+    #[prost(message, optional, tag = "13")]
+    pub held: Option<Counts>,
+    /// Asks for slots that are queued at the sender, which owns the slots of these upstreams.
+    #[prost(message, optional, tag = "14")]
+    pub queued: Option<Counts>,
+}
+
+/// Counts by upstream, as parallel lists.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Counts {
+    /// Hashes of the upstream names.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub upstreams: Vec<u32>,
+    /// Count of each upstream.
+    #[prost(uint32, repeated, tag = "2")]
+    pub counts: Vec<u32>,
 }
 
 /// Counts of answers of a new version and of the old ones in one stage of a roll-out, by route, as
--- a/crates/wire/src/gateway/mod.rs
+++ b/crates/wire/src/gateway/mod.rs
@@ -9,3 +9,4 @@
 pub mod heartbeat;
 pub mod loads;
 pub mod quarantine;
+pub mod slots;
