Slots: requests without a slot fade, and a queued ask is served without delay

Cause: an owner counted requests without a slot until the next load report, up to 216 ms near and longer between regions, while work takes 130 ms: asks waited at upstreams with free slots. Its timer slept for 200 ms when the first ask was queued, and its queues reached its own dispatcher on ticks only. It could panic when the process paused between two readings of the clock. A former owner kept its queue, which hardly drained. A repeated grant released a slot in use.

Change: reported requests fade with the time for which slots are held; the timer wakes for the first queued ask, and load reports and releases apply at once; a node that is no longer the owner declines; the guard of a request alone releases its slot.

--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -20,6 +20,7 @@
 use crate::gateway::load_report;
 use crate::gateway::member;
 use crate::gateway::metrics;
+use crate::gateway::slots;
 use crate::gateway::state;
 
 pub use crate::gateway::load_report::{Content, Malformed, encode};
@@ -177,7 +178,7 @@
 /// # Errors
 ///
 /// Fails if the report is malformed or its sender is unknown; the next report replaces it.
-pub fn receive(state: &state::State, datagram: &[u8]) -> Result<(), Malformed> {
+pub fn receive(state: &rc::Rc<state::State>, datagram: &[u8]) -> Result<(), Malformed> {
     let report = load_report::Report::read(datagram)?;
     let sender = id::Node::new(origin(&report.node));
     if !is_sum(&sender) && !state.members.borrow().is_known(&sender) {
@@ -193,5 +194,7 @@
     dispatcher.set_peer_held(report.node.clone(), held, now);
     dispatcher.set_queued(report.node.clone(), queued, now);
     dispatcher.set_peer_load(report.node, requests, now);
+    drop(dispatcher);
+    slots::apply_report(state);
     Ok(())
 }
--- a/crates/node/src/gateway/slots/mod.rs
+++ b/crates/node/src/gateway/slots/mod.rs
@@ -23,7 +23,7 @@
 use steer::dispatch::slots::ledger;
 use steer::dispatch::slots::message::{Id, Reply};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::gateway::slots::datagram::Datagram;
 use crate::gateway::state;
@@ -32,7 +32,7 @@
 pub use crate::gateway::slots::counts::text;
 pub use crate::gateway::slots::datagram::Malformed;
 pub use crate::gateway::slots::guard::Guard;
-pub use crate::gateway::slots::owning::shown;
+pub use crate::gateway::slots::owning::{apply_report, shown};
 
 /// Asks of this node, and the slots that it owns.
 #[derive(Debug)]
@@ -51,6 +51,8 @@
     repeats_until: cell::Cell<Option<Instant>>,
     /// Whether the task that expires asks and leases runs.
     is_ticking: cell::Cell<bool>,
+    /// Wakes that task when the first ask is queued.
+    queue_began: Notify,
     counts: counts::Counts,
 }
 
@@ -93,6 +95,7 @@
             released_to: cell::RefCell::default(),
             repeats_until: cell::Cell::new(None),
             is_ticking: cell::Cell::new(false),
+            queue_began: Notify::new(),
             counts: counts::Counts::default(),
         }
     }
@@ -158,12 +161,17 @@
 fn hear(state: &rc::Rc<state::State>, heard: Heard) {
     let datagram::Answer { id, upstream, reply, .. } = heard.answer;
     let place = heard.place.clone();
-    let is_passed_on = match state.slots.pending.borrow().get(&id) {
-        Some(waiting) => waiting.send(heard).is_ok(),
+    // While the id is pending, the guard of the request releases the slot, also if the request no longer
+    // waits for an answer: a repeated answer must not release a slot in use.
+    let is_pending = match state.slots.pending.borrow().get(&id) {
+        Some(waiting) => {
+            let _ = waiting.send(heard);
+            true
+        }
         None => false,
     };
     // The request has been sent without a slot, or has ended, so nothing else releases the slot.
-    if !is_passed_on && matches!(reply, Reply::Granted | Reply::Queued) {
+    if !is_pending && matches!(reply, Reply::Granted | Reply::Queued) {
         guard::release(state, &place, id, upstream);
     }
 }
--- a/crates/node/src/gateway/slots/owning.rs
+++ b/crates/node/src/gateway/slots/owning.rs
@@ -100,9 +100,15 @@
 pub(super) fn ask_here(state: &rc::Rc<state::State>, asker: &id::Node, ask: &message::Ask) {
     let now = Instant::now();
     let room = room(state, ask.upstream);
+    let had_queue = has_queue(state);
     let answers = state.slots.ledger.borrow_mut().ask(asker, ask, room, now);
     deliver(state, answers);
+    update_queued(state);
     start_ticking(state);
+    // The task sleeps for long while no ask is queued.
+    if !had_queue && has_queue(state) {
+        state.slots.queue_began.notify_one();
+    }
 }
 
 /// Ends an ask, or the lease of a slot, at this node.
@@ -110,12 +116,26 @@
     let room = |upstream| room(state, upstream);
     let answers = state.slots.ledger.borrow_mut().release(asker, id, room, Instant::now());
     deliver(state, answers);
+    update_queued(state);
+}
+
+/// Applies what a load report changed: asks that are queued here may have room now.
+pub fn apply_report(state: &rc::Rc<state::State>) {
+    if has_queue(state) {
+        expire(state);
+    }
+}
+
+fn has_queue(state: &state::State) -> bool {
+    state.slots.ledger.borrow().queued().next().is_some()
 }
 
 /// Returns the room at an upstream; `None` if no slots are granted there.
 fn room(state: &state::State, upstream: peer_load::Key) -> Option<Room> {
     let is_off = state.settings.borrow().slots == settings::Slots::Off;
-    if is_off { None } else { state.dispatcher.borrow().room(upstream, Instant::now()) }
+    let dispatcher = state.dispatcher.borrow();
+    let is_owner = dispatcher.slot_owner(upstream) == Some(slots::Owner::This);
+    if is_off || !is_owner { None } else { dispatcher.room(upstream, Instant::now()) }
 }
 
 /// Sends answers of the ledger to the nodes that asked, in one datagram for each.
@@ -153,7 +173,7 @@
     tokio::task::spawn_local(tick(rc::Rc::clone(state)));
 }
 
-/// Returns whether nothing is held or queued at this node.
+/// Returns whether nothing was asked for at this node lately.
 fn is_idle(state: &state::State) -> bool {
     state.slots.ledger.borrow().upstreams().next().is_none()
 }
@@ -161,23 +181,31 @@
 /// Expires waits and leases until nothing is held or queued.
 async fn tick(state: rc::Rc<state::State>) {
     while !is_idle(&state) {
-        let has_queue = state.slots.ledger.borrow().queued().next().is_some();
-        let period = if has_queue { QUEUED_TICK } else { HELD_TICK };
-        let until = Instant::now() + period;
-        let due = state.slots.ledger.borrow().next_event().unwrap_or(until);
-        tokio::time::sleep_until(due.clamp(Instant::now() + SHORTEST_TICK, until).into()).await;
-        let _timer = metrics::Timer::start(&state.metrics.control_micros);
+        let period = if has_queue(&state) { QUEUED_TICK } else { HELD_TICK };
         let now = Instant::now();
-        let is_alive = |node: &id::Node| !state.members.borrow().is_dead(node, now);
-        let room = |upstream| room(&state, upstream);
-        let answers = state.slots.ledger.borrow_mut().tick(is_alive, room, now);
-        deliver(&state, answers);
-        update_queued(&state);
+        let due = state.slots.ledger.borrow().next_event().unwrap_or(now + period);
+        let due = due.max(now + SHORTEST_TICK).min(now + period);
+        tokio::select! {
+            () = tokio::time::sleep_until(due.into()) => {}
+            () = state.slots.queue_began.notified() => continue,
+        }
+        let _timer = metrics::Timer::start(&state.metrics.control_micros);
+        expire(&state);
     }
     state.slots.askers.borrow_mut().clear();
     state.slots.is_ticking.set(false);
 }
 
+/// Expires waits and leases, and grants what there is room for.
+fn expire(state: &rc::Rc<state::State>) {
+    let now = Instant::now();
+    let is_alive = |node: &id::Node| !state.members.borrow().is_dead(node, now);
+    let room = |upstream| room(state, upstream);
+    let answers = state.slots.ledger.borrow_mut().tick(is_alive, room, now);
+    deliver(state, answers);
+    update_queued(state);
+}
+
 /// Passes the queues of this node to the dispatcher, whose selections count the queued requests.
 fn update_queued(state: &state::State) {
     let queued = state.slots.queued();
--- a/crates/steer/src/dispatch/slots/ledger.rs
+++ b/crates/steer/src/dispatch/slots/ledger.rs
@@ -95,6 +95,8 @@
 #[derive(Clone, Debug)]
 struct Account {
     held: u32,
+    /// Latest number of requests without a slot, and when it last changed.
+    others: (u32, Instant),
     /// Mean time for which requests held slots, in seconds; `None` before the first release.
     hold_time: Option<f64>,
     queue: Queue,
@@ -103,15 +105,28 @@
 
 impl Account {
     fn new(now: Instant) -> Self {
-        Self { held: 0, hold_time: None, queue: Queue::default(), used_at: now }
+        Self { held: 0, others: (0, now), hold_time: None, queue: Queue::default(), used_at: now }
     }
 
     /// Returns whether another request may be sent.
     ///
     /// One above the slots, which the upstream starts next, so that no slot is idle for the duration of
     /// a release and a grant.
-    fn has_room(&self, room: Room) -> bool {
-        self.held.saturating_add(room.others) < room.slots.saturating_add(1)
+    fn has_room(&mut self, room: Room, now: Instant) -> bool {
+        f64::from(self.held) + self.remaining_others(room.others, now) < f64::from(room.slots) + 1.0
+    }
+
+    /// Returns how many of the `others` of the latest load reports are probably still in flight.
+    ///
+    /// A load report is older than many requests take, and no release tells the end of a request
+    /// without a slot. A request that counted until the next report would keep a slot idle.
+    fn remaining_others(&mut self, others: u32, now: Instant) -> f64 {
+        if self.others.0 != others {
+            self.others = (others, now);
+        }
+        let age = now.saturating_duration_since(self.others.1).as_secs_f64();
+        let decay = self.hold_time.map_or(1.0, |time| (-age / time.max(f64::EPSILON)).exp());
+        f64::from(others) * decay
     }
 
     /// Returns how fast queued asks are served; `work` is assumed before the first release.
@@ -174,7 +189,7 @@
         let mut answers = self.grant_queued(ask.upstream, room, now);
         let account = self.accounts.entry(ask.upstream).or_insert_with(|| Account::new(now));
         let waiting = Waiting { from: from.clone(), ask: ask.clone(), since: now };
-        if account.has_room(room) {
+        if account.has_room(room, now) {
             answers.push(self.grant(&waiting, now));
             return answers;
         }
@@ -319,7 +334,10 @@
     /// Callers of asks that have waited too long have been refused, also where no tick came meanwhile.
     fn grant_queued(&mut self, upstream: peer_load::Key, room: Room, now: Instant) -> Vec<Answer> {
         let mut answers = self.expire(upstream, room, |waiting| now >= waiting.expires());
-        while let Some(account) = self.accounts.get_mut(&upstream).filter(|a| a.has_room(room)) {
+        while let Some(account) = self.accounts.get_mut(&upstream) {
+            if !account.has_room(room, now) {
+                break;
+            }
             let Some(waiting) = account.queue.pop() else { break };
             self.waiting.remove(&(waiting.from.clone(), waiting.ask.id));
             answers.push(self.grant(&waiting, now));
