--- a/crates/node/src/gateway/load_report.rs
+++ b/crates/node/src/gateway/load_report.rs
@@ -23,6 +23,9 @@
 /// Maximum number of upstreams in one datagram, about 8 KB.
 const MOST_UPSTREAMS: usize = 1_000;
 
+/// Maximum number of upstreams with held slots, and with queued asks, in one datagram, about 4 KB.
+const MOST_COUNTED: usize = 250;
+
 /// Maximum number of organisations in one datagram, about 4 KB.
 const MOST_ORGANISATIONS: usize = 500;
 
@@ -61,6 +64,10 @@
     pub demand: Vec<demand::Rate>,
     /// Upstreams that are slow at this moment; in sums there are none, since they would come too late.
     pub slow: Vec<pace::Slow>,
+    /// Requests in flight that hold a slot, by upstream.
+    pub held: Vec<(peer_load::Key, u32)>,
+    /// Asks queued at the owner of the upstream's slots, by upstream.
+    pub queued: Vec<(peer_load::Key, u32)>,
 }
 
 /// Content of one datagram.
@@ -88,9 +95,12 @@
     let announcements: Vec<_> = content.limits.announcements.chunks(MOST_LIMITED).collect();
     let leavings: Vec<_> = content.leavings.chunks(MOST_LEAVING).collect();
     let demand: Vec<_> = content.demand.chunks(MOST_DEMANDS).collect();
+    let held: Vec<_> = content.held.chunks(MOST_COUNTED).collect();
+    let queued: Vec<_> = content.queued.chunks(MOST_COUNTED).collect();
     let limited = sends.len().max(announcements.len());
-    let parts =
-        [loads.len(), usages.len(), limited, leavings.len(), demand.len(), 1].into_iter().max();
+    let counted = held.len().max(queued.len());
+    let parts = [loads.len(), usages.len(), limited, leavings.len(), demand.len(), counted, 1];
+    let parts = parts.into_iter().max();
     let part = |number: usize| {
         let loads = message::Loads {
             node: name(number),
@@ -103,6 +113,8 @@
             },
             demand: demand.get(number).map(|rates| encode_demand(rates)),
             slow: (number == 0 && !content.slow.is_empty()).then(|| encode_slow(&content.slow)),
+            held: held.get(number).map(|held| encode_counts(held)),
+            queued: queued.get(number).map(|queued| encode_counts(queued)),
             ..encode_loads(part_of(&loads, number), part_of(&usages, number))
         };
         let mut datagram = vec![message::MARK];
@@ -160,6 +172,13 @@
     }
 }
 
+fn encode_counts(counts: &[(peer_load::Key, u32)]) -> message::Counts {
+    message::Counts {
+        upstreams: counts.iter().map(|(key, _)| key.0).collect(),
+        counts: counts.iter().map(|(_, count)| *count).collect(),
+    }
+}
+
 /// Usages as the parallel lists of a message.
 #[derive(Clone, Debug, Default)]
 struct Figures {
@@ -258,8 +277,11 @@
             rollouts.map_err(|uneven| Malformed::Uneven(uneven.names, uneven.figures))?;
         let demand = read_demand(&loads.demand.unwrap_or_default())?;
         let slow = read_slow(&loads.slow.unwrap_or_default())?;
+        let held = read_counts(loads.held.unwrap_or_default())?;
+        let queued = read_counts(loads.queued.unwrap_or_default())?;
         let usages = figures.read()?;
-        let content = Content { requests, usages, limits, leavings, rollouts, demand, slow };
+        let content =
+            Content { requests, usages, limits, leavings, rollouts, demand, slow, held, queued };
         Ok(Self { node: id::Node::new(&loads.node), content })
     }
 }
@@ -293,6 +315,14 @@
     Ok(upstreams.iter().zip(percents).map(observed).collect())
 }
 
+fn read_counts(counts: message::Counts) -> Result<Vec<(peer_load::Key, u32)>, Malformed> {
+    let message::Counts { upstreams, counts } = counts;
+    if upstreams.len() != counts.len() {
+        return Err(Malformed::Uneven(upstreams.len(), counts.len()));
+    }
+    Ok(upstreams.into_iter().map(peer_load::Key).zip(counts).collect())
+}
+
 fn read_announcements(
     limits: &message::Limits,
 ) -> Result<Vec<announcement::Announcement>, Malformed> {
--- a/crates/node/src/gateway/loads.rs
+++ b/crates/node/src/gateway/loads.rs
@@ -21,6 +21,7 @@
 use crate::gateway::load_report;
 use crate::gateway::member;
 use crate::gateway::metrics;
+use crate::gateway::slots;
 use crate::gateway::state;
 
 pub use crate::gateway::load_report::{Content, Malformed, encode};
@@ -41,7 +42,7 @@
         if had_any || own != Content::default() {
             report_own(&state, &socket, &own);
         }
-        had_any = !own.requests.is_empty();
+        had_any = !own.requests.is_empty() || !own.queued.is_empty();
         forward_sums(&state, &socket, &mut sums);
     }
 }
@@ -79,6 +80,8 @@
             rollouts: dispatcher.rollouts().report_sum(&wanted),
             demand: dispatcher.peer_demand(&wanted, &mut self.demand, now),
             slow: Vec::new(),
+            held: dispatcher.peer_held(&wanted, now),
+            queued: dispatcher.queued(&wanted, now),
         }
     }
 }
@@ -94,6 +97,8 @@
         rollouts: dispatcher.rollouts().report(),
         demand: dispatcher.own_demand(now),
         slow: dispatcher.slow_upstreams(now),
+        held: dispatcher.held(),
+        queued: state.slots.queued(),
     }
 }
 
@@ -179,14 +184,15 @@
 /// # Errors
 ///
 /// Fails if the report is malformed or its sender is unknown; the next report replaces it.
-pub fn receive(state: &state::State, datagram: &[u8]) -> Result<(), Malformed> {
+pub fn receive(state: &rc::Rc<state::State>, datagram: &[u8]) -> Result<(), Malformed> {
     let report = load_report::Report::read(datagram)?;
     let sender = id::Node::new(origin(&report.node));
     if !is_sum(&sender) && !state.members.borrow().is_known(&sender) {
         return Err(Malformed::Unknown(report.node));
     }
     let now = Instant::now();
-    let Content { requests, usages, limits, leavings, rollouts, demand, slow } = report.content;
+    let Content { requests, usages, limits, leavings, rollouts, demand, slow, held, queued } =
+        report.content;
     state.quotas.borrow_mut().receive(&sender, &usages, now);
     state.receive_limits(&sender, &limits, now);
     state.receive_leavings(&sender, &leavings, now);
@@ -194,6 +200,10 @@
     let mut dispatcher = state.dispatcher.borrow_mut();
     dispatcher.set_peer_demand(report.node.clone(), demand, now);
     dispatcher.set_peer_slow_upstreams(&slow, now);
+    dispatcher.set_peer_held(report.node.clone(), held, now);
+    dispatcher.set_queued(report.node.clone(), queued, now);
     dispatcher.set_peer_load(report.node, requests, now);
+    drop(dispatcher);
+    slots::apply_report(state);
     Ok(())
 }
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 use model::id;
 use serde::{Deserialize, Serialize};
 use steer::dispatch::region::demand;
+use steer::dispatch::slots;
 
 use crate::common::logging;
 use crate::common::settings;
@@ -52,6 +53,9 @@
     /// Whether splits between regions follow the demand of each region.
     #[serde(default)]
     pub demand_split: DemandSplit,
+    /// When requests wait for slots of upstreams.
+    #[serde(default)]
+    pub slots: Slots,
     /// What is logged.
     #[serde(default)]
     pub log: logging::Level,
@@ -80,6 +84,31 @@
     }
 }
 
+/// When requests wait for slots of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Slots {
+    /// At services whose requests are of several urgencies.
+    Auto,
+    /// At all services.
+    On,
+    /// At none; this node grants no slots either.
+    #[default]
+    Off,
+}
+
+impl Slots {
+    /// Returns the mode of the dispatcher.
+    #[must_use]
+    pub fn mode(self) -> slots::Mode {
+        match self {
+            Self::Auto => slots::Mode::Auto,
+            Self::On => slots::Mode::On,
+            Self::Off => slots::Mode::Off,
+        }
+    }
+}
+
 /// Where configuration and upstreams come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -86,6 +86,8 @@
         rollouts: Vec::new(),
         demand: None,
         slow: None,
+        held: None,
+        queued: None,
     };
     vec![
         ("loads-none.bin", loads("n-7", &[], &[])),
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -32,7 +32,7 @@
     pub fn sent(&mut self, upstream: &id::Upstream, is_first: bool, now: Instant) -> f64 {
         let allowance = self.allowance();
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return 1.0 };
-        let crowding = upstream.crowding(now);
+        let crowding = upstream.crowding_when_sent(now);
         upstream.health.record_sent(upstream.load.in_flight(), now);
         upstream.load.record_sent();
         self.busy.insert(upstream.entry.id.clone());
@@ -99,7 +99,8 @@
             outcome::Outcome::Refused { load } => {
                 upstream.health.record_refusal(in_flight, now);
                 apply_report(upstream, load, now);
-                upstream.load.record_full(upstream.entry.slots, now);
+                let is_full = load.is_none_or(|load| load.running + load.waiting >= load.slots);
+                upstream.load.record_refusal(upstream.entry.slots, is_full, now);
             }
             outcome::Outcome::Replaced => upstream.is_replaced = true,
             outcome::Outcome::NotSent => upstream.health.record_unreachable(now),
--- a/crates/steer/src/dispatch/selection.rs
+++ b/crates/steer/src/dispatch/selection.rs
@@ -104,6 +104,7 @@
             load_age: chosen.load_age,
             avoided: None,
             skipped: Vec::new(),
+            slot: None,
         })
     }
 }
--- a/crates/steer/tests/dispatch/main.rs
+++ b/crates/steer/tests/dispatch/main.rs
@@ -11,5 +11,6 @@
 mod regions;
 mod restarts;
 mod setup;
+mod slots;
 mod slow_start;
 mod statements;
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -2,7 +2,10 @@
 //!
 //! The gateways run the real dispatchers and report their loads to each other. All random values
 //! derive from one seed and time is virtual, so a simulation is reproducible. Requests are not
-//! retried: a refusal by an upstream ends them.
+//! retried: a refusal by an upstream ends them. With slots, each gateway owns the slots of some
+//! upstreams, and the datagrams between gateways take time and may be lost ([`slots`]).
+
+mod slots;
 
 use std::cmp;
 use std::collections;
@@ -13,21 +16,18 @@
 use model::{bounds, discovery, id, route, routing};
 use rand::RngExt as _;
 use rand::SeedableRng as _;
-use steer::common::split;
-use steer::dispatch::region::demand::{self, report};
 use steer::dispatch::{
-    dispatcher, outcome, peer_load, position, request, seen_objects, slow_start_owner, urgency,
+    candidate, dispatcher, outcome, position, request, seen_objects, slow_start_owner, urgency,
 };
 
+pub use slots::{Fault, FaultKind, Network};
+
 /// Interval between load reports, as between real gateways.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Interval between ticks of a dispatcher, as in a real gateway.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Delay of demand that representatives forward to another region.
-const FORWARD_DELAY: Duration = Duration::from_millis(700);
-
 /// Queue capacity of an upstream per slot, in requests.
 const QUEUE_PER_SLOT: usize = 3;
 
@@ -52,44 +52,18 @@
 #[derive(Clone, Debug)]
 pub struct Load {
     pub route: route::Route,
-    /// Mean requests per second in each region.
+    /// Requests per second in each region.
     pub rate: f64,
-    /// Change of the rate with time; constant if `None`.
-    pub wave: Option<Wave>,
     /// Processing time if the upstream does not have the object cached.
     pub uncached_work: Duration,
     /// Processing time if the upstream has the object cached.
     pub cached_work: Duration,
     /// Number of objects that are requested in each region.
     pub objects: u64,
-}
-
-/// Sine wave of a rate. The waves of the regions follow each other at equal parts of the period.
-#[derive(Clone, Copy, Debug)]
-pub struct Wave {
-    /// Greatest deviation from the mean, as a fraction of the mean.
-    pub depth: f64,
-    pub period: Duration,
-}
-
-impl Wave {
-    /// Returns the rate in a region as a multiple of its mean.
-    fn factor(self, region: usize, regions: usize, elapsed: Duration) -> f64 {
-        let periods = elapsed.as_secs_f64() / self.period.as_secs_f64();
-        let phase = region as f64 / regions as f64;
-        1.0 + self.depth * (std::f64::consts::TAU * (periods - phase)).sin()
-    }
-}
-
-/// A failure during the simulation.
-#[derive(Clone, Copy, Debug)]
-pub enum Fault {
-    /// Demand reports from and to a region are lost.
-    Cut { region: usize, from: Duration, until: Duration },
-    /// All gateways of a region lose their state.
-    Restart { region: usize, at: Duration },
-    /// A gateway ends; its callers use the next one.
-    End { gateway: usize, at: Duration },
+    /// Hash of the organisation of the requests; 0 for none.
+    pub organisation: u32,
+    /// Factor of the rate, by the time since the start.
+    pub shape: fn(Duration) -> f64,
 }
 
 /// A deployment and its load.
@@ -107,10 +81,7 @@
     pub warm_up: Duration,
     /// Upstreams that are added during the simulation.
     pub join: Option<Join>,
-    /// Whether splits follow the demand of regions.
-    pub demand: demand::Mode,
-    /// Fraction of demand reports that are lost.
-    pub report_loss: f64,
+    pub network: Network,
     pub faults: Vec<Fault>,
 }
 
@@ -132,6 +103,8 @@
     pub in_time: u32,
     pub late: u32,
     pub refused: u32,
+    /// Those of the refused that their upstreams refused.
+    pub rejected: u32,
     /// Requests for an object that was not in the upstream's cache.
     pub cache_misses: u32,
     /// Requests answered by upstreams that joined during the simulation.
@@ -157,12 +130,13 @@
     sum(tallies.iter().filter(|((_, name), _)| *name == region).map(|(_, tally)| tally))
 }
 
-fn sum<'a>(tallies: impl Iterator<Item = &'a Tally>) -> Tally {
+pub fn sum<'a>(tallies: impl Iterator<Item = &'a Tally>) -> Tally {
     tallies.fold(Tally::default(), |a, b| Tally {
         total: a.total + b.total,
         in_time: a.in_time + b.in_time,
         late: a.late + b.late,
         refused: a.refused + b.refused,
+        rejected: a.rejected + b.rejected,
         cache_misses: a.cache_misses + b.cache_misses,
         at_joined: a.at_joined + b.at_joined,
     })
@@ -191,10 +165,14 @@
     load: usize,
     gateway: usize,
     object: u64,
+    /// Time at which the request reached its gateway.
+    arrived: Instant,
     sent: Instant,
     crowding: f64,
     known: Option<seen_objects::Object>,
     is_cache_miss: bool,
+    /// Slot that the request holds.
+    slot: Option<slots::Slot>,
 }
 
 #[derive(Clone, Debug)]
@@ -205,10 +183,15 @@
     Answered { upstream: usize, job: Job, load: model::load::Report },
     TurnedAway { upstream: usize, job: Job, load: model::load::Report },
     Report,
-    Demand { from: usize, to: usize, rates: Vec<report::Rate> },
     Tick,
     Join,
-    Fault(Fault),
+    Slots(slots::Event),
+}
+
+struct Gateway {
+    dispatcher: dispatcher::Dispatcher,
+    region: usize,
+    slots: slots::Side,
 }
 
 struct Upstream {
@@ -227,24 +210,27 @@
     events: collections::BTreeMap<(Instant, u64), Event>,
     count: u64,
     upstreams: Vec<Upstream>,
-    gateways: Vec<(dispatcher::Dispatcher, usize)>,
+    gateways: Vec<Gateway>,
     random: rand::rngs::StdRng,
-    /// Gateways that have ended.
-    ended: collections::BTreeSet<usize>,
     tallies: Tallies,
-    /// Movement of all splits after the warm-up, in shares of a region's requests.
-    moved: f64,
-    splits: Vec<Vec<split::Split>>,
+    max_at_upstream: usize,
+}
+
+/// Results of a simulation.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub tallies: Tallies,
+    /// Largest number of requests at one upstream at the same time.
+    pub max_at_upstream: usize,
 }
 
 /// Simulates a plan and returns the tallies of the requests after the warm-up.
 pub fn simulate(plan: &Plan, seed: u64) -> Tallies {
-    simulate_splits(plan, seed).0
+    simulate_all(plan, seed).tallies
 }
 
-/// Simulates a plan; returns the tallies, and how far the split of a gateway moved on average, both
-/// after the warm-up.
-pub fn simulate_splits(plan: &Plan, seed: u64) -> (Tallies, f64) {
+/// Simulates a plan and returns all results after the warm-up.
+pub fn simulate_all(plan: &Plan, seed: u64) -> Outcome {
     let mut simulation = Simulation::new(plan.clone(), seed);
     let end = simulation.began + plan.duration;
     while let Some(((now, _), event)) = simulation.events.pop_first() {
@@ -253,7 +239,7 @@
         }
         simulation.apply(event, now);
     }
-    (simulation.tallies, simulation.moved)
+    Outcome { tallies: simulation.tallies, max_at_upstream: simulation.max_at_upstream }
 }
 
 impl Simulation {
@@ -264,25 +250,30 @@
             gateways: gateways(&plan),
             random: rand::rngs::StdRng::seed_from_u64(seed),
             events: collections::BTreeMap::new(),
-            ended: collections::BTreeSet::new(),
             tallies: Tallies::new(),
-            moved: 0.0,
-            splits: Vec::new(),
+            max_at_upstream: 0,
             count: 0,
             plan,
             began,
         };
-        for gateway in 0..simulation.gateways.len() {
-            simulation.start_gateway(gateway, began);
+        let entries: Vec<_> =
+            simulation.upstreams.iter().map(|u| sync::Arc::new(u.entry.clone())).collect();
+        let routes = simulation.plan.loads.iter().map(|load| load.route.clone()).collect();
+        let limits = routing::CallerLimits::default();
+        let services = collections::BTreeMap::from([(id::Service::new("desk"), service_rules())]);
+        let routing = sync::Arc::new(routing::Routing::new(1, routes, services, limits));
+        let owners = owners(&simulation.plan, &simulation.gateways);
+        let gateways = simulation.gateways.iter_mut().enumerate();
+        for (number, Gateway { dispatcher, region, .. }) in gateways {
+            dispatcher.configure(sync::Arc::clone(&routing));
+            dispatcher.set_upstreams(entries.iter().cloned(), began);
+            dispatcher.set_nodes(owners[*region].clone(), owners[*region].near.len(), began);
+            dispatcher.set_slots(simulation.plan.network.mode(number));
         }
+        simulation.schedule_faults();
         if let Some(join) = &simulation.plan.join {
             simulation.schedule(began + join.at, Event::Join);
         }
-        for fault in simulation.plan.faults.clone() {
-            if let Fault::Restart { at, .. } | Fault::End { at, .. } = fault {
-                simulation.schedule(began + at, Event::Fault(fault));
-            }
-        }
         for gateway in 0..simulation.gateways.len() {
             for load in 0..simulation.plan.loads.len() {
                 simulation.next_request(load, gateway, began);
@@ -293,41 +284,26 @@
         simulation
     }
 
-    fn start_gateway(&mut self, gateway: usize, now: Instant) {
-        let entries: Vec<_> =
-            self.upstreams.iter().map(|u| sync::Arc::new(u.entry.clone())).collect();
-        let routes = self.plan.loads.iter().map(|load| load.route.clone()).collect();
-        let limits = routing::CallerLimits::default();
-        let services = collections::BTreeMap::from([(id::Service::new("desk"), service_rules())]);
-        let routing = sync::Arc::new(routing::Routing::new(1, routes, services, limits));
-        let owners = owners(&self.plan, &self.gateways);
-        let (gateway, region) = &mut self.gateways[gateway];
-        gateway.configure(routing);
-        gateway.set_demand_mode(self.plan.demand);
-        gateway.set_upstreams(entries.into_iter(), now);
-        gateway.set_nodes(owners[*region].clone(), owners[*region].near.len(), now);
-    }
-
     fn schedule(&mut self, at: Instant, event: Event) {
         self.count += 1;
         self.events.insert((at, self.count), event);
     }
 
     fn next_request(&mut self, load: usize, gateway: usize, now: Instant) {
-        let region = &self.plan.regions[self.gateways[gateway].1];
-        let load_plan = &self.plan.loads[load];
-        let highest = load_plan.wave.map_or(1.0, |wave| 1.0 + wave.depth);
-        let rate = load_plan.rate * highest / region.gateways as f64;
+        let region = &self.plan.regions[self.gateways[gateway].region];
+        let factor = (self.plan.loads[load].shape)(now - self.began);
+        let rate = self.plan.loads[load].rate * factor / region.gateways as f64;
         let uniform: f64 = self.random.random_range(0.0..1.0);
         let pause = Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
         self.schedule(now + pause, Event::Request { load, gateway });
     }
 
     fn apply(&mut self, event: Event, now: Instant) {
+        let Some(event) = self.pass(event, now) else { return };
         match event {
             Event::Request { load, gateway } => {
-                if self.is_due(load, gateway, now) {
-                    self.request(load, self.serving(gateway), now);
+                if let Some(reached) = self.reached(gateway) {
+                    self.request(load, reached, now);
                 }
                 self.next_request(load, gateway, now);
             }
@@ -337,97 +313,72 @@
             Event::TurnedAway { upstream, job, load } => {
                 let entry = &self.upstreams[upstream].entry;
                 let outcome = outcome::Outcome::Refused { load: Some(load) };
-                self.gateways[job.gateway].0.ended(entry, outcome, now - job.sent, now);
-                self.tally(&job, now, |tally| tally.refused += 1);
+                let gateway = &mut self.gateways[job.gateway].dispatcher;
+                gateway.ended(entry, outcome, now - job.sent, now);
+                self.release(upstream, &job, now);
+                self.tally(&job, now, |tally| {
+                    tally.refused += 1;
+                    tally.rejected += 1;
+                });
             }
             Event::Report => self.report(now),
-            Event::Demand { from, to, rates } => {
-                let node = id::Node::new(&format!("g-{from}"));
-                self.gateways[to].0.set_peer_demand(node, rates, now);
-            }
-            Event::Fault(fault) => self.fail(fault, now),
             Event::Join => self.join(now),
             Event::Tick => {
-                for (gateway, _) in &mut self.gateways {
-                    gateway.tick(now);
+                for gateway in self.gateways.iter_mut().filter(|gateway| gateway.slots.runs()) {
+                    gateway.dispatcher.tick(now);
                 }
-                self.record_splits(now);
                 self.schedule(now + TICK_INTERVAL, Event::Tick);
             }
-        }
-    }
-
-    /// Returns whether a request arrives, where requests are drawn at the highest rate of a wave.
-    fn is_due(&mut self, load: usize, gateway: usize, now: Instant) -> bool {
-        let Some(wave) = self.plan.loads[load].wave else { return true };
-        let region = self.gateways[gateway].1;
-        let factor = wave.factor(region, self.plan.regions.len(), now - self.began);
-        self.random.random_range(0.0..1.0 + wave.depth) < factor
-    }
-
-    /// Returns the gateway that the callers of `gateway` use.
-    fn serving(&self, gateway: usize) -> usize {
-        let region = self.gateways[gateway].1;
-        let others = (gateway..self.gateways.len()).chain(0..gateway);
-        let mut live = others.filter(|g| self.gateways[*g].1 == region && !self.ended.contains(g));
-        live.next().expect("a region keeps a gateway")
-    }
-
-    fn fail(&mut self, fault: Fault, now: Instant) {
-        match fault {
-            Fault::Cut { .. } => {}
-            Fault::End { gateway, .. } => _ = self.ended.insert(gateway),
-            Fault::Restart { region, .. } => {
-                let fresh = gateways(&self.plan);
-                for (index, (gateway, of)) in fresh.into_iter().enumerate() {
-                    if of == region {
-                        self.gateways[index].0 = gateway;
-                        self.start_gateway(index, now);
-                    }
-                }
-            }
+            Event::Slots(event) => self.apply_slots(event, now),
         }
     }
 
     fn request(&mut self, load: usize, gateway: usize, now: Instant) {
         let plan = &self.plan.loads[load];
-        let region = self.gateways[gateway].1;
+        let region = self.gateways[gateway].region;
         let number = self.random.random_range(0..plan.objects);
         let object = number + 1_000_000 * region as u64 + 100_000 * load as u64;
-        let service = id::Service::new("desk");
-        let time_left = plan.route.timeout;
-        let route = &plan.route;
-        let request = request::Request {
-            route,
-            service: &service,
-            key: object,
-            tried: &[],
-            time_left,
-            homes: &route.home_regions,
-            urgency: urgency::Urgency::of(route, None),
-        };
-        let chosen = self.gateways[gateway].0.choose(&request, now);
-        let mut job = Job {
+        let job = Job {
             load,
             gateway,
             object,
+            arrived: now,
             sent: now,
             crowding: 1.0,
             known: None,
             is_cache_miss: false,
+            slot: None,
         };
-        let Ok(chosen) = chosen else {
-            self.tally(&job, now, |tally| tally.refused += 1);
-            return;
-        };
-        job.crowding = self.gateways[gateway].0.sent(&chosen.entry.id, true, now);
+        let service = id::Service::new("desk");
+        let route = &self.plan.loads[load].route;
+        let request = ask(route, &service, object, route.timeout);
+        let chosen = self.gateways[gateway].dispatcher.choose(&request, now);
+        match chosen {
+            Err(_) => self.tally(&job, now, |tally| tally.refused += 1),
+            Ok(chosen) if chosen.slot.is_some() => self.ask_for_slot(job, chosen, now),
+            Ok(chosen) => self.send(job, &chosen, now),
+        }
+    }
+
+    /// Sends a request to its upstream.
+    fn send(&mut self, mut job: Job, chosen: &candidate::Candidate, now: Instant) {
+        job.sent = now;
+        let gateway = &mut self.gateways[job.gateway].dispatcher;
+        job.crowding = gateway.sent(&chosen.entry.id, true, now);
+        if let Some(slot) = &job.slot {
+            gateway.record_held(&chosen.entry, &slot.owner());
+        }
         job.known = chosen.object;
-        let of_id = |u: &Upstream| u.entry.id == chosen.entry.id;
-        let upstream = self.upstreams.iter().position(of_id).expect("it is one of the upstreams");
-        let delay = self.latency(gateway, upstream);
+        let upstream = self.upstream(&chosen.entry.id);
+        let delay = self.latency(job.gateway, upstream);
         self.schedule(now + delay, Event::Arrives { upstream, job });
     }
 
+    fn upstream(&self, name: &id::Upstream) -> usize {
+        let of_name = |upstream: &Upstream| upstream.entry.id == *name;
+        self.upstreams.iter().position(of_name).expect("it is one of the upstreams")
+    }
+
     /// Adds the joining upstreams, which all gateways discover immediately.
     fn join(&mut self, now: Instant) {
         let Some(join) = &self.plan.join else { return };
@@ -442,13 +393,13 @@
         }
         let entries: Vec<_> =
             self.upstreams.iter().map(|u| sync::Arc::new(u.entry.clone())).collect();
-        for (gateway, _) in &mut self.gateways {
-            gateway.set_upstreams(entries.iter().cloned(), now);
+        for gateway in &mut self.gateways {
+            gateway.dispatcher.set_upstreams(entries.iter().cloned(), now);
         }
     }
 
     fn latency(&self, gateway: usize, upstream: usize) -> Duration {
-        match self.gateways[gateway].1 == self.upstreams[upstream].region {
+        match self.gateways[gateway].region == self.upstreams[upstream].region {
             true => Duration::ZERO,
             false => self.plan.latency,
         }
@@ -461,6 +412,10 @@
             self.start(upstream, job, now);
         } else if destination.waiting.len() < QUEUE_PER_SLOT * slots as usize {
             destination.waiting.push_back(job);
+            let requests = slots as usize + destination.waiting.len();
+            if now >= self.began + self.plan.warm_up {
+                self.max_at_upstream = self.max_at_upstream.max(requests);
+            }
         } else {
             let load = destination.load(slots);
             let delay = self.latency(job.gateway, upstream);
@@ -502,7 +457,9 @@
         let (crowding, object, load) = (job.crowding, job.known, Some(load));
         let outcome = outcome::Outcome::Answered { latency, crowding, object, load };
         let entry = &self.upstreams[upstream].entry;
-        self.gateways[job.gateway].0.ended(entry, outcome, latency, now);
+        self.gateways[job.gateway].dispatcher.ended(entry, outcome, latency, now);
+        self.release(upstream, job, now);
+        let latency = now - job.arrived;
         let target = self.plan.loads[job.load].route.target_latency;
         let has_joined = self.upstreams[upstream].joined.is_some();
         self.tally(job, now, |tally| {
@@ -519,7 +476,7 @@
         if now < self.began + self.plan.warm_up {
             return;
         }
-        let region = self.plan.regions[self.gateways[job.gateway].1].name;
+        let region = self.plan.regions[self.gateways[job.gateway].region].name;
         let route = self.plan.loads[job.load].route.name.as_str().to_owned();
         let tally = self.tallies.entry((route, region)).or_default();
         tally.total += 1;
@@ -527,58 +484,39 @@
     }
 
     fn report(&mut self, now: Instant) {
-        let reports: Vec<_> = self.gateways.iter_mut().map(|(g, _)| g.in_flight()).collect();
-        for (to, (gateway, _)) in self.gateways.iter_mut().enumerate() {
+        let reports: Vec<_> = self.gateways.iter_mut().map(Gateway::report).collect();
+        for to in 0..self.gateways.len() {
             for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
-                let report: Vec<(peer_load::Key, u32)> = report.clone();
-                gateway.set_peer_load(id::Node::new(&format!("g-{from}")), report, now);
-            }
-        }
-        self.report_demand(now);
-        self.schedule(now + REPORT_INTERVAL, Event::Report);
-    }
-
-    fn report_demand(&mut self, now: Instant) {
-        let own: Vec<_> = self.gateways.iter_mut().map(|(g, _)| g.own_demand(now)).collect();
-        for (from, rates) in own.into_iter().enumerate() {
-            if rates.is_empty() || self.ended.contains(&from) {
-                continue;
-            }
-            for to in (0..self.gateways.len()).filter(|to| *to != from) {
-                let (near, far) = (self.gateways[from].1, self.gateways[to].1);
-                let delay = if near == far { Duration::ZERO } else { FORWARD_DELAY };
-                if !self.is_lost(near, far, now) {
-                    let rates = rates.clone();
-                    self.schedule(now + delay, Event::Demand { from, to, rates });
+                let Some(report) = report else { continue };
+                if self.gateways[to].slots.runs() && !self.is_lost(self.plan.network.lost_reports) {
+                    let mode = self.plan.network.mode(to);
+                    self.gateways[to].receive(&node(from), report.clone(), mode, now);
                 }
             }
         }
+        self.schedule(now + REPORT_INTERVAL, Event::Report);
     }
+}
 
-    fn is_lost(&mut self, from: usize, to: usize, now: Instant) -> bool {
-        let elapsed = now - self.began;
-        let cuts = |fault: &Fault| match fault {
-            Fault::Cut { region, from: begin, until } => {
-                from != to && [from, to].contains(region) && (*begin..*until).contains(&elapsed)
-            }
-            Fault::Restart { .. } | Fault::End { .. } => false,
-        };
-        let loss = self.plan.report_loss;
-        self.plan.faults.iter().any(cuts) || loss > 0.0 && self.random.random_range(0.0..1.0) < loss
-    }
+fn node(gateway: usize) -> id::Node {
+    id::Node::new(&format!("g-{gateway}"))
+}
 
-    /// Adds up how far the splits moved.
-    fn record_splits(&mut self, now: Instant) {
-        let of = |gateway: &dispatcher::Dispatcher| {
-            gateway.splits().map(|(_, split)| split.clone()).collect::<Vec<_>>()
-        };
-        let splits: Vec<_> = self.gateways.iter().map(|(gateway, _)| of(gateway)).collect();
-        if now >= self.began + self.plan.warm_up {
-            let pairs = self.splits.iter().flatten().zip(splits.iter().flatten());
-            let moved: f64 = pairs.map(|(old, new)| old.distance(new).as_f64()).sum();
-            self.moved += moved / self.gateways.len() as f64;
-        }
-        self.splits = splits;
+/// Returns a request of a route as the dispatcher sees it.
+fn ask<'a>(
+    route: &'a route::Route,
+    service: &'a id::Service,
+    object: u64,
+    time_left: Duration,
+) -> request::Request<'a> {
+    request::Request {
+        route,
+        service,
+        key: object,
+        tried: &[],
+        time_left,
+        homes: &route.home_regions,
+        urgency: urgency::Urgency::of(route, None),
     }
 }
 
@@ -619,7 +557,6 @@
 
 fn service_rules() -> routing::ServiceRules {
     routing::ServiceRules {
-        health_check_path: None,
         max_connections: None,
         cold_start: COLD_TIME,
         cold_rate: Some(COLD_RATE),
@@ -627,35 +564,47 @@
     }
 }
 
-/// Returns the nodes that may own cold upstreams, for each region.
-fn owners(
-    plan: &Plan,
-    gateways: &[(dispatcher::Dispatcher, usize)],
-) -> Vec<slow_start_owner::Owners> {
+/// Returns the nodes that may own cold upstreams and slots, for each region.
+fn owners(plan: &Plan, gateways: &[Gateway]) -> Vec<slow_start_owner::Owners> {
     let idle = plan.join.as_ref().map_or(0, |join| join.idle_owners);
     let of_region = |region: usize| {
-        let numbers = gateways.iter().enumerate().filter(|(_, (_, of))| *of == region);
-        let names = numbers.map(|(number, _)| format!("g-{number}"));
-        let idle = (0..idle).map(|number| format!("idle-{region}-{number}"));
-        let near = names.chain(idle).map(|name| id::Node::new(&name)).collect();
-        slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() }
+        let numbers = gateways.iter().enumerate();
+        let numbers = numbers.filter(|(_, g)| g.region == region && !g.slots.counts_as_dead());
+        let names = numbers.map(|(number, _)| node(number));
+        let idle = (0..idle).map(|number| id::Node::new(&format!("idle-{region}-{number}")));
+        names.chain(idle).collect::<Vec<id::Node>>()
+    };
+    let regions: Vec<Vec<id::Node>> = (0..plan.regions.len()).map(of_region).collect();
+    // Without slots, gateways know the nodes of their own region only.
+    let listed = match plan.network.uses_slots() {
+        true => plan.regions.iter().zip(&regions).map(name_region).collect(),
+        false => collections::BTreeMap::new(),
     };
-    (0..plan.regions.len()).map(of_region).collect()
+    let listed = sync::Arc::new(listed);
+    let owners = |near| slow_start_owner::Owners { near, listed: sync::Arc::clone(&listed) };
+    regions.into_iter().map(owners).collect()
+}
+
+fn name_region((region, nodes): (&Region, &Vec<id::Node>)) -> (id::Region, Vec<id::Node>) {
+    (id::Region::new(region.name), nodes.clone())
 }
 
-fn gateways(plan: &Plan) -> Vec<(dispatcher::Dispatcher, usize)> {
+fn gateways(plan: &Plan) -> Vec<Gateway> {
     let halls: collections::BTreeMap<id::Hall, id::Region> =
         plan.regions.iter().map(|r| (id::Hall::new(r.name), id::Region::new(r.name))).collect();
     let mut gateways = Vec::new();
     for (index, region) in plan.regions.iter().enumerate() {
         for _ in 0..region.gateways {
             let position = position::Position {
-                node: id::Node::new(&format!("g-{}", gateways.len())),
+                node: node(gateways.len()),
                 region: id::Region::new(region.name),
                 halls: halls.clone(),
             };
-            gateways
-                .push((dispatcher::Dispatcher::new(position, bounds::Bounds::default()), index));
+            gateways.push(Gateway {
+                dispatcher: dispatcher::Dispatcher::new(position, bounds::Bounds::default()),
+                region: index,
+                slots: slots::Side::default(),
+            });
         }
     }
     gateways
--- a/crates/steer/tests/load/main.rs
+++ b/crates/steer/tests/load/main.rs
@@ -3,3 +3,4 @@
 mod demand;
 mod deployment;
 mod replays;
+mod slots;
--- a/crates/steer/tests/load/replays.rs
+++ b/crates/steer/tests/load/replays.rs
@@ -3,8 +3,6 @@
 
 use std::time::Duration;
 
-use steer::dispatch::region::demand;
-
 use crate::deployment::{self, Load, Plan, Region, Tally};
 
 /// Seeds of each simulation; the asserted bounds apply to the mean over all seeds.
@@ -20,10 +18,11 @@
     Load {
         route: deployment::route(name, priority, target),
         rate,
-        wave: None,
         uncached_work: 360 * MS,
         cached_work: 108 * MS,
         objects: 60,
+        organisation: 0,
+        shape: |_| 1.0,
     }
 }
 
@@ -37,8 +36,7 @@
         duration: Duration::from_secs(30),
         warm_up: Duration::from_secs(6),
         join: None,
-        demand: demand::Mode::Auto,
-        report_loss: 0.0,
+        network: deployment::Network::default(),
         faults: Vec::new(),
     }
 }
