Slots: a request asks where its upstream is expected to have no free slot

In other regions a reported queue or a refusal is still needed. The tests set slots to auto, since off is the default.

--- a/crates/node/tests/gateway/slots.rs
+++ b/crates/node/tests/gateway/slots.rs
@@ -41,6 +41,9 @@
 /// Longest time until a request without an urgent route is answered or refused.
 const LONGEST: Duration = Duration::from_secs(3);
 
+/// Setting by which the services with routes of several priorities use slots.
+const AUTO: &str = "slots: auto\n";
+
 /// Name of the upstream.
 const UPSTREAM: &str = "i-0";
 
@@ -215,7 +218,7 @@
 /// Guards against upstreams that turn requests away because gateways send more than they can run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slots_an_upstream_turns_none_away_and_urgent_requests_go_first() {
-    let pair = Pair::start("", "").await;
+    let pair = Pair::start(AUTO, AUTO).await;
     let both = [&pair.owner, &pair.other];
     let timed_out = async || {
         figure(both[0], "timed_out_total").await + figure(both[1], "timed_out_total").await
@@ -292,7 +295,8 @@
     rig.put(config());
     let upstream = rig.upstream(UPSTREAM, "desk", "north-1").await;
     let door = rig.store.open().await.expect("the store opens");
-    let gateway = rig.gateway("n-0", "north-1", &door).await;
+    let gateway = rig.gateway_with("n-0", "north-1", door.address, &[], AUTO).await;
+    gateway.wait_ready().await;
     let ended = request(gateway.callers, "/read/a", "first".to_owned()).await;
     assert_eq!(ended.status, 200, "the gateway knows the upstream");
     upstream.set(Behavior::Streamed(Duration::from_millis(700)));
@@ -316,7 +320,7 @@
 /// Guards against requests that fail with the owner: they go without a slot until another node owns the upstream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slots_requests_go_on_when_the_owner_is_killed() {
-    let Pair { _rig, _door, upstream: _upstream, owner, other } = Pair::start("", "").await;
+    let Pair { _rig, _door, upstream: _upstream, owner, other } = Pair::start(AUTO, AUTO).await;
     let kill = async {
         tokio::time::sleep(Duration::from_secs(2)).await;
         assert!(figure(&other, "granted_total").await > 0, "the owner grants");
@@ -343,7 +347,7 @@
 /// Guards against slots that a dead gateway keeps, which would leave the upstream idle.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slots_of_a_killed_gateway_come_back() {
-    let Pair { _rig, _door, upstream: _upstream, owner, other } = Pair::start("", "").await;
+    let Pair { _rig, _door, upstream: _upstream, owner, other } = Pair::start(AUTO, AUTO).await;
     let both = [owner.callers, other.callers];
     let kill = async {
         tokio::time::sleep(Duration::from_secs(2)).await;
@@ -407,7 +411,7 @@
     let mut gateways = Vec::new();
     for (gateway, hall) in [("n-0", "north-1"), ("n-1", "north-1"), ("s-1", "south-1")] {
         let seeds: Vec<_> = gateways.iter().map(|gateway: &Gateway| gateway.peers).collect();
-        let started = rig.gateway_with(gateway, hall, door.address, &seeds, "").await;
+        let started = rig.gateway_with(gateway, hall, door.address, &seeds, AUTO).await;
         started.wait_ready().await;
         gateways.push(started);
     }
@@ -434,7 +438,8 @@
     let upstream = rig.upstream(UPSTREAM, "desk", "north-1").await;
     upstream.run_at_once(SLOTS, QUEUE, WORK);
     let door = rig.store.open().await.expect("the store opens");
-    let gateway = rig.gateway("n-0", "north-1", &door).await;
+    let gateway = rig.gateway_with("n-0", "north-1", door.address, &[], AUTO).await;
+    gateway.wait_ready().await;
     Pair::load(&[&gateway], "/read/a", TOO_MANY, Duration::from_secs(1)).await;
     assert!(!get(&gateway, "/metrics").await.contains("yokespoke_slots_"));
     assert!(dump(&gateway).await["slots"].is_null());
@@ -564,7 +569,8 @@
     rig.put(config());
     let upstream = rig.upstream(UPSTREAM, "desk", "north-1").await;
     let door = rig.store.open().await.expect("the store opens");
-    let gateway = rig.gateway("n-0", "north-1", &door).await;
+    let gateway = rig.gateway_with("n-0", "north-1", door.address, &[], AUTO).await;
+    gateway.wait_ready().await;
     let mut peer = Peer::start(&gateway).await;
     rig::until("the peer is known", async || {
         peer.heartbeat("n-7", false).await;
@@ -613,7 +619,8 @@
     let name = (0..).map(|number| format!("i-{number}")).find(of_peer).expect("a name");
     let upstream = rig.upstream(&name, "desk", "north-1").await;
     let door = rig.store.open().await.expect("the store opens");
-    let gateway = rig.gateway("n-0", "north-1", &door).await;
+    let gateway = rig.gateway_with("n-0", "north-1", door.address, &[], AUTO).await;
+    gateway.wait_ready().await;
     let mut peer = Peer::start(&gateway).await;
     rig::until("the peer is known", async || {
         peer.heartbeat("n-7", true).await;
--- a/crates/steer/src/dispatch/dispatcher/slot_state.rs
+++ b/crates/steer/src/dispatch/dispatcher/slot_state.rs
@@ -23,13 +23,6 @@
 use crate::dispatch::upstream;
 use crate::dispatch::urgency;
 
-/// Expected queueing time, as a fraction of the target latency, above which a request asks for a slot at
-/// an upstream of its own region.
-///
-/// Asking takes a round trip, which a shorter queue does not justify. At an upstream of another region,
-/// the round trip is long and the estimate old, so only a reported queue or a refusal counts.
-const CONTENDED_WAIT_FRACTION: f64 = 0.3;
-
 impl Dispatcher {
     /// Sets whether this node uses slots; it uses none until this is called.
     pub fn set_slots(&mut self, mode: slots::Mode) {
@@ -48,9 +41,10 @@
             return None;
         }
         let upstream = self.upstreams.get(&chosen.entry.id)?;
-        let target = request.route.target_latency.as_secs_f64();
+        // The estimate for an upstream of another region is old and the round trip long, so only a reported
+        // queue or a refusal counts there.
         let is_near = upstream.region == self.position.region;
-        let has_queue = is_near && chosen.wait.0 > target * CONTENDED_WAIT_FRACTION;
+        let has_queue = is_near && chosen.wait.0 > 0.0;
         if !has_queue && !upstream.load.is_contended(now) {
             return None;
         }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -99,8 +99,7 @@
             outcome::Outcome::Refused { load } => {
                 upstream.health.record_refusal(in_flight, now);
                 apply_report(upstream, load, now);
-                let is_full = load.is_none_or(|load| load.running + load.waiting >= load.slots);
-                upstream.load.record_refusal(upstream.entry.slots, is_full, now);
+                upstream.load.record_full(upstream.entry.slots, now);
             }
             outcome::Outcome::Replaced => upstream.is_replaced = true,
             outcome::Outcome::NotSent => upstream.health.record_unreachable(now),
--- a/crates/steer/src/dispatch/reported_load.rs
+++ b/crates/steer/src/dispatch/reported_load.rs
@@ -113,12 +113,9 @@
         self.reported_at = now;
     }
 
-    /// Records that the upstream refused a request; `is_full` is false if its load report shows a free
-    /// slot, so that it refused for another reason.
-    pub fn record_refusal(&mut self, slots: u32, is_full: bool, now: Instant) {
-        if is_full {
-            self.contended_at = Some(now);
-        }
+    /// Records that the upstream refused a request because it is full.
+    pub fn record_full(&mut self, slots: u32, now: Instant) {
+        self.contended_at = Some(now);
         self.other_requests = self.other_requests.max(f64::from(slots) * FULL_FACTOR);
         self.reported_at = now;
     }
--- a/crates/steer/tests/selection.rs
+++ b/crates/steer/tests/selection.rs
@@ -127,7 +127,7 @@
     match random.random_range(0..10) {
         0 => upstream.health.record_unreachable(now),
         1 => upstream.health.record_broken(now),
-        2 => upstream.load.record_refusal(4, true, now),
+        2 => upstream.load.record_full(4, now),
         3..6 => upstream.objects.record(key),
         6 => {
             let (work, expected) = (seconds::Seconds(0.9), seconds::Seconds(0.3));
