Reservations: refused callers of an organisation are promised room

Cause: all callers of an organisation over its limit were told the same time, returned together, and 95 of 100 were refused again.

Change: steer::dispatch::reservation makes promises at the pace at which room becomes free at a node, with a wait that is a fraction of the caller's time left. A return at another node is recognised by its time left, compared with the usual one of first requests on its route, and redeems one of that node's own promises. Contents of requests are drawn, so that callers that were promised nothing mostly redeem nothing. A caller without a promise is told when the surge is expected to be over. Quotas::admit_caller subtracts the promised rate from what newcomers get; Quotas::admit is as before. Nothing calls admit_caller yet.

--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -9,8 +9,9 @@
 //! its organisation may send it), [`quarantine`] (whether it crashes upstreams), [`route`] (which
 //! service), [`region`] (which region), [`eligibility`] (which upstreams may take it),
 //! [`preference`], [`selection`] and [`affinity`] (which upstream is best), [`overflow`] (whether it
-//! leaves its region), [`admission`] (whether it may wait), [`retry`] and [`retry_budget`] (whether
-//! it is retried), [`give_up`] (the error response to its caller).
+//! leaves its region), [`admission`] (whether it may wait), [`reservation`] (when a refused caller
+//! may come back), [`retry`] and [`retry_budget`] (whether it is retried), [`give_up`] (the error
+//! response to its caller).
 //!
 //! State per upstream: [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
 //! (combined in [`health`]), [`slow_start`] and [`slow_start_owner`], [`reported_load`],
@@ -52,6 +53,7 @@
 pub mod region;
 pub mod reported_load;
 pub mod request;
+pub mod reservation;
 pub mod rest;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -41,6 +41,8 @@
 use usage::{Key, Usage};
 use xxhash_rust::xxh3;
 
+use crate::dispatch::reservation;
+
 /// Time for which an organisation counts as near its limit after a node found it there.
 ///
 /// Several times [`usage::TIME_CONSTANT`], so that an organisation that stays around its limit is
@@ -84,6 +86,21 @@
     slack: f64,
     seed: u64,
     timing: report_timing::ReportTiming,
+    /// Room promised to refused callers; `None` if callers are promised nothing.
+    reservations: Option<reservation::Schedule<Key>>,
+}
+
+/// A request of an account, with what decides whether it is admitted.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// Part of the limit that belongs to the reachable nodes, in requests per second.
+    limit: f64,
+    /// This node's part of it.
+    share: f64,
+    /// Requests per second that reach this node.
+    own: f64,
+    /// Ratio of its requests that the fleet admits.
+    ratio: f64,
 }
 
 impl Quotas {
@@ -101,9 +118,27 @@
             slack,
             seed: xxh3::xxh3_64(node.as_str().as_bytes()),
             timing: report_timing::ReportTiming::default(),
+            reservations: None,
         }
     }
 
+    /// Sets whether refused callers are promised room, at times in multiples of `resolution`; `None`
+    /// if they are not.
+    pub fn set_reservations(&mut self, resolution: Option<Duration>) {
+        self.reservations = resolution.map(reservation::Schedule::new);
+    }
+
+    /// Returns the promises to refused callers; `None` if callers are promised nothing.
+    #[must_use]
+    pub fn reservations(&self) -> Option<&reservation::Schedule<Key>> {
+        self.reservations.as_ref()
+    }
+
+    /// Returns the counts of promises since the last call.
+    pub fn take_reservation_counts(&mut self) -> reservation::Counts {
+        self.reservations.as_mut().map(reservation::Schedule::take_counts).unwrap_or_default()
+    }
+
     /// Applies a configuration; an organisation whose limit changes keeps its rates and its bucket.
     pub fn configure(&mut self, routing: &routing::Routing, now: Instant) {
         let mut previous = std::mem::take(&mut self.accounts);
@@ -205,24 +240,107 @@
         adjust: impl FnOnce(f64) -> f64,
         now: Instant,
     ) -> Result<f64, Duration> {
-        let view = self.fleet_view(now);
-        let Some(limit) = self.refill(key, view, now) else { return Ok(f64::INFINITY) };
-        let others = self.reachable_usage(key, &view);
+        let Some(asked) = self.ask(key, now) else { return Ok(f64::INFINITY) };
         let Some(account) = self.accounts.get_mut(&key) else { return Ok(f64::INFINITY) };
-        account.asked.add(1.0, now);
-        let own = account.asked.get(now);
-        let share = limit * view.own_share();
-        let ratio = adjust(account.bucket.admission_ratio(limit, own + others.demand, view.extra));
+        let ratio = adjust(asked.ratio);
         if !account.bucket.admits(ratio) {
             let (shortest, longest) = RETRY_AFTER_RANGE;
-            return Err(account.bucket.time_until_available(limit).clamp(shortest, longest));
+            return Err(account.bucket.time_until_available(asked.limit).clamp(shortest, longest));
+        }
+        self.record_admitted(key, asked, now);
+        Ok(ratio)
+    }
+
+    /// Admits a request of an organisation whose callers may be promised room.
+    ///
+    /// While the organisation is over its limit, a return that comes as told takes the room that was
+    /// promised, and other requests get what is left. Every admitted request is deducted from the
+    /// bucket, so promises add nothing to the limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time to wait before a retry if the organisation is over its limit.
+    pub fn admit_caller(
+        &mut self,
+        organisation: &id::Organisation,
+        caller: &reservation::Caller,
+        now: Instant,
+    ) -> Result<(), reservation::Refused> {
+        if self.reservations.is_none() {
+            let returned = caller.returned();
+            let refused = |retry_after| reservation::Refused { retry_after, returned };
+            return self.admit(organisation, now).map_err(refused);
         }
-        account.admit(1.0, share, now);
-        let excess = account.excess.get(share, now);
-        if own >= share * NEAR_LIMIT_DEMAND || excess >= NEAR_LIMIT_EXCESS {
+        let key = Key::for_organisation(organisation);
+        let Some(asked) = self.ask(key, now) else {
+            self.count_request(now);
+            return Ok(());
+        };
+        if self.admit_reserved(key, asked, caller, now) {
+            self.record_admitted(key, asked, now);
+            if asked.ratio >= 1.0 {
+                self.count_request(now);
+            }
+            return Ok(());
+        }
+        let debt_time = self.accounts.get(&key).map_or(Duration::ZERO, |account| {
+            account.bucket.time_until_available(asked.limit).min(RETRY_AFTER_RANGE.1)
+        });
+        let Some(reservations) = self.reservations.as_mut() else { return Ok(()) };
+        let returned = reservations.returned(&key, caller, now);
+        let ratio = asked.ratio.max(0.0);
+        let promise = reservations.promise(&key, caller, (asked.own * ratio, ratio), now);
+        let retry_after = match promise.is_kept {
+            true => promise.retry_after,
+            false => promise.retry_after.max(debt_time),
+        };
+        Err(reservation::Refused { retry_after, returned })
+    }
+
+    /// Returns whether a request is admitted, for a promise or as a newcomer.
+    fn admit_reserved(
+        &mut self,
+        key: Key,
+        asked: Asked,
+        caller: &reservation::Caller,
+        now: Instant,
+    ) -> bool {
+        let Some(account) = self.accounts.get_mut(&key) else { return true };
+        let Some(reservations) = &mut self.reservations else { return true };
+        if asked.ratio >= 1.0 {
+            return account.bucket.admits(asked.ratio);
+        }
+        // Without any room, nothing is left that promises could be kept with.
+        if asked.ratio > 0.0 && reservations.redeem(&key, caller, now) {
+            return true;
+        }
+        let ratio = asked.ratio - reservations.reserved(&key, now) / asked.own;
+        match reservations.admits_return(&key, caller, ratio, now) {
+            Some(is_admitted) => is_admitted,
+            None => account.bucket.admits(ratio),
+        }
+    }
+
+    /// Counts a request in the demand of an account; returns `None` if it has no limit.
+    fn ask(&mut self, key: Key, now: Instant) -> Option<Asked> {
+        let view = self.fleet_view(now);
+        let limit = self.refill(key, view, now)?;
+        let others = self.reachable_usage(key, &view);
+        let account = self.accounts.get_mut(&key)?;
+        account.asked.add(1.0, now);
+        let own = account.asked.get(now);
+        let ratio = account.bucket.admission_ratio(limit, own + others.demand, view.extra);
+        Some(Asked { limit, share: limit * view.own_share(), own, ratio })
+    }
+
+    /// Records that a request is admitted.
+    fn record_admitted(&mut self, key: Key, asked: Asked, now: Instant) {
+        let Some(account) = self.accounts.get_mut(&key) else { return };
+        account.admit(1.0, asked.share, now);
+        let excess = account.excess.get(asked.share, now);
+        if asked.own >= asked.share * NEAR_LIMIT_DEMAND || excess >= NEAR_LIMIT_EXCESS {
             self.near_limit.insert(key, now);
         }
-        Ok(ratio)
     }
 
     /// Refills the bucket of an organisation up to `now`; returns the part of its limit that
@@ -311,6 +429,9 @@
         self.reports.expire(now);
         self.reporter.expire(self.timing.validity, now);
         self.reachability.save_demand(self.total_demand.get(now), &self.reports, now);
+        if let Some(reservations) = &mut self.reservations {
+            reservations.tick(now);
+        }
     }
 
     /// Returns the names of the organisations that this node found near their limits, for the dump.
