Gateways promise room to callers over the limit of their organisation

Cause: nothing passed the caller's address, time left and route to the quota, so no promise could be made or redeemed.

Change: the handler passes them to Quotas::admit_caller.

--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -127,6 +127,15 @@
         }
     }
 
+    /// Returns the resolution of `Retry-After`.
+    #[must_use]
+    pub fn retry_after_resolution(self) -> Duration {
+        match self {
+            Self::Platform => Duration::from_millis(10),
+            Self::Own => Duration::from_secs(1),
+        }
+    }
+
     /// Returns what a genuine answer of an upstream has to show.
     #[must_use]
     pub fn requirements(self) -> execution::Requirements {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic;
 use std::time::{Duration, Instant};
 
+use steer::dispatch::reservation;
+
 use crate::common::logging;
 use crate::gateway::organisation_metrics;
 use crate::gateway::unknown_headers;
@@ -102,6 +104,32 @@
     }
 }
 
+/// Promises to refused callers.
+#[derive(Debug, Default)]
+pub struct Reservations {
+    /// Refused callers that were promised room.
+    pub promised: Counter,
+    /// Returns that were admitted for a promise.
+    pub redeemed: Counter,
+    /// Promises that nobody redeemed in time.
+    pub lapsed: Counter,
+    /// Refused callers that were promised nothing.
+    pub refused_unpromised: Counter,
+    /// Returns that came as told and were refused.
+    pub refused_as_told: Counter,
+}
+
+impl Reservations {
+    /// Adds counts.
+    pub fn add(&self, counts: reservation::Counts) {
+        self.promised.add(counts.promised);
+        self.redeemed.add(counts.redeemed);
+        self.lapsed.add(counts.lapsed);
+        self.refused_unpromised.add(counts.refused_unpromised);
+        self.refused_as_told.add(counts.refused_as_told);
+    }
+}
+
 /// Figures of a gateway.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -217,13 +245,15 @@
     pub held: Gauge,
     /// Upstreams that name a limit.
     pub upstreams_limited: Gauge,
+    /// Promises to refused callers.
+    pub reservations: Reservations,
     /// Time from a request to the end of its answer.
     pub latency: Latencies,
 }
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 45] {
+    fn counters(&self) -> [(&'static str, &Counter); 50] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -270,6 +300,11 @@
             ("store_calls_fleet", &self.store_fleets),
             ("store_calls_rollout", &self.store_rollouts),
             ("tries_lapsed", &self.tries_lapsed),
+            ("reservations_promised", &self.reservations.promised),
+            ("reservations_redeemed", &self.reservations.redeemed),
+            ("reservations_lapsed", &self.reservations.lapsed),
+            ("reservations_refused_unpromised", &self.reservations.refused_unpromised),
+            ("reservations_refused_as_told", &self.reservations.refused_as_told),
         ]
     }
 
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -6,12 +6,13 @@
 
 use std::net;
 use std::sync;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http::{HeaderValue, Request, Response, header, request};
 use hyper::body::Incoming;
 use model::{key, organisation, route, routing};
-use steer::dispatch::{give_up, homes};
+use steer::dispatch::reservation::{self, caller};
+use steer::dispatch::{give_up, homes, urgency};
 
 use crate::common::body;
 use crate::gateway::proxy::answer;
@@ -21,6 +22,9 @@
 use crate::gateway::proxy::trace;
 use crate::gateway::proxy::tries;
 
+/// Longest time left of a caller that reservations take into account; a header may state any time.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(600);
+
 /// Handles one request from the address `caller`.
 pub async fn handle(
     server: &server::Server,
@@ -77,7 +81,8 @@
     let timeout = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = head.arrived + timeout;
     let body = read_body(server, &head, incoming, routing.limits.body_bytes, deadline).await?;
-    admit(server, organisation).map_err(answer::Reason::GivenUp)?;
+    let caller = returning_caller(server, &head, &route, organisation);
+    admit(server, organisation, caller.as_ref(), trace).map_err(answer::Reason::GivenUp)?;
     let service = server.state.dispatcher.borrow_mut().pick_service(&route);
     let service = service.ok_or(answer::Reason::GivenUp(give_up::Reason::NoService))?;
     trace.set_service(&service);
@@ -138,20 +143,57 @@
     }
 }
 
-/// Counts a request against the quota of its organisation.
+/// Counts a request against the quota of its organisation; `caller` is `None` if no room is reserved.
 fn admit(
     server: &server::Server,
     organisation: Option<&organisation::Organisation>,
+    caller: Option<&reservation::Caller>,
+    trace: &mut trace::Trace,
 ) -> Result<(), give_up::Reason> {
     let Some(organisation) = organisation else { return Ok(()) };
     server.state.metrics.organisations.requested(&organisation.name);
-    let admitted = server.state.quotas.borrow_mut().admit(&organisation.name, Instant::now());
+    let (name, now) = (&organisation.name, Instant::now());
+    let mut quotas = server.state.quotas.borrow_mut();
+    let admitted = match caller {
+        Some(caller) => quotas.admit_caller(name, caller, now).map_err(|refused| {
+            trace.set_returned(refused.returned);
+            refused.retry_after
+        }),
+        None => quotas.admit(name, now),
+    };
     admitted.map_err(|retry_after| {
-        server.state.metrics.organisations.over_quota(&organisation.name);
+        server.state.metrics.organisations.over_quota(name);
         give_up::Reason::OverQuota { retry_after }
     })
 }
 
+/// Returns what a return of the caller is recognised by; `None` if no room is reserved for the
+/// organisation.
+fn returning_caller(
+    server: &server::Server,
+    head: &head::Head,
+    route: &route::Route,
+    organisation: Option<&organisation::Organisation>,
+) -> Option<reservation::Caller> {
+    let organisation = organisation.filter(|organisation| organisation.quota.is_some())?;
+    server.state.quotas.borrow().reservations()?;
+    let mut times_left = server.state.times_left.borrow_mut();
+    // A caller that states no deadline has the same time left whenever it comes.
+    let usual = head.deadline.and_then(|deadline| times_left.record(&route.name, deadline));
+    let time_left = head.deadline.unwrap_or(route.timeout);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let deadline = now.saturating_sub(head.arrived.elapsed()).saturating_add(time_left);
+    // Without the body, which takes long to hash.
+    let content = head.fingerprint(Some(&organisation.name), &[]).affinity_hash();
+    Some(reservation::Caller {
+        address: head.caller,
+        time_left: time_left.min(MAX_TIME_LEFT),
+        usual,
+        urgency: urgency::Urgency::of(route, Some(organisation)),
+        draw: caller::draw(content, deadline),
+    })
+}
+
 /// Reads a body of at most `largest` bytes until `deadline`.
 async fn read_body(
     server: &server::Server,
--- a/crates/node/src/gateway/proxy/trace.rs
+++ b/crates/node/src/gateway/proxy/trace.rs
@@ -11,6 +11,7 @@
 use model::id;
 use steer::dispatch::quarantine;
 use steer::dispatch::refusal;
+use steer::dispatch::reservation;
 use steer::dispatch::retry;
 
 use crate::gateway::proxy::answer;
@@ -32,6 +33,7 @@
     tries: Vec<retry::Attempt>,
     refusal: Option<refusal::Refusal>,
     held: Option<quarantine::Hold>,
+    returned: Option<reservation::Return>,
     is_ended: bool,
 }
 
@@ -50,6 +52,7 @@
             tries: Vec::new(),
             refusal: None,
             held: None,
+            returned: None,
             is_ended: false,
         }
     }
@@ -96,6 +99,11 @@
         self.held = held.copied();
     }
 
+    /// Records whether the refused request is a return that came as told.
+    pub fn set_returned(&mut self, returned: reservation::Return) {
+        self.returned = Some(returned);
+    }
+
     /// Records that an upstream's response is forwarded.
     pub fn answered(&mut self, status: StatusCode) {
         self.is_ended = true;
@@ -146,6 +154,7 @@
             revision = self.state.replica.borrow().at().revision,
             tries = tries.as_str(),
             inputs = inputs.as_str(),
+            returned = self.returned.map_or("", reservation::Return::as_str),
             waited_ms = waited;
             "{event}"
         );
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use model::duration;
 use model::id;
 use serde::{Deserialize, Serialize};
+use steer::dispatch::reservation;
 
 use crate::common::logging;
 use crate::common::settings;
@@ -48,6 +49,9 @@
     /// Bounds of the deployment.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Whether refused callers are promised room for their return.
+    #[serde(default)]
+    pub reservations: reservation::Mode,
     /// What is logged.
     #[serde(default)]
     pub log: logging::Level,
--- a/crates/node/src/gateway/state/gauges.rs
+++ b/crates/node/src/gateway/state/gauges.rs
@@ -27,5 +27,7 @@
         figures.held.set(u32::try_from(held).unwrap_or(u32::MAX).into());
         let limited = self.dispatcher.borrow().limits().count_named();
         figures.upstreams_limited.set(u32::try_from(limited).unwrap_or(u32::MAX).into());
+        let counts = self.quotas.borrow_mut().take_reservation_counts();
+        figures.reservations.add(counts);
     }
 }
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -16,6 +16,7 @@
 mod upstreams;
 
 use std::cell;
+use std::collections;
 use std::rc;
 use std::sync;
 use std::time::Instant;
@@ -25,7 +26,7 @@
 use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
-use steer::dispatch::{dispatcher, position, quota};
+use steer::dispatch::{dispatcher, position, quota, reservation};
 use tokio::sync::Notify;
 
 use crate::gateway::connection_check;
@@ -52,6 +53,8 @@
     pub dispatcher: cell::RefCell<dispatcher::Dispatcher>,
     /// Enforces the quotas of organisations.
     pub quotas: cell::RefCell<quota::Quotas>,
+    /// Time left that first requests on each route usually have.
+    pub times_left: cell::RefCell<reservation::TimesLeft>,
     /// Quarantines requests that crash upstreams.
     pub quarantine: cell::RefCell<Quarantine>,
     /// Current configuration; `None` until the first update.
@@ -128,12 +131,16 @@
         };
         let bounds = settings.bounds();
         let dispatcher = dispatcher::Dispatcher::new(position, bounds);
-        let quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
+        let mut quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
+        let resolution = settings.source().dialect().retry_after_resolution();
+        let has_reservations = settings.reservations != reservation::Mode::Off;
+        quotas.set_reservations(has_reservations.then_some(resolution));
         Self {
             dialect: settings.source().dialect(),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             dispatcher: cell::RefCell::new(dispatcher),
             quotas: cell::RefCell::new(quotas),
+            times_left: cell::RefCell::default(),
             quarantine: cell::RefCell::new(Quarantine::new(Instant::now())),
             routing: cell::RefCell::new(None),
             replica: cell::RefCell::default(),
@@ -238,6 +245,9 @@
             dispatcher.configure(sync::Arc::clone(&routing));
             self.quotas.borrow_mut().configure(&routing, now);
             self.metrics.organisations.configure(&routing);
+            let names: collections::BTreeSet<&id::Route> =
+                routing.routes().map(|route| &route.name).collect();
+            self.times_left.borrow_mut().retain(|route| names.contains(route));
             *self.routing.borrow_mut() = Some(routing);
         }
         if let Some(upstreams) = upstreams {
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -11,6 +11,7 @@
 use node::common::logging;
 use node::gateway::settings as gateway_settings;
 use node::owner::settings as node_settings;
+use steer::dispatch::reservation;
 
 fn fixture(name: &str) -> path::PathBuf {
     path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/forms").join(name)
@@ -105,6 +106,7 @@
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.processor, gateway_settings::Processor { cores: 1.5, share: 0.5 });
     assert_eq!(settings.processor.capacity(), 750);
+    assert_eq!(settings.reservations, reservation::Mode::On);
     assert_eq!(settings.log, logging::Level::Warn);
 }
 
@@ -129,9 +131,28 @@
         expose_slack: 0.0,
     };
     assert_eq!(settings.bounds(), expected);
+    assert_eq!(settings.reservations, reservation::Mode::Auto);
     assert_eq!(settings.log, logging::Level::Info);
 }
 
+#[test]
+fn modes_of_reservations_are_words() {
+    let modes = [
+        ("auto", reservation::Mode::Auto),
+        ("on", reservation::Mode::On),
+        ("off", reservation::Mode::Off),
+    ];
+    for (word, mode) in modes {
+        let read: reservation::Mode = serde_yaml_ng::from_str(word).expect("a mode");
+        assert_eq!(read, mode);
+    }
+    let (name, line) = ("gateway-every-field.yaml", "reservations: on");
+    for wrong in ["reservations: yes", "reservations: true", "reservations: 1"] {
+        let fault = fault(name, line, wrong);
+        assert!(fault.starts_with("30: reservations: "), "{fault}");
+    }
+}
+
 #[test]
 fn levels_of_the_log_are_words() {
     let levels = [
@@ -223,6 +244,7 @@
     assert!(gateway_settings::Settings::is_gateway(&text));
     let rendered = gateway_settings::Settings::read(&file).expect("the settings are valid");
     let mut expected = read_gateway("gateway-every-field.yaml");
+    expected.reservations = reservation::Mode::Auto;
     expected.log = logging::Level::Info;
     assert_eq!(rendered, expected);
 }
--- a/crates/node/tests/gateway_settings.rs
+++ b/crates/node/tests/gateway_settings.rs
@@ -30,6 +30,7 @@
         (SETTINGS.replace("hall: n-1\n", "hall: n-2\n"), "halls: hall n-2 is missing"),
         (SETTINGS.replace("store: 127.0.0.1:1\n", ""), "store: expected either `store` or"),
         (SETTINGS.replace("store:", "colour:"), ":12: "),
+        (format!("{SETTINGS}reservations: maybe\n"), ":16: reservations: unknown variant `maybe`"),
         (format!("{SETTINGS}declarations: 127.0.0.1:2\n"), "expected either `store` or"),
         (format!("{SETTINGS}processor:\n  share: 1.5\n"), "processor.share: 1.5 is out of range"),
         (format!("{SETTINGS}processor:\n  cores: 0\n"), "processor.cores: 0 is out of range"),
