Services promise room to callers that admission control refuses

Cause: admission control told refused callers when the queue would be short enough, without keeping room, so most returns were refused again.

Change: the dispatcher makes promises from its own rate of admitted requests for a service. A request that comes first waits as if what is promised for the next 100 ms were ahead of it; a return that comes as told does not. A caller that would have no time left to be served is promised nothing. Enabled by `reservations: on`; `auto` leaves it off until services can use slots. request::Request and retry::Request have a field for the caller.

--- a/crates/bench/src/choice.rs
+++ b/crates/bench/src/choice.rs
@@ -136,6 +136,7 @@
             time_left: self.route.timeout,
             homes: &self.route.home_regions,
             urgency: urgency::Urgency::of(&self.route, None),
+            caller: None,
         };
         let chosen = self
             .dispatcher
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -96,6 +96,7 @@
         deadline,
         organisation,
         homes: &homes,
+        caller,
     };
     let outcome = send(server, request, trace).await;
     if let (Err(reason), Some(organisation)) = (&outcome, organisation)
@@ -112,12 +113,18 @@
     request: tries::Request<'_>,
     trace: &mut trace::Trace,
 ) -> Result<Response<body::Body>, give_up::Reason> {
-    let deadline = request.deadline;
+    let (deadline, caller, service) = (request.deadline, request.caller, request.service);
     let mut tries = tries::Tries::new(server, request);
     let outcome = tokio::time::timeout_at(deadline.into(), tries.run()).await;
     let outcome = outcome.unwrap_or_else(|_| Err(tries.expire()));
     trace.set_tries(tries.ended(), tries.refusal());
     trace.set_held(tries.held());
+    if let (Err(give_up::Reason::Overloaded { .. }), Some(caller)) = (&outcome, &caller) {
+        let dispatcher = server.state.dispatcher.borrow();
+        if dispatcher.has_reservations() {
+            trace.set_returned(dispatcher.returned(service, caller, Instant::now()));
+        }
+    }
     outcome
 }
 
@@ -167,16 +174,19 @@
     })
 }
 
-/// Returns what a return of the caller is recognised by; `None` if no room is reserved for the
-/// organisation.
+/// Returns what a return of the caller is recognised by; `None` if no room is reserved for callers of
+/// the organisation or of services.
 fn returning_caller(
     server: &server::Server,
     head: &head::Head,
     route: &route::Route,
     organisation: Option<&organisation::Organisation>,
 ) -> Option<reservation::Caller> {
-    let organisation = organisation.filter(|organisation| organisation.quota.is_some())?;
-    server.state.quotas.borrow().reservations()?;
+    let is_limited = organisation.is_some_and(|organisation| organisation.quota.is_some());
+    let is_reserved = is_limited && server.state.quotas.borrow().reservations().is_some();
+    if !is_reserved && !server.state.dispatcher.borrow().has_reservations() {
+        return None;
+    }
     let mut times_left = server.state.times_left.borrow_mut();
     // A caller that states no deadline has the same time left whenever it comes.
     let usual = head.deadline.and_then(|deadline| times_left.record(&route.name, deadline));
@@ -184,12 +194,12 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let deadline = now.saturating_sub(head.arrived.elapsed()).saturating_add(time_left);
     // Without the body, which takes long to hash.
-    let content = head.fingerprint(Some(&organisation.name), &[]).affinity_hash();
+    let content = head.fingerprint(organisation.map(|o| &o.name), &[]).affinity_hash();
     Some(reservation::Caller {
         address: head.caller,
         time_left: time_left.min(MAX_TIME_LEFT),
         usual,
-        urgency: urgency::Urgency::of(route, Some(organisation)),
+        urgency: urgency::Urgency::of(route, organisation),
         draw: caller::draw(content, deadline),
     })
 }
--- a/crates/node/src/gateway/proxy/tries/choice.rs
+++ b/crates/node/src/gateway/proxy/tries/choice.rs
@@ -44,6 +44,7 @@
             deadline: self.request.deadline,
             homes: self.request.homes,
             urgency: urgency::Urgency::of(self.request.route, self.request.organisation),
+            caller: self.request.caller,
         }
     }
 
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -19,6 +19,7 @@
 use steer::dispatch::outcome;
 use steer::dispatch::quarantine;
 use steer::dispatch::refusal;
+use steer::dispatch::reservation;
 use steer::dispatch::retry;
 
 use crate::common::body;
@@ -55,6 +56,8 @@
     pub organisation: Option<&'a organisation::Organisation>,
     /// Regions that may serve the request; all regions if empty.
     pub homes: &'a [id::Region],
+    /// What a return of the caller is recognised by; `None` if no room is reserved for it.
+    pub caller: Option<reservation::Caller>,
 }
 
 /// The tries of one request.
--- a/crates/node/src/gateway/state/gauges.rs
+++ b/crates/node/src/gateway/state/gauges.rs
@@ -29,5 +29,7 @@
         figures.upstreams_limited.set(u32::try_from(limited).unwrap_or(u32::MAX).into());
         let counts = self.quotas.borrow_mut().take_reservation_counts();
         figures.reservations.add(counts);
+        let counts = self.dispatcher.borrow_mut().take_reservation_counts();
+        figures.reservations.add(counts);
     }
 }
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -130,11 +130,13 @@
             connectivity: report::Report::default(),
         };
         let bounds = settings.bounds();
-        let dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        let mut dispatcher = dispatcher::Dispatcher::new(position, bounds);
         let mut quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
         let resolution = settings.source().dialect().retry_after_resolution();
         let has_reservations = settings.reservations != reservation::Mode::Off;
         quotas.set_reservations(has_reservations.then_some(resolution));
+        let has_reservations = settings.reservations == reservation::Mode::On;
+        dispatcher.set_reservations(has_reservations.then_some(resolution));
         Self {
             dialect: settings.source().dialect(),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
--- a/crates/steer/src/dispatch/admission.rs
+++ b/crates/steer/src/dispatch/admission.rs
@@ -32,7 +32,13 @@
 /// immediately.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Refuses a request whose response from `chosen` would be too late.
+/// Time for which promised room is kept free: a request that comes first waits as if the requests that
+/// are promised room within this time were ahead of it. Well below the maximum wait of most routes, so
+/// that promises never refuse all newcomers.
+const RESERVED_TIME: Duration = Duration::from_millis(100);
+
+/// Refuses a request whose response from `chosen` would be too late, after the time `reserved` for
+/// returns.
 ///
 /// A request that would not queue is always admitted, because its response corrects an estimate that
 /// may be too high.
@@ -43,8 +49,9 @@
 pub fn check(
     chosen: &candidate::Candidate,
     request: &request::Request<'_>,
+    reserved: seconds::Seconds,
 ) -> Result<(), refusal::Refusal> {
-    let lateness = lateness(chosen, request);
+    let lateness = lateness(chosen, request) + reserved.0;
     let is_late = chosen.wait.0 > 0.0 && lateness > 0.0;
     if !is_late {
         return Ok(());
@@ -54,6 +61,16 @@
     Err(refusal::Refusal::Overloaded { retry_after, estimate: estimate(chosen, request) })
 }
 
+/// Returns the wait that is reserved for returns, if `reserved` requests per second are promised room
+/// and `admitted` are admitted.
+#[must_use]
+pub fn reserved_wait(reserved: f64, admitted: f64) -> seconds::Seconds {
+    match admitted > 0.0 {
+        true => seconds::Seconds(RESERVED_TIME.as_secs_f64() * (reserved / admitted).min(1.0)),
+        false => seconds::Seconds(0.0),
+    }
+}
+
 /// Returns how long a request may queue at an upstream, given the mean processing time `work`.
 ///
 /// Unbounded if processing alone exceeds the target latency, since a refusal would not help.
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -8,7 +8,6 @@
 use model::id;
 use model::route;
 
-use crate::dispatch::admission;
 use crate::dispatch::candidate;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::eligibility;
@@ -69,6 +68,7 @@
         let chosen = self.choose_version(request, now);
         if request.is_first_try() {
             self.priorities.record(request.service, request.urgency, chosen.is_ok());
+            return self.settle_reservation(chosen, request, now);
         }
         chosen
     }
@@ -155,7 +155,7 @@
                 false => Vec::new(),
             };
         let chosen = self.overflow.choose(&best, &others).unwrap_or(&best);
-        admission::check(chosen, request)?;
+        self.check_admission(chosen, request, now)?;
         Ok(chosen.clone())
     }
 
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 pub mod connectivity;
 mod peers;
 mod regions;
+mod reservations;
 pub mod rollouts;
 pub mod statements;
 mod tries;
@@ -36,6 +37,7 @@
 use crate::dispatch::region::distance;
 use crate::dispatch::region::order;
 use crate::dispatch::region::shift;
+use crate::dispatch::reservation;
 use crate::dispatch::rest;
 use crate::dispatch::retry_budget;
 use crate::dispatch::rollout;
@@ -73,6 +75,9 @@
     rests: rest::RestPeriods,
     rollouts: rollout::Rollouts,
     connectivity: Connectivity,
+    /// Room promised to refused callers; `None` if callers are promised nothing.
+    reservations: Option<reservation::Schedule<id::Service>>,
+    admissions: collections::BTreeMap<id::Service, reservations::Admissions>,
     max_nodes: usize,
 }
 
@@ -106,6 +111,8 @@
             rests: rest::RestPeriods::default(),
             rollouts: rollout::Rollouts::default(),
             connectivity: Connectivity::default(),
+            reservations: None,
+            admissions: collections::BTreeMap::new(),
             max_nodes: 1,
         }
     }
@@ -137,6 +144,7 @@
         self.limits.tick(|key| upstreams.get_by_key(key).is_some(), now);
         self.leavings.tick(|process| upstreams.get(&process.upstream).is_some(), now);
         self.rests.tick(now);
+        self.tick_reservations(now);
         let limit = shift::limit(&self.bounds);
         let scopes: Vec<order::Scope> = self.regions.keys().cloned().collect();
         for scope in scopes {
--- a/crates/steer/src/dispatch/request.rs
+++ b/crates/steer/src/dispatch/request.rs
@@ -7,6 +7,7 @@
 use model::id;
 use model::route;
 
+use crate::dispatch::reservation;
 use crate::dispatch::urgency;
 
 /// A request that needs an upstream.
@@ -26,6 +27,8 @@
     pub homes: &'a [id::Region],
     /// Urgency of the request.
     pub urgency: urgency::Urgency,
+    /// What a return of the caller is recognised by; `None` if no room is reserved for it.
+    pub caller: Option<reservation::Caller>,
 }
 
 impl Request<'_> {
--- a/crates/steer/src/dispatch/reservation/book.rs
+++ b/crates/steer/src/dispatch/reservation/book.rs
@@ -193,18 +193,8 @@
     /// Redeems a promise for a return that comes as told: its own one, or one that is due here for a
     /// return from another node.
     pub fn redeem(&mut self, caller: &Caller, now: Instant) -> bool {
-        if self.returned(caller, now) != Return::AsTold {
-            return false;
-        }
-        let found = self.own(caller, now).or_else(|| match caller.returned() {
-            Return::Unknown => self.due_at_address(caller, now),
-            _ => self.first_due(now),
-        });
+        let Some(index) = self.redeemable(caller, now) else { return false };
         let is_small = self.is_small(caller);
-        if !is_small && self.requires_draw() {
-            return false;
-        }
-        let Some(index) = found else { return false };
         self.pending.remove(index);
         self.redeemed_share += (1.0 - self.redeemed_share) * REDEEMED_WEIGHT;
         let is_small = f64::from(u8::from(is_small));
@@ -212,6 +202,21 @@
         true
     }
 
+    /// Returns the promise that a request would redeem.
+    #[must_use]
+    pub fn redeemable(&self, caller: &Caller, now: Instant) -> Option<usize> {
+        if self.returned(caller, now) != Return::AsTold {
+            return None;
+        }
+        if !self.is_small(caller) && self.requires_draw() {
+            return None;
+        }
+        self.own(caller, now).or_else(|| match caller.returned() {
+            Return::Unknown => self.due_at_address(caller, now),
+            _ => self.first_due(now),
+        })
+    }
+
     /// Decides whether a return without a promise is admitted beside newcomers, who are admitted at
     /// `ratio`.
     ///
--- a/crates/steer/src/dispatch/reservation/mod.rs
+++ b/crates/steer/src/dispatch/reservation/mod.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Mode {
-    /// For organisations with limits, and for services that use slots.
+    /// For organisations with limits. Services that use slots are to be added with these.
     #[default]
     Auto,
     /// For all organisations with limits and all services.
--- a/crates/steer/src/dispatch/reservation/schedule.rs
+++ b/crates/steer/src/dispatch/reservation/schedule.rs
@@ -97,6 +97,12 @@
         book.map_or_else(|| caller.returned(), |book| book.returned(caller, now))
     }
 
+    /// Returns whether a request would redeem a promise of `scope` now.
+    #[must_use]
+    pub fn is_redeemable(&self, scope: &S, caller: &Caller, now: Instant) -> bool {
+        self.books.get(scope).is_some_and(|book| book.redeemable(caller, now).is_some())
+    }
+
     /// Redeems a promise of `scope` if the caller comes as told and one is due.
     pub fn redeem(&mut self, scope: &S, caller: &Caller, now: Instant) -> bool {
         let Some(book) = self.books.get_mut(scope) else { return false };
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::give_up;
 use crate::dispatch::refusal;
 use crate::dispatch::request;
+use crate::dispatch::reservation;
 use crate::dispatch::seen_objects;
 use crate::dispatch::urgency;
 
@@ -58,6 +59,8 @@
     pub homes: &'a [id::Region],
     /// The urgency of the request.
     pub urgency: urgency::Urgency,
+    /// What a return of the caller is recognised by; `None` if no room is reserved for it.
+    pub caller: Option<reservation::Caller>,
 }
 
 /// The upstream selected for an attempt.
@@ -206,6 +209,7 @@
             time_left: request.deadline.saturating_duration_since(now),
             homes: request.homes,
             urgency: request.urgency,
+            caller: request.caller,
         }
     }
 
--- a/crates/steer/tests/dispatch/setup.rs
+++ b/crates/steer/tests/dispatch/setup.rs
@@ -87,6 +87,7 @@
         time_left,
         homes: &route.home_regions,
         urgency: urgency::Urgency::of(route, None),
+        caller: None,
     };
     dispatcher.choose(&request, now).map(|chosen| chosen.entry)
 }
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -296,6 +296,7 @@
             time_left,
             homes: &route.home_regions,
             urgency: urgency::Urgency::of(route, None),
+            caller: None,
         };
         let chosen = self.gateways[gateway].0.choose(&request, now);
         let mut job = Job {
--- a/crates/steer/tests/organisations.rs
+++ b/crates/steer/tests/organisations.rs
@@ -99,6 +99,7 @@
             time_left: self.route.timeout,
             homes: &[],
             urgency: urgency::Urgency::of(&self.route, Some(organisation)),
+            caller: None,
         })
     }
 }
--- a/crates/steer/tests/reservation/main.rs
+++ b/crates/steer/tests/reservation/main.rs
@@ -2,6 +2,7 @@
 //! others.
 
 mod fleet;
+mod service;
 mod times_left;
 
 use std::net;
--- a/crates/steer/tests/retry.rs
+++ b/crates/steer/tests/retry.rs
@@ -65,6 +65,7 @@
         deadline: now + TIMEOUT,
         homes: &route.home_regions,
         urgency: urgency::Urgency::of(route, None),
+        caller: None,
     };
     let choice = progress.choose(request, dispatcher, now);
     progress.sending();
--- a/crates/steer/tests/rollout.rs
+++ b/crates/steer/tests/rollout.rs
@@ -254,6 +254,7 @@
             time_left: Duration::from_secs(2),
             homes: &[],
             urgency: urgency::Urgency::of(&route, None),
+            caller: None,
         };
         seen.requests += 1;
         let Ok(chosen) = gateway.choose(&request, now) else { return };
--- a/crates/steer/tests/selection.rs
+++ b/crates/steer/tests/selection.rs
@@ -166,6 +166,7 @@
             time_left,
             homes: &route.home_regions,
             urgency: urgency::Urgency::of(&route, None),
+            caller: None,
         };
         let work = expected_processing_time::ProcessingTimes::default();
         let preferred = index.preferred(&service, &region, key).filter(is_eligible);
