--- a/crates/steer/src/dispatch/reservation/mod.rs
+++ b/crates/steer/src/dispatch/reservation/mod.rs
@@ -28,12 +28,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Mode {
-    /// For organisations with limits. Services that use slots are to be added with these.
-    #[default]
+    /// For organisations with limits.
     Auto,
     /// For all organisations with limits and all services.
     On,
     /// Never.
+    #[default]
     Off,
 }
 
