Reservations keep small limits and serve all deadlines

- Promises are kept for 2 s at most, slow nodes save up one, and none is redeemed while the fleet owes a quarter of a second of the limit.
Forged returns at all of 83 gateways at once passed a limit of 10 a second.
- A request no longer counts in the rate from which its own promise is made.
- Promises go on where one rounded wait is too long for the caller.
- Callers with long deadlines are told 5 s at most, 1 s for a service.
- Without room, nothing is promised.

--- a/crates/steer/src/dispatch/admission.rs
+++ b/crates/steer/src/dispatch/admission.rs
@@ -26,7 +26,7 @@
 
 /// Longest `Retry-After` for an overloaded service, so that a wrong estimate does not keep callers
 /// away for longer.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Shortest `Retry-After` for an overloaded service, so that refused callers do not retry
 /// immediately.
--- a/crates/steer/src/dispatch/dispatcher/reservations.rs
+++ b/crates/steer/src/dispatch/dispatcher/reservations.rs
@@ -108,8 +108,10 @@
                     has_time.then(|| schedule.promise(request.service, caller, room, now));
                 let retry_after = match promise {
                     Some(promise) if promise.is_kept => promise.retry_after,
-                    Some(promise) => retry_after.max(promise.retry_after),
-                    None => retry_after.max(caller.max_wait()),
+                    Some(promise) => {
+                        retry_after.max(promise.retry_after).min(admission::MAX_RETRY_AFTER)
+                    }
+                    None => retry_after.max(caller.max_wait()).min(admission::MAX_RETRY_AFTER),
                 };
                 Err(refusal::Refusal::Overloaded { retry_after, estimate })
             }
--- a/crates/steer/src/dispatch/quota/mod.rs
+++ b/crates/steer/src/dispatch/quota/mod.rs
@@ -71,6 +71,10 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(5));
 
+/// Debt from which promises are not redeemed, as the time that it takes to refill it. Nodes learn of
+/// what others redeem with the reports, and many nodes may redeem at once.
+const MAX_REDEEM_DEBT: Duration = Duration::from_millis(250);
+
 /// Accounts of all organisations, or upstreams, with a limit.
 #[derive(Clone, Debug)]
 pub struct Quotas {
@@ -97,8 +101,10 @@
     limit: f64,
     /// This node's part of it.
     share: f64,
-    /// Requests per second that reach this node.
+    /// Requests per second that reach this node, with this one.
     own: f64,
+    /// The same without this one, which alone counts as one request per second.
+    own_before: f64,
     /// Ratio of its requests that the fleet admits.
     ratio: f64,
 }
@@ -289,7 +295,7 @@
         let Some(reservations) = self.reservations.as_mut() else { return Ok(()) };
         let returned = reservations.returned(&key, caller, now);
         let ratio = asked.ratio.max(0.0);
-        let promise = reservations.promise(&key, caller, (asked.own * ratio, ratio), now);
+        let promise = reservations.promise(&key, caller, (asked.own_before * ratio, ratio), now);
         let retry_after = match promise.is_kept {
             true => promise.retry_after,
             false => promise.retry_after.max(debt_time),
@@ -310,11 +316,16 @@
         if asked.ratio >= 1.0 {
             return account.bucket.admits(asked.ratio);
         }
-        // Without any room, nothing is left that promises could be kept with.
-        if asked.ratio > 0.0 && reservations.redeem(&key, caller, now) {
+        // Without any room, nothing is left that promises could be kept with. A debt shows that more
+        // is redeemed over the fleet than the limit has room for.
+        let is_in_debt = account.bucket.debt() >= asked.limit * MAX_REDEEM_DEBT.as_secs_f64();
+        if asked.ratio > 0.0 && !is_in_debt && reservations.redeem(&key, caller, now) {
             return true;
         }
-        let ratio = asked.ratio - reservations.reserved(&key, now) / asked.own;
+        let reserved = reservations.reserved(&key, now);
+        let reserved_share =
+            if reserved > 0.0 { (reserved / asked.own_before).min(1.0) } else { 0.0 };
+        let ratio = asked.ratio - reserved_share;
         match reservations.admits_return(&key, caller, ratio, now) {
             Some(is_admitted) => is_admitted,
             None => account.bucket.admits(ratio),
@@ -327,10 +338,11 @@
         let limit = self.refill(key, view, now)?;
         let others = self.reachable_usage(key, &view);
         let account = self.accounts.get_mut(&key)?;
+        let own_before = account.asked.get(now);
         account.asked.add(1.0, now);
         let own = account.asked.get(now);
         let ratio = account.bucket.admission_ratio(limit, own + others.demand, view.extra);
-        Some(Asked { limit, share: limit * view.own_share(), own, ratio })
+        Some(Asked { limit, share: limit * view.own_share(), own, own_before, ratio })
     }
 
     /// Records that a request is admitted.
--- a/crates/steer/src/dispatch/reservation/book.rs
+++ b/crates/steer/src/dispatch/reservation/book.rs
@@ -20,21 +20,28 @@
 /// urgent ones.
 const MIN_CREDIT: f64 = 2.0;
 
+/// The same at a node that makes less than one promise a second. Promises that many such nodes save up
+/// may all be redeemed at once, which exceeds a small limit.
+const MIN_CREDIT_OF_SLOW: f64 = 1.0;
+
 /// Time for which a caller counts as contending with less urgent ones after it was refused.
 const CONTENTION_TIME: Duration = Duration::from_secs(1);
 
 /// Shortest and longest time for which a promise is kept after the caller is due.
 ///
 /// A node with little room has few promises at a time. It keeps them for twice the time between two
-/// of them, so that returns from other nodes, which come irregularly, mostly find one.
-const HOLD_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(5));
+/// of them, so that returns from other nodes, which come irregularly, mostly find one. Promises that
+/// many nodes keep for longer may all be redeemed at once, which exceeds a small limit. With 1 s, nodes
+/// that make one promise a second refuse more than half of the returns that come as told.
+const HOLD_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 
 /// Time between two promises for which each is kept.
 const HOLD_INTERVALS: f64 = 2.0;
 
 /// Shortest and longest wait that a caller is told. The longest is the default window in which quotas
 /// are counted.
-const WAIT_LIMITS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+pub(super) const WAIT_LIMITS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(5));
 
 /// Time without refusals after which a surge is over.
 const SURGE_GAP: Duration = Duration::from_secs(2);
@@ -52,8 +59,8 @@
 const MAX_PENDING: usize = 128;
 
 /// Greatest difference between the time left that a caller returns with and the one that is expected
-/// of it, if it returns to the node that refused it. With 30 ms, callers behind one address were taken
-/// for each other, and a quarter of those that came as told were refused for coming early.
+/// of it, if it returns to the node that refused it. Larger differences occur between callers behind
+/// one address, which would be taken for each other.
 const SAME_CALLER_TOLERANCE: Duration = Duration::from_millis(10);
 
 /// Greatest draw of callers that are promised room, and of those that redeem a promise, in multiples
@@ -65,8 +72,8 @@
 
 /// Least share of promises that returns with small draws redeem, with which a small draw is required.
 ///
-/// Where a repetition has other contents, its draw is small by chance only. With small draws counted
-/// among all returns instead, callers that came ten times hid those that came as told.
+/// Where a repetition has other contents, its draw is small by chance only. Counted by promise and not
+/// by return, so that callers that come many times have no influence.
 const MIN_SMALL_DRAWS: f64 = 0.3;
 
 /// That share before any promise ended.
@@ -261,7 +268,8 @@
             self.first_small_draws += (is_small - self.first_small_draws) * FIRST_DRAW_WEIGHT;
         }
         let elapsed = now.saturating_duration_since(self.credited_at).as_secs_f64();
-        let most = (promised_per_second * CREDIT_TIME.as_secs_f64()).max(MIN_CREDIT);
+        let least = if promised_per_second < 1.0 { MIN_CREDIT_OF_SLOW } else { MIN_CREDIT };
+        let most = (promised_per_second * CREDIT_TIME.as_secs_f64()).max(least);
         self.credit = (self.credit + promised_per_second * elapsed).min(most);
         self.credited_at = now;
     }
@@ -281,18 +289,20 @@
             let left = self.pending[index].due.saturating_duration_since(now);
             return (!left.is_zero()).then_some(Offer { wait: left, is_new: false });
         }
-        if !matches!(self.returned(caller, now), Return::First | Return::Unknown) {
+        let is_first = matches!(self.returned(caller, now), Return::First | Return::Unknown);
+        if !is_first || room <= 0.0 {
             return None;
         }
         let is_most_urgent = self.most_urgent.is_none_or(|(urgency, _)| caller.urgency <= urgency);
         let needed = if is_most_urgent { 1.0 } else { MIN_CREDIT };
-        let wait = self.wait(caller, resolution)?;
         let is_drawn = caller.draw < self.odds * DRAW_LIMITS.0 || !self.requires_draw();
         if !is_drawn || self.credit < needed || self.pending.len() >= MAX_PENDING {
             return None;
         }
-        self.credit -= 1.0;
+        // Advanced also if this wait is too long, so that the next caller is offered another one.
         self.spread = (self.spread + GOLDEN_RATIO_STEP).fract();
+        let wait = self.wait(caller, resolution)?;
+        self.credit -= 1.0;
         self.promised.add(1.0, now);
         let (shortest, longest) = HOLD_RANGE;
         let pace = self.promised.get(now).min(room * PROMISED_SHARE);
@@ -312,21 +322,24 @@
     /// Returns the time after which the surge is expected to be over, for a caller without a promise:
     /// a surge is expected to last as long again as it has lasted.
     ///
-    /// At least the time that the caller waits, since all room until then is promised.
+    /// At least the time that the caller waits, since all room until then is promised, unless that is
+    /// longer than any caller is told.
     #[must_use]
     pub fn surge_end(&self, caller: &Caller, resolution: Duration, now: Instant) -> Duration {
         let (shortest, longest) = WAIT_LIMITS;
         let age = now.saturating_duration_since(self.surge_began);
-        age.clamp(shortest, longest).max(caller.max_wait() + resolution)
+        age.max(caller.max_wait() + resolution).clamp(shortest, longest)
     }
 
-    /// Returns the wait of the next promise, or `None` if the caller does not wait for so long.
+    /// Returns the wait of the next promise, the shortest one if that is too long once it is rounded;
+    /// `None` if the caller does not wait for so long.
     fn wait(&self, caller: &Caller, resolution: Duration) -> Option<Duration> {
         let (shortest, longest) = WAIT_RANGE;
-        let fraction = shortest + (longest - shortest) * self.spread;
         let (min, max) = WAIT_LIMITS;
-        let wait = round_up(caller.time_left.mul_f64(fraction).max(min), resolution);
-        (wait <= caller.max_wait() && wait <= max).then_some(wait)
+        let spread = shortest + (longest - shortest) * self.spread;
+        let waits = [spread, shortest]
+            .map(|fraction| round_up(caller.time_left.mul_f64(fraction).max(min), resolution));
+        waits.into_iter().find(|wait| *wait <= caller.max_wait() && *wait <= max)
     }
 
     /// Returns the promise that this node made to the caller itself; one that is due, if several
--- a/crates/steer/src/dispatch/reservation/schedule.rs
+++ b/crates/steer/src/dispatch/reservation/schedule.rs
@@ -62,7 +62,9 @@
     ) -> Promise {
         if self.books.len() >= MAX_SCOPES && !self.books.contains_key(scope) {
             self.counts.refused_unpromised += 1;
-            return Promise { retry_after: caller.max_wait() + self.resolution, is_kept: false };
+            let (_, longest) = book::WAIT_LIMITS;
+            let retry_after = (caller.max_wait() + self.resolution).min(longest);
+            return Promise { retry_after, is_kept: false };
         }
         let book = self.books.entry(scope.clone()).or_insert_with(|| book::Book::new(now));
         self.counts.lapsed += book.expire(now);
--- a/crates/steer/tests/reservation/fleet.rs
+++ b/crates/steer/tests/reservation/fleet.rs
@@ -41,6 +41,8 @@
     AtOnce,
     /// Comes back this many times, at equal intervals over a second.
     Often(u32),
+    /// States a time left with its first request as if it came as told, and does not come back.
+    Forged,
 }
 
 /// What the contents of requests have in common.
@@ -69,6 +71,8 @@
     pub restart: Option<(usize, Duration)>,
     /// What the contents of requests have in common.
     pub contents: Contents,
+    /// Times at which two forged requests for each gateway arrive at once.
+    pub forged: Vec<Duration>,
     /// Simulated time.
     pub length: Duration,
 }
@@ -184,6 +188,7 @@
             is_on: true,
             restart: None,
             contents: Contents::Repeated,
+            forged: Vec::new(),
             length: Duration::from_secs(20),
         }
     }
@@ -257,6 +262,20 @@
     }
 
     fn draw_first_requests(&mut self) {
+        for time in &self.fleet.forged {
+            for _ in 0..self.fleet.nodes * 2 {
+                let forged = Request {
+                    arrives: *time,
+                    number: 0,
+                    began: *time,
+                    behaviour: Behaviour::Forged,
+                    content: self.random.random(),
+                    before: 0,
+                    is_as_told: false,
+                };
+                self.send(forged, Duration::ZERO);
+            }
+        }
         for (behaviour, rate) in self.fleet.load.clone() {
             let mut time = Duration::ZERO;
             loop {
@@ -298,6 +317,7 @@
         let sent = request.arrives - LATENCY;
         let time_left = TIME_LEFT.saturating_sub(sent.saturating_sub(request.began));
         let time_left = match request.before {
+            _ if request.behaviour == Behaviour::Forged => TIME_LEFT.mul_f64(0.78),
             0 => TIME_LEFT,
             _ => Duration::from_millis(u64::try_from(time_left.as_millis()).expect("seconds")),
         };
--- a/crates/steer/tests/reservation/main.rs
+++ b/crates/steer/tests/reservation/main.rs
@@ -67,6 +67,22 @@
     }
 }
 
+/// Guards against many gateways redeeming at once: with a limit that is small for each of them, callers
+/// that state the time left of a return at all gateways at once were all admitted.
+#[test]
+fn a_small_limit_holds_against_forged_returns_at_all_gateways_at_once() {
+    let limit = LIMIT / 10.0;
+    for contents in [Contents::Repeated, Contents::Same] {
+        let forged = (0..4).map(|n| SURGE + Duration::from_secs(4) + Duration::from_secs(3) * n);
+        let fleet = Fleet { contents, forged: forged.collect(), ..Fleet::new(83, limit, 9.0) };
+        let (on, off) = with_and_without(&fleet);
+        let (with, without) = (on.max_in_window(WINDOW), off.max_in_window(WINDOW));
+        let forged = on.served[&Behaviour::Forged];
+        println!("{contents:?}: {with} in 5 s, without {without}; {forged:?} {:?}", on.counts);
+        assert!(with <= GRANTED / 10.0, "{contents:?}: {with}, without {without}");
+    }
+}
+
 /// Guards against a restart costing more than the promises that it forgets.
 #[test]
 fn a_restart_costs_one_refusal_for_each_promise_that_is_forgotten() {
@@ -244,3 +260,61 @@
     let counts = schedule.take_counts();
     assert_eq!(counts.promised, counts.lapsed, "{counts:?}");
 }
+
+/// Guards against promises that stop for good where one rounded wait is too long.
+#[test]
+fn promises_go_on_at_all_deadlines_and_resolutions() {
+    let start = Instant::now();
+    for resolution in [Duration::from_millis(10), Duration::from_secs(1)] {
+        for deadline in [3, 5, 25].map(Duration::from_secs) {
+            let mut schedule = Schedule::new(resolution);
+            let usual = Some(Usual { time: deadline, tolerance: 0.002 });
+            let caller = Caller { usual, ..caller(deadline) };
+            let mut kept = 0;
+            for n in 0..300_u32 {
+                let now = start + Duration::from_millis(10) * n;
+                let promise = schedule.promise(&1, &caller, ROOM, now);
+                if promise.is_kept {
+                    assert!(promise.retry_after <= deadline / 3, "{deadline:?}: {promise:?}");
+                    assert!(promise.retry_after <= WINDOW, "{deadline:?}: {promise:?}");
+                    kept += 1;
+                }
+            }
+            println!("{deadline:?} at {resolution:?}: {kept} promises");
+            assert!(kept > 30, "{deadline:?} at {resolution:?}: {kept}");
+        }
+    }
+}
+
+/// Guards against callers with long deadlines being told a time that is far beyond the surge.
+#[test]
+fn callers_with_long_deadlines_are_told_five_seconds_at_most() {
+    let start = Instant::now();
+    let mut schedule = Schedule::new(Duration::from_millis(10));
+    let caller = Caller { usual: None, ..caller(Duration::from_secs(60)) };
+    for n in 0..1_000_u32 {
+        let now = start + Duration::from_millis(10) * n;
+        let promise = schedule.promise(&1, &caller, ROOM, now);
+        assert!(promise.retry_after <= WINDOW, "{promise:?}");
+    }
+    for scope in 0..300 {
+        let promise = schedule.promise(&scope, &caller, ROOM, start);
+        assert!(promise.retry_after <= WINDOW, "{promise:?}");
+    }
+}
+
+/// Guards against promises of room that there is not.
+#[test]
+fn without_room_nothing_is_promised() {
+    let start = Instant::now();
+    let (mut schedule, _) = promised(start);
+    // Saves up promises, and uses one of them.
+    schedule.promise(&1, &caller(TIME_LEFT), ROOM, start + Duration::from_secs(1));
+    schedule.take_counts();
+    for n in 0..100_u32 {
+        let now = start + Duration::from_secs(1) + Duration::from_millis(10) * n;
+        let promise = schedule.promise(&1, &caller(TIME_LEFT), (0.0, 0.0), now);
+        assert!(!promise.is_kept, "{promise:?}");
+    }
+    assert_eq!(schedule.take_counts().promised, 0);
+}
--- a/crates/steer/tests/reservation/service.rs
+++ b/crates/steer/tests/reservation/service.rs
@@ -41,6 +41,8 @@
     refused_again: u32,
     promised: u64,
     redeemed: u64,
+    /// Longest time that a refused caller was told.
+    longest: Duration,
 }
 
 fn entry(number: usize) -> sync::Arc<discovery::Entry> {
@@ -88,6 +90,11 @@
 
 /// Simulates `factor` times the capacity in first requests.
 fn simulate(factor: f64, is_on: bool) -> Outcome {
+    simulate_deadline(factor, is_on, TIME_LEFT)
+}
+
+/// Simulates callers that have `deadline` left with their first requests.
+fn simulate_deadline(factor: f64, is_on: bool, deadline: Duration) -> Outcome {
     let start = Instant::now();
     let mut random = rngs::StdRng::seed_from_u64(5);
     let mut gateways: Vec<_> = (0..GATEWAYS).map(|n| gateway(n, is_on, start)).collect();
@@ -137,8 +144,8 @@
                 let number_of = random.random_range(0..GATEWAYS);
                 let gateway = &mut gateways[number_of];
                 let time_left = match is_return {
-                    true => TIME_LEFT - (time - LATENCY - began),
-                    false => TIME_LEFT,
+                    true => deadline - (time - LATENCY - began),
+                    false => deadline,
                 };
                 let caller = Caller {
                     address: net::IpAddr::from([127, 0, 0, 1]),
@@ -171,6 +178,7 @@
                     }
                     Err(refusal::Refusal::Overloaded { retry_after, .. }) => {
                         result.refused_again += u32::from(is_return);
+                        result.longest = result.longest.max(retry_after);
                         if !is_return && retry_after <= time_left / 3 {
                             number += 1;
                             let arrival = Event::Arrival { began, content, is_return: true };
@@ -211,3 +219,11 @@
     let outcome = simulate(0.5, true);
     assert_eq!((outcome.requests, outcome.promised), (outcome.answered, 0), "{outcome:?}");
 }
+
+/// Guards against callers with long deadlines being told a time that is far beyond the overload.
+#[test]
+fn callers_with_long_deadlines_are_told_a_second_at_most() {
+    let outcome = simulate_deadline(3.0, true, Duration::from_secs(60));
+    assert!(outcome.longest > Duration::ZERO, "{outcome:?}");
+    assert!(outcome.longest <= Duration::from_secs(1), "{outcome:?}");
+}
