--- a/crates/steer/tests/reservation/main.rs
+++ b/crates/steer/tests/reservation/main.rs
@@ -8,7 +8,10 @@
 use std::net;
 use std::time::{Duration, Instant};
 
+use model::{id, organisation};
+
 use fleet::{Behaviour, Contents, Fleet, Outcome, SURGE, TIME_LEFT};
+use steer::dispatch::quota;
 use steer::dispatch::reservation::{Caller, Return, Schedule, times_left::Usual};
 use steer::dispatch::urgency;
 
@@ -286,6 +289,40 @@
     }
 }
 
+/// Guards against a single request counting as one per second in the room that is promised.
+#[test]
+fn a_gateway_with_few_requests_promises_no_more_than_reach_it() {
+    let start = Instant::now();
+    let mut quotas = quota::Quotas::new(&id::Node::new("n-0"), 0.0, start);
+    let key = quota::usage::Key::for_organisation(&id::Organisation::new("hot"));
+    let limit = organisation::Quota { rate: 10.0, burst: 10.0 };
+    quotas.set_limit(key, "hot", limit, start);
+    quotas.set_others(1);
+    quotas.set_reservations(Some(Duration::from_millis(10)));
+    let usage = quota::usage::Usage {
+        asked: 90.0,
+        admitted: 9.0,
+        is_near: true,
+        ..quota::usage::Usage::idle(key)
+    };
+    let total = quota::usage::Usage { key: quota::usage::Key::ALL, ..usage };
+    let mut refused = 0;
+    for step in 0..2_000_u32 {
+        let now = start + Duration::from_millis(100) * step;
+        quotas.tick(now);
+        quotas.receive(&id::Node::new("n-1"), &[total, usage], now);
+        // One request a second, of which the fleet admits about a ninth.
+        if step % 10 == 0 {
+            let name = id::Organisation::new("hot");
+            refused += u32::from(quotas.admit_caller(&name, &caller(TIME_LEFT), now).is_err());
+        }
+    }
+    let counts = quotas.take_reservation_counts();
+    println!("{refused} refused, {counts:?}");
+    assert!(refused > 100, "{refused}");
+    assert!(counts.promised <= u64::from(refused / 9), "{counts:?}");
+}
+
 /// Guards against callers with long deadlines being told a time that is far beyond the surge.
 #[test]
 fn callers_with_long_deadlines_are_told_five_seconds_at_most() {
