--- a/crates/steer/tests/reservation/main.rs
+++ b/crates/steer/tests/reservation/main.rs
@@ -350,7 +350,7 @@
     schedule.take_counts();
     for n in 0..100_u32 {
         let now = start + Duration::from_secs(1) + Duration::from_millis(10) * n;
-        let promise = schedule.promise(&1, &caller(TIME_LEFT), (0.0, 0.0), now);
+        let promise = schedule.promise(&1, &caller(TIME_LEFT), (0.0, 0.1), now);
         assert!(!promise.is_kept, "{promise:?}");
     }
     assert_eq!(schedule.take_counts().promised, 0);
