--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 use model::id;
 use serde::{Deserialize, Serialize};
 use steer::dispatch::region::demand;
+use steer::dispatch::reservation;
 use steer::dispatch::slots;
 
 use crate::common::logging;
@@ -56,6 +57,9 @@
     /// When requests wait for slots of upstreams.
     #[serde(default)]
     pub slots: Slots,
+    /// Whether refused callers are promised room for their return.
+    #[serde(default)]
+    pub reservations: reservation::Mode,
     /// What is logged.
     #[serde(default)]
     pub log: logging::Level,
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -75,6 +75,7 @@
         let is_decided = chosen.as_ref().map_or(true, |chosen| chosen.slot.is_none());
         if request.is_first_try() && is_decided {
             self.priorities.record(request.service, request.urgency, chosen.is_ok());
+            return self.settle_reservation(chosen, request, now);
         }
         chosen
     }
@@ -164,7 +165,7 @@
         let slot = self.slot_need(chosen, request, now);
         match slot {
             Some(_) => admission::check_work(chosen, request)?,
-            None => admission::check(chosen, request)?,
+            None => self.check_admission(chosen, request, now)?,
         }
         Ok(candidate::Candidate { slot, ..chosen.clone() })
     }
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod peers;
 mod regions;
+mod reservations;
 pub mod rollouts;
 mod slot_state;
 pub mod statements;
@@ -40,6 +41,7 @@
 use crate::dispatch::region::distance;
 use crate::dispatch::region::order;
 use crate::dispatch::region::shift;
+use crate::dispatch::reservation;
 use crate::dispatch::rest;
 use crate::dispatch::retry_budget;
 use crate::dispatch::rollout;
@@ -87,6 +89,9 @@
     rests: rest::RestPeriods,
     rollouts: rollout::Rollouts,
     connectivity: Connectivity,
+    /// Room promised to refused callers; `None` if callers are promised nothing.
+    reservations: Option<reservation::Schedule<id::Service>>,
+    admissions: collections::BTreeMap<id::Service, reservations::Admissions>,
     max_nodes: usize,
 }
 
@@ -126,6 +131,8 @@
             rests: rest::RestPeriods::default(),
             rollouts: rollout::Rollouts::default(),
             connectivity: Connectivity::default(),
+            reservations: None,
+            admissions: collections::BTreeMap::new(),
             max_nodes: 1,
         }
     }
@@ -159,6 +166,7 @@
         self.leavings.tick(|process| upstreams.get(&process.upstream).is_some(), now);
         self.rests.tick(now);
         self.tick_demand(now);
+        self.tick_reservations(now);
         let limit = shift::limit(&self.bounds);
         let scopes: Vec<order::Scope> = self.regions.keys().cloned().collect();
         for scope in scopes {
--- a/crates/steer/src/dispatch/dispatcher/slot_state.rs
+++ b/crates/steer/src/dispatch/dispatcher/slot_state.rs
@@ -91,10 +91,8 @@
         let wait = upstream.map_or(chosen.wait, |u| u.wait_when_sent(chosen.work, now));
         let cautious_latency = chosen.cautious_latency.0 - chosen.wait.0 + wait.0;
         let cautious_latency = seconds::Seconds(cautious_latency);
-        admission::check(
-            &candidate::Candidate { wait, cautious_latency, ..chosen.clone() },
-            request,
-        )
+        let chosen = candidate::Candidate { wait, cautious_latency, ..chosen.clone() };
+        self.check_admission(&chosen, request, now)
     }
 
     /// Returns the owner of an upstream's slots, or `None` if the upstream is unknown or its region has
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -10,8 +10,8 @@
 //! service), [`region`] (which region), [`eligibility`] (which upstreams may take it),
 //! [`preference`], [`selection`] and [`affinity`] (which upstream is best), [`overflow`] (whether it
 //! leaves its region), [`admission`] (whether it may wait), [`slots`] (whether it needs a slot, and
-//! when it gets one), [`retry`] and [`retry_budget`] (whether it is retried), [`give_up`] (the error
-//! response to its caller).
+//! when it gets one), [`reservation`] (when a refused caller may come back), [`retry`] and
+//! [`retry_budget`] (whether it is retried), [`give_up`] (the error response to its caller).
 //!
 //! State per upstream: [`pace`], [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
 //! (combined in [`health`]), [`slow_start`] and [`slow_start_owner`], [`reported_load`],
@@ -54,6 +54,7 @@
 pub mod region;
 pub mod reported_load;
 pub mod request;
+pub mod reservation;
 pub mod rest;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/steer/src/dispatch/slots/ledger.rs
+++ b/crates/steer/src/dispatch/slots/ledger.rs
@@ -113,7 +113,8 @@
     /// One above the slots, which the upstream starts next, so that no slot is idle for the duration of
     /// a release and a grant.
     fn has_room(&mut self, room: Room, now: Instant) -> bool {
-        f64::from(self.held) + self.remaining_others(room.others, now) < f64::from(room.slots) + 1.0
+        let others = self.remaining_others(room.others, now).round();
+        f64::from(self.held) + others < f64::from(room.slots) + 1.0
     }
 
     /// Returns how many of the `others` of the latest load reports are probably still in flight.
--- a/crates/steer/tests/dispatch/pace.rs
+++ b/crates/steer/tests/dispatch/pace.rs
@@ -23,6 +23,7 @@
         time_left: Duration::from_secs(2),
         homes: &[],
         urgency: urgency::Urgency::of(&route, None),
+        caller: None,
     };
     let chosen = dispatcher.choose(&request, now).expect("all are idle");
     (chosen.work.0, chosen.mean_latency.0)
--- a/crates/steer/tests/dispatch/slots.rs
+++ b/crates/steer/tests/dispatch/slots.rs
@@ -44,6 +44,7 @@
         time_left,
         homes: &[],
         urgency: urgency::Urgency::of(route, None),
+        caller: None,
     };
     dispatcher.choose(&request, now)
 }
@@ -148,6 +149,7 @@
         time_left: route.timeout,
         homes: &[],
         urgency: urgency::Urgency::of(&route, None),
+        caller: None,
     };
     // Without an answer of the owner, the local rule holds as before.
     let refused = dispatcher.admit_without_slot(&chosen, &request, now);
