--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -43,7 +43,7 @@
         peer::CHANGES => changes(state, request.uri().query().unwrap_or_default()),
         METRICS => {
             state.update_gauges(Instant::now());
-            let text = state.metrics.text() + &slots::text(state);
+            let text = state.metrics.text() + &slots::metrics_text(state);
             with_type("text/plain; version=0.0.4", text.into_bytes())
         }
         DUMP => with_type("application/json", dump(state)),
@@ -127,7 +127,7 @@
         "demand": demand(&dispatcher),
         "upstreams": upstreams(&dispatcher, now),
     });
-    let slots = slots::shown(state, now);
+    let slots = slots::dump_entries(state, now);
     if !slots.is_empty() {
         dump["slots"] = slots.into();
     }
--- a/crates/node/src/gateway/proxy/tries/sending.rs
+++ b/crates/node/src/gateway/proxy/tries/sending.rs
@@ -51,7 +51,7 @@
                 self.server.state.dialect,
                 self.request.rules,
                 |statement, headers| self.server.state.observe(upstream, statement, headers),
-                self.server.state.out_of_reach(upstream),
+                self.server.state.wait_until_out_of_reach(upstream),
             )
             .await;
             if let Some(guard) = guard {
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -69,7 +69,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DemandSplit {
-    /// Where the regions' demand differs by more than a threshold.
+    /// Where the regions' demand differs by more than a threshold and can be forecast.
     Auto,
     /// Wherever the demand of all regions is known.
     On,
--- a/crates/node/src/gateway/slots/counts.rs
+++ b/crates/node/src/gateway/slots/counts.rs
@@ -61,7 +61,7 @@
 
 /// Returns the figures of asks of this node and of the slots that it owns; empty before the first ask.
 #[must_use]
-pub fn text(state: &state::State) -> String {
+pub fn metrics_text(state: &state::State) -> String {
     let slots = &state.slots;
     let counts = &slots.counts;
     let ledger = slots.ledger.borrow();
--- a/crates/node/src/gateway/slots/mod.rs
+++ b/crates/node/src/gateway/slots/mod.rs
@@ -29,10 +29,10 @@
 use crate::gateway::state;
 
 pub use crate::gateway::slots::asking::{Request, hold};
-pub use crate::gateway::slots::counts::text;
+pub use crate::gateway::slots::counts::metrics_text;
 pub use crate::gateway::slots::datagram::Malformed;
 pub use crate::gateway::slots::guard::Guard;
-pub use crate::gateway::slots::owning::{apply_report, shown};
+pub use crate::gateway::slots::owning::{apply_report, dump_entries};
 
 /// Asks of this node, and the slots that it owns.
 #[derive(Debug)]
@@ -40,7 +40,7 @@
     /// Sends the datagrams; unset until the gateway has started.
     socket: cell::OnceCell<rc::Rc<UdpSocket>>,
     holder: cell::RefCell<holder::Holder>,
-    /// Asks of this node that have not ended, with the receiver of their answers.
+    /// Asks of this node that have not ended, each with the channel to which its answers are sent.
     pending: cell::RefCell<collections::HashMap<Id, mpsc::UnboundedSender<ReceivedAnswer>>>,
     ledger: cell::RefCell<ledger::Ledger>,
     /// Addresses of the nodes in the ledger.
@@ -67,7 +67,7 @@
 enum Destination {
     /// At this node.
     Here,
-    /// At this node, or behind it.
+    /// At this other node, or at the owner to which that node forwards the ask.
     At(id::Node, net::SocketAddr),
 }
 
--- a/crates/node/src/gateway/slots/owning.rs
+++ b/crates/node/src/gateway/slots/owning.rs
@@ -181,7 +181,7 @@
     state.slots.ledger.borrow().upstreams().next().is_none()
 }
 
-/// Expires waits and leases until nothing is held or queued.
+/// Expires waits and leases until the ledger has no upstreams, some time after the last ask.
 async fn tick(state: rc::Rc<state::State>) {
     while !is_idle(&state) {
         let period = if has_queue(&state) { QUEUED_TICK } else { HELD_TICK };
@@ -217,7 +217,7 @@
 
 /// Returns the slots and queues of the upstreams that this node owns, for the state dump.
 #[must_use]
-pub fn shown(state: &state::State, now: Instant) -> Vec<serde_json::Value> {
+pub fn dump_entries(state: &state::State, now: Instant) -> Vec<serde_json::Value> {
     let ledger = state.slots.ledger.borrow();
     let dispatcher = state.dispatcher.borrow();
     let names: collections::HashMap<peer_load::Key, &str> =
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -140,10 +140,10 @@
         dispatcher.set_slots(settings.slots.mode());
         let mut quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
         let resolution = settings.source().dialect().retry_after_resolution();
-        let has_reservations = settings.reservations != reservation::Mode::Off;
-        quotas.set_reservations(has_reservations.then_some(resolution));
-        let has_reservations = settings.reservations == reservation::Mode::On;
-        dispatcher.set_reservations(has_reservations.then_some(resolution));
+        let reserves_for_limits = settings.reservations != reservation::Mode::Off;
+        quotas.set_reservations(reserves_for_limits.then_some(resolution));
+        let reserves_for_services = settings.reservations == reservation::Mode::On;
+        dispatcher.set_reservations(reserves_for_services.then_some(resolution));
         Self {
             dialect: settings.source().dialect(),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
--- a/crates/node/src/gateway/state/upstreams.rs
+++ b/crates/node/src/gateway/state/upstreams.rs
@@ -32,7 +32,7 @@
     }
 
     /// Waits until an upstream is out of reach, as [`steer::dispatch::connectivity`] defines it.
-    pub async fn out_of_reach(&self, upstream: &discovery::Entry) {
+    pub async fn wait_until_out_of_reach(&self, upstream: &discovery::Entry) {
         loop {
             self.check_failed.notified().await;
             if self.dispatcher.borrow().is_out_of_reach(upstream, Instant::now()) {
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -151,7 +151,7 @@
     let (name, line) = ("gateway-every-field.yaml", "reservations: on");
     for wrong in ["reservations: yes", "reservations: true", "reservations: 1"] {
         let fault = fault(name, line, wrong);
-        assert!(fault.starts_with("30: reservations: "), "{fault}");
+        assert!(fault.starts_with("31: reservations: "), "{fault}");
     }
 }
 
--- a/crates/steer/src/dispatch/dispatcher/slot_state.rs
+++ b/crates/steer/src/dispatch/dispatcher/slot_state.rs
@@ -53,7 +53,7 @@
         let times = self.work.get(request.service).copied().unwrap_or_default();
         let work = chosen.object.map_or(times.mean(), |o| times.mean_for(o.familiarity));
         let work = upstream.health.processing_time(work, now).0.max(0.0);
-        let is_refused = self.priorities.is_refused(request);
+        let is_refused = self.priorities.is_urgency_refused(request);
         let max_wait = admission::max_slot_wait(times.mean(), rank, is_refused, request).0;
         let max_wait = max_wait.clamp(0.0, request.time_left.as_secs_f64());
         Some(slots::Need {
@@ -68,7 +68,7 @@
         match self.slots {
             slots::Mode::Off => false,
             slots::Mode::On => true,
-            slots::Mode::Auto => self.priorities.has_several(service),
+            slots::Mode::Auto => self.priorities.has_several_urgencies(service),
         }
     }
 
@@ -122,7 +122,7 @@
         if !takes_work || known.health.is_ejected(now) {
             return None;
         }
-        let in_flight = known.load.in_flight() + known.load.peers();
+        let in_flight = known.load.in_flight() + known.load.peer_requests();
         let held = self.held_at(known) + self.peers_held.total(upstream);
         Some(ledger::Room { slots: known.entry.slots, others: in_flight.saturating_sub(held) })
     }
--- a/crates/steer/src/dispatch/pace.rs
+++ b/crates/steer/src/dispatch/pace.rs
@@ -21,7 +21,7 @@
 /// Pace from which other nodes are told, in percent.
 const SLOW: u32 = 150;
 
-/// Age up to which this node's own observation comes before that of another node.
+/// Age up to which the latest observation, own or reported, is kept when another node reports one.
 const OWN_PRECEDENCE: Duration = Duration::from_millis(150);
 
 /// Greatest age of an observation that is reported to other nodes, which take it for a new one.
--- a/crates/steer/src/dispatch/priority.rs
+++ b/crates/steer/src/dispatch/priority.rs
@@ -118,13 +118,13 @@
 
     /// Returns whether the requests of a service differ in urgency.
     #[must_use]
-    pub fn has_several(&self, service: &id::Service) -> bool {
+    pub fn has_several_urgencies(&self, service: &id::Service) -> bool {
         self.services.contains_key(service)
     }
 
     /// Returns whether requests of the urgency of `request` were recently refused.
     #[must_use]
-    pub fn is_refused(&self, request: &request::Request<'_>) -> bool {
+    pub fn is_urgency_refused(&self, request: &request::Request<'_>) -> bool {
         let service = self.services.get(request.service);
         service.is_some_and(|service| service.is_contended(request.urgency))
     }
--- a/crates/steer/src/dispatch/region/demand/mod.rs
+++ b/crates/steer/src/dispatch/region/demand/mod.rs
@@ -92,7 +92,7 @@
 /// Whether the demand of regions is used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
-    /// Where regions differ by more than the threshold.
+    /// Where regions differ by more than the threshold and the forecast is better than equal shares.
     Auto,
     /// Wherever it is known.
     On,
--- a/crates/steer/src/dispatch/reported_load.rs
+++ b/crates/steer/src/dispatch/reported_load.rs
@@ -32,8 +32,10 @@
     peer_requests: u32,
     other_requests: f64,
     reported_at: Instant,
-    /// Asks that wait for a slot at the upstream's owner: at this node, and at others.
-    queued: [u32; 2],
+    /// Asks that wait for a slot at this node, as the upstream's owner.
+    own_queued: u32,
+    /// The same at other nodes.
+    peer_queued: u32,
     /// Latest refusal or report of queued asks.
     contended_at: Option<Instant>,
 }
@@ -47,7 +49,8 @@
             peer_requests: 0,
             other_requests: 0.0,
             reported_at: now,
-            queued: [0, 0],
+            own_queued: 0,
+            peer_queued: 0,
             contended_at: None,
         }
     }
@@ -75,18 +78,18 @@
 
     /// Returns how many requests other nodes have in flight.
     #[must_use]
-    pub fn peers(&self) -> u32 {
+    pub fn peer_requests(&self) -> u32 {
         self.peer_requests
     }
 
     /// Sets how many asks for a slot this node has queued, as the upstream's owner.
     pub fn set_own_queued(&mut self, asks: u32) {
-        self.queued[0] = asks;
+        self.own_queued = asks;
     }
 
     /// Sets how many asks for a slot other nodes have queued.
     pub fn set_peer_queued(&mut self, asks: u32, now: Instant) {
-        self.queued[1] = asks;
+        self.peer_queued = asks;
         if asks > 0 {
             self.contended_at = Some(now);
         }
@@ -95,7 +98,7 @@
     /// Returns how many asks for a slot are queued.
     #[must_use]
     pub fn queued(&self) -> u32 {
-        self.queued[0] + self.queued[1]
+        self.own_queued + self.peer_queued
     }
 
     /// Returns whether asks are queued or were until just now, or the upstream refused a request just
--- a/crates/steer/src/dispatch/reservation/book.rs
+++ b/crates/steer/src/dispatch/reservation/book.rs
@@ -1,4 +1,10 @@
 //! Promises of one organisation or service at this node.
+//!
+//! Every request has a draw from 0 to 1 that its repetition shares ([`caller::draw`]). Where draws are
+//! required, only small ones are promised room or redeem a promise, so a caller gains nothing by returning
+//! without a promise.
+//!
+//! [`caller::draw`]: crate::dispatch::reservation::caller::draw
 
 use std::net;
 use std::time::{Duration, Instant};
@@ -118,7 +124,7 @@
     surge_began: Instant,
     refused_at: Instant,
     /// Admitted requests for each refused one at the last refusal.
-    odds: f64,
+    admitted_per_refused: f64,
     /// Share of promises that returns with small draws redeem.
     small_draws: f64,
     /// Share of the refused first requests with small draws.
@@ -142,7 +148,7 @@
             most_urgent: None,
             surge_began: now,
             refused_at: now,
-            odds: 1.0,
+            admitted_per_refused: 1.0,
             small_draws: INITIAL_SMALL_DRAWS,
             first_small_draws: 0.0,
             return_credit: 0.0,
@@ -232,7 +238,7 @@
     /// credit keeps the ratio.
     pub fn admits_return(&mut self, caller: &Caller, ratio: f64) -> bool {
         self.return_credit = (self.return_credit + ratio.max(0.0)).min(MAX_RETURN_CREDIT);
-        // Small draws are those of promises.
+        // Promises go to small draws, so returns without one are admitted by the largest draws.
         let is_admitted = 1.0 - caller.draw < ratio && self.return_credit >= 1.0;
         self.return_credit -= f64::from(u8::from(is_admitted));
         is_admitted
@@ -240,18 +246,18 @@
 
     /// Returns whether a return with the caller's draw may redeem a promise.
     fn is_small(&self, caller: &Caller) -> bool {
-        caller.draw < self.odds * DRAW_LIMITS.1
+        caller.draw < self.admitted_per_refused * DRAW_LIMITS.1
     }
 
     /// Returns whether returns need a small draw to redeem a promise.
     fn requires_draw(&self) -> bool {
-        let by_chance = (self.odds * DRAW_LIMITS.1).min(1.0);
+        let by_chance = (self.admitted_per_refused * DRAW_LIMITS.1).min(1.0);
         self.small_draws > MIN_SMALL_DRAWS && self.first_small_draws > by_chance * MIN_FIRST_DRAWS
     }
 
     /// Records a refusal while `room` requests per second are admitted here, `ratio` of all.
     pub fn record_refusal(&mut self, caller: &Caller, room: f64, ratio: f64, now: Instant) {
-        self.odds = ratio / (1.0 - ratio).max(f64::EPSILON);
+        self.admitted_per_refused = ratio / (1.0 - ratio).max(f64::EPSILON);
         if now.saturating_duration_since(self.refused_at) >= SURGE_GAP {
             self.surge_began = now;
         }
@@ -295,7 +301,8 @@
         }
         let is_most_urgent = self.most_urgent.is_none_or(|(urgency, _)| caller.urgency <= urgency);
         let needed = if is_most_urgent { 1.0 } else { MIN_CREDIT };
-        let is_drawn = caller.draw < self.odds * DRAW_LIMITS.0 || !self.requires_draw();
+        let is_drawn =
+            caller.draw < self.admitted_per_refused * DRAW_LIMITS.0 || !self.requires_draw();
         if !is_drawn || self.credit < needed || self.pending.len() >= MAX_PENDING {
             return None;
         }
@@ -305,8 +312,8 @@
         self.credit -= 1.0;
         self.promised.add(1.0, now);
         let (shortest, longest) = HOLD_RANGE;
-        let pace = self.promised.get(now).min(room * PROMISED_SHARE);
-        let intervals = HOLD_INTERVALS / pace;
+        let promises_per_second = self.promised.get(now).min(room * PROMISED_SHARE);
+        let intervals = HOLD_INTERVALS / promises_per_second;
         let hold = Duration::try_from_secs_f64(intervals).unwrap_or(longest);
         let due = now + wait;
         self.pending.push(Pending {
--- a/crates/steer/src/dispatch/reservation/mod.rs
+++ b/crates/steer/src/dispatch/reservation/mod.rs
@@ -1,7 +1,7 @@
 //! Reservations: when refused callers may come back, and the room that is kept for them.
 //!
 //! A caller that is refused for load or for a limit is either promised room at the time that it is
-//! told, or told when the surge is expected to be over. [`schedule`] makes the promises, at the pace
+//! told, or told when the surge is expected to be over. [`schedule`] makes the promises, at the rate
 //! at which room becomes free at this node, and [`book`] holds those of one organisation or service.
 //! What is promised is subtracted from what newcomers get, so promises add nothing to a limit.
 //!
--- a/crates/steer/src/dispatch/slots/ledger.rs
+++ b/crates/steer/src/dispatch/slots/ledger.rs
@@ -48,7 +48,7 @@
     pub refused: u64,
     /// Queued asks refused because of better ones.
     pub displaced: u64,
-    /// Grants that ended by themselves.
+    /// Grants that ended without a release: their lease ended, or their node died.
     pub lapsed: u64,
     /// Slots held now.
     pub held: u32,
@@ -261,9 +261,9 @@
             self.end_grant(key, now);
         }
         let mut answers = Vec::new();
-        let used = |(_, account): &(&peer_load::Key, &Account)| !account.queue.is_empty();
+        let has_queue = |(_, account): &(&peer_load::Key, &Account)| !account.queue.is_empty();
         let queued: Vec<peer_load::Key> =
-            self.accounts.iter().filter(used).map(|(key, _)| *key).collect();
+            self.accounts.iter().filter(has_queue).map(|(key, _)| *key).collect();
         for key in queued {
             match room(key) {
                 Some(room) => {
--- a/crates/steer/src/dispatch/slots/queue.rs
+++ b/crates/steer/src/dispatch/slots/queue.rs
@@ -1,7 +1,7 @@
 //! Queue of the asks for one upstream: the order in which they get slots, and which are refused.
 //!
 //! Asks are ordered by urgency, within an urgency round robin between organisations, and within an
-//! organisation by arrival. An urgency that is served much less often than all others takes every
+//! organisation by arrival. An urgency that is served much less often than all asks takes every
 //! second turn until it is not, as in [`priority`]. [`ledger`] grants the slots.
 //!
 //! [`ledger`]: crate::dispatch::slots::ledger
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -111,7 +111,7 @@
         seconds::Seconds(usual.0 * self.pace.get(now))
     }
 
-    /// Returns the same for a request that is sent now, past those that wait for a slot.
+    /// Returns [`Upstream::crowding`] for a request that is sent now, past those that wait for a slot.
     #[must_use]
     pub fn crowding_when_sent(&self, now: Instant) -> f64 {
         let slots = f64::from(self.entry.slots);
--- a/crates/steer/tests/load/deployment.rs
+++ b/crates/steer/tests/load/deployment.rs
@@ -561,6 +561,7 @@
         time_left,
         homes: &route.home_regions,
         urgency: urgency::Urgency::of(route, None),
+        caller: None,
     }
 }
 
