--- a/crates/node/tests/load_reports.rs
+++ b/crates/node/tests/load_reports.rs
@@ -23,6 +23,7 @@
     gauges.write(&mut text);
     assert_eq!(text, "");
     let mut demand = Demand::default();
+    demand.set_mode(region::demand::Mode::Auto);
     let regions = ["north", "so\"uth"].map(id::Region::new);
     let service = id::Service::new("desk");
     let now = Instant::now();
