--- a/crates/node/src/gateway/slots/datagram.rs
+++ b/crates/node/src/gateway/slots/datagram.rs
@@ -1,6 +1,6 @@
 //! Format of asks for slots, their answers and releases.
 //!
-//! Converts between the messages of [`steer::dispatch::slots`] and those of [`wire::gateway::slots`].
+//! Converts between the messages of [`steer::dispatch::slots`] and those of `wire::gateway::slots`.
 
 use std::error;
 use std::fmt;
--- a/crates/steer/src/dispatch/region/demand/forecast.rs
+++ b/crates/steer/src/dispatch/region/demand/forecast.rs
@@ -3,7 +3,7 @@
 //! A split moves so slowly, within the operator's limit on shifts, that one that follows a wave of
 //! half a minute arrives when the wave is past. The shares expected after a horizon are therefore
 //! learned from the recent past by linear regression, over all regions together: on the deviation from
-//! the mean now and the one of [`LAG`] ago. Where the deviation recurs, the two tell where it goes;
+//! the mean now and the one of `LAG` ago. Where the deviation recurs, the two tell where it goes;
 //! where it does not, the forecast stays at what is measured or falls back to the mean.
 
 use std::collections;
