--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,9 +24,9 @@
 CLIENTS = 80
 SLOTS = 24
 # Seconds since the start: first request, first SIGTERM, last request.
-TRAFFIC, STOP, END = 5.0, 12.0, 22.0
-# Between two pairs of gateways that are stopped.
-GAP = 0.5
+TRAFFIC, STOP, END = 5.0, 12.0, 23.0
+# Between two pairs of gateways that are stopped; the shortest gap of the site file.
+GAP = 1.0
 RESTART = 0.5
 
 
@@ -84,7 +84,9 @@
             record.write("not all gateways are ready")
             return 2
         clients = [
-            standins.Client(n, "bridge.example", "/booking/new", list(ZONES)[n % 4], gateways, int(TIMEOUT * 1000), record)
+            standins.Client(
+                n, "bridge.example", "/booking/new", list(ZONES)[n % 4], gateways, int(TIMEOUT * 1000), record,
+                hold=3 if n % 3 == 0 else 1)
             for n in range(CLIENTS)
         ]
         tasks = [asyncio.create_task(client.run(random.uniform(0, WORK), END)) for client in clients]
--- a/review/standins.py
+++ b/review/standins.py
@@ -334,15 +334,16 @@
 
 
 class Client:
-    """A client that looks up where to go, and sends one request after the other, each on a new connection."""
+    """A client that looks up where to go, and sends one request after the other, each on a new connection. It holds on to
+    an answer for `hold` times its time to live: some clients do so for three times that."""
 
-    def __init__(self, number, host, path, zone, gateways, deadline_ms, record):
+    def __init__(self, number, host, path, zone, gateways, deadline_ms, record, hold=1):
         self.number, self.host, self.path, self.zone = number, host, path, zone
         # Nearer directories first.
         region = next(g.region for g in gateways if g.zone == zone)
         rank = {g.name: (g.zone != zone, g.region != region, random.random()) for g in gateways}
         self.directories = sorted(gateways, key=lambda g: rank[g.name])[:3]
-        self.region, self.deadline_ms, self.record = region, deadline_ms, record
+        self.region, self.deadline_ms, self.record, self.hold = region, deadline_ms, record, hold
         self.by_address = {f"127.0.0.1:{g.front}": g for g in gateways}
         self.addresses, self.expires, self.count = [], 0.0, 0
         self.results = []
@@ -363,7 +364,7 @@
                 self.addresses = answer["addresses"]
                 text = answer["ttl"]
                 ttl = float(text[:-2]) / 1000 if text.endswith("ms") else float(text[:-1])
-                self.expires = time.monotonic() + ttl
+                self.expires = time.monotonic() + ttl * self.hold
                 return
 
     async def run(self, delay, until):
