Planned stop: a gateway refuses requests that might not end before it exits

What callers saw: requests that a gateway took 3 to 4.5 s after its SIGTERM and that needed longer than the 1.35 to 2.85 s that were left ended with a closed connection while their upstream was at work. Their callers could not tell whether a booking was made.

Cause: the rule of the stop goes by counts of connections and requests; nothing compared the time that a request may take with the time until the exit. Streamed answers were not counted as requests at all.

Change: before each try a stopping gateway checks whether the request ends before its exit, by its deadline or by the longest response times of its route in the last minutes (steer::common::response_times). If not, it answers 503 (reason=stopping), which has not run. Streamed answers count as requests until they are passed on.

--- a/crates/node/src/gateway/proxy/attempt.rs
+++ b/crates/node/src/gateway/proxy/attempt.rs
@@ -102,6 +102,14 @@
         self.deadline
     }
 
+    /// Records how long the attempt took until its response was complete or its deadline passed.
+    pub fn record_response_time(&self, now: Instant) {
+        let kind = (self.route.clone(), self.upstream.service.clone());
+        let took = now.saturating_duration_since(self.began);
+        let allowed = self.deadline.saturating_duration_since(self.began);
+        self.state.response_times.borrow_mut().record(&kind, took, allowed, now);
+    }
+
     fn report(&mut self, outcome: outcome::Outcome) {
         if std::mem::replace(&mut self.is_reported, true) {
             return;
@@ -113,6 +121,9 @@
             dispatcher.judge(&self.upstream, &self.route, answer, now);
         }
         dispatcher.ended(&self.upstream, outcome, waited, now);
+        if let outcome::Outcome::Answered { .. } | outcome::Outcome::TimedOut = outcome {
+            self.record_response_time(now);
+        }
         if let Some(owner) = self.slot.as_ref().and_then(slots::Guard::owner) {
             dispatcher.record_released(&self.upstream, owner);
         }
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -19,6 +19,7 @@
 use crate::gateway::proxy::connection;
 use crate::gateway::proxy::crash;
 use crate::gateway::proxy::head;
+use crate::gateway::proxy::server;
 use crate::gateway::state;
 
 /// Maximum number of frames buffered for a slow caller; no more are read from the upstream until
@@ -34,6 +35,8 @@
     pub attempt: attempt::Attempt,
     /// The request.
     pub sent: crash::Sent,
+    /// Counts the request as open until its response has been passed on.
+    pub open: server::Guard,
 }
 
 /// How much of a response was relayed.
@@ -66,9 +69,10 @@
     let (sender, receiver) = mpsc::channel::<io::Result<Frame<Bytes>>>(MAX_BUFFERED_FRAMES);
     tokio::task::spawn_local(async move {
         let _held = connection;
-        let Passed { state, attempt, sent } = passed;
+        let Passed { state, attempt, sent, open: _open } = passed;
         let passed_on = pass_on(first, incoming, attempt.deadline(), &sender).await;
         if let Ok(Extent::Whole) = passed_on {
+            attempt.record_response_time(Instant::now());
             state.record_success(&sent.fingerprint);
         }
         if let Err(error) = passed_on {
--- a/crates/node/src/gateway/proxy/tries/choice.rs
+++ b/crates/node/src/gateway/proxy/tries/choice.rs
@@ -10,7 +10,7 @@
 use steer::dispatch::retry;
 use steer::dispatch::urgency;
 
-use crate::gateway::proxy::tries::Tries;
+use crate::gateway::proxy::tries::{self, Tries};
 
 impl<'a> Tries<'a> {
     /// Selects the upstream of the next try.
@@ -28,8 +28,13 @@
         chosen
     }
 
-    /// Checks whether the request may still be sent: its key is valid, and it is not quarantined.
+    /// Checks whether the request may still be sent: it ends before a stopping node exits, its key is
+    /// valid, and it is not quarantined.
     pub(super) fn check(&mut self) -> Result<(), give_up::Reason> {
+        let tries::Request { route, service, deadline, .. } = &self.request;
+        if !self.server.state.has_time(&route.name, service, *deadline) {
+            return Err(self.progress.reason_while_stopping());
+        }
         if self.is_revoked() {
             return Err(self.progress.reason_after_revocation());
         }
--- a/crates/node/src/gateway/proxy/tries/sending.rs
+++ b/crates/node/src/gateway/proxy/tries/sending.rs
@@ -153,7 +153,8 @@
             exchange::Payload::Partial(first, rest) => {
                 let sent = self.identity.sent(&attempt.upstream, attempt.began());
                 let state = rc::Rc::clone(&self.server.state);
-                relay::rest(first, rest, connection, relay::Passed { state, attempt, sent })
+                let open = self.server.open.request();
+                relay::rest(first, rest, connection, relay::Passed { state, attempt, sent, open })
             }
         };
         relay::answer(answer.head, body)
--- a/crates/node/src/gateway/shutdown.rs
+++ b/crates/node/src/gateway/shutdown.rs
@@ -19,7 +19,7 @@
 ) -> bool {
     let began = Instant::now();
     let grace = state.settings.borrow().bounds().grace;
-    state.leave();
+    state.leave(stop::exit(began, grace));
     state.beat.notify_one();
     loop {
         tokio::time::sleep(stop::CHECK_PERIOD).await;
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -23,6 +23,7 @@
 
 use model::id;
 use model::routing;
+use steer::common::response_times::ResponseTimes;
 use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
@@ -56,6 +57,10 @@
     pub quotas: cell::RefCell<quota::Quotas>,
     /// Time left that first requests on each route usually have.
     pub times_left: cell::RefCell<reservation::TimesLeft>,
+    /// How long requests take, by route and service.
+    pub response_times: cell::RefCell<ResponseTimes<(id::Route, id::Service)>>,
+    /// When this node exits at the latest; `None` unless it is stopping.
+    exit: cell::Cell<Option<Instant>>,
     /// Quarantines requests that crash upstreams.
     pub quarantine: cell::RefCell<Quarantine>,
     /// Current configuration; `None` until the first update.
@@ -150,6 +155,8 @@
             dispatcher: cell::RefCell::new(dispatcher),
             quotas: cell::RefCell::new(quotas),
             times_left: cell::RefCell::default(),
+            response_times: cell::RefCell::default(),
+            exit: cell::Cell::new(None),
             quarantine: cell::RefCell::new(Quarantine::new(Instant::now())),
             routing: cell::RefCell::new(None),
             replica: cell::RefCell::default(),
@@ -259,6 +266,7 @@
             let names: collections::BTreeSet<&id::Route> =
                 routing.routes().map(|route| &route.name).collect();
             self.times_left.borrow_mut().retain(|route| names.contains(route));
+            self.response_times.borrow_mut().retain(|(route, _)| names.contains(route));
             *self.routing.borrow_mut() = Some(routing);
         }
         if let Some(upstreams) = upstreams {
@@ -325,8 +333,17 @@
         me.sequence += 1;
     }
 
-    /// Marks the node as shutting down.
-    pub fn leave(&self) {
+    /// Returns whether a request that is sent now ends before this node exits, as far as that is known.
+    #[must_use]
+    pub fn has_time(&self, route: &id::Route, service: &id::Service, deadline: Instant) -> bool {
+        let Some(exit) = self.exit.get() else { return true };
+        let kind = (route.clone(), service.clone());
+        self.response_times.borrow().ends_before(exit, &kind, deadline, Instant::now())
+    }
+
+    /// Marks the node as shutting down; it exits at `exit` at the latest.
+    pub fn leave(&self, exit: Instant) {
+        self.exit.set(Some(exit));
         self.me.borrow_mut().is_leaving = true;
         self.update_ready();
     }
--- a/crates/node/tests/gateway/client.rs
+++ b/crates/node/tests/gateway/client.rs
@@ -60,6 +60,19 @@
         self.stream.write_all(bytes).await.expect("the gateway reads");
     }
 
+    /// Sends bytes as they are; returns whether the gateway reads them.
+    pub async fn try_write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    /// Sends the rest of a request and reads the answer, which is empty if the gateway closes the connection.
+    pub async fn try_ask(&mut self, text: &str) -> Answer {
+        match self.try_write(text).await {
+            true => self.read().await,
+            false => Answer::default(),
+        }
+    }
+
     /// Sends a request without a body and reads the answer.
     pub async fn get(&mut self, path: &str, id: &str) -> Answer {
         self.write(request("GET", path, id, "").as_bytes()).await;
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -19,4 +19,5 @@
 mod slots;
 mod statements;
 mod stop;
+mod stop_load;
 mod traffic;
--- a/crates/steer/src/common/mod.rs
+++ b/crates/steer/src/common/mod.rs
@@ -1,5 +1,7 @@
-//! Shared by both roles: traffic splits over regions, the limiter that moves them, and round robin.
+//! Shared by both roles: traffic splits over regions, the limiter that moves them, round robin, and the
+//! response times that a planned stop goes by.
 
 pub mod ramp;
+pub mod response_times;
 pub mod round_robin;
 pub mod split;
--- /dev/null
+++ b/crates/steer/src/common/response_times.rs
@@ -0,0 +1,116 @@
+//! Response times: whether a request that is sent now ends before its process does.
+//!
+//! A process that stops accepts requests until shortly before it exits. It cannot tell how long one of
+//! them runs, but requests of the same kind rarely take much longer than the longest of the latest ones.
+//! A request that might not end in time is refused before it is sent, because its caller could not tell
+//! whether it was executed. Where no response times are known, the deadline decides.
+
+use std::collections;
+use std::time::{Duration, Instant};
+
+/// Length of a period. The longest times of the current and the previous period count.
+const PERIOD: Duration = Duration::from_secs(300);
+
+/// Factor by which a request may exceed the longest of many.
+const EXCESS: f64 = 1.1;
+
+/// Amount by which that factor is higher after a single request; divided by the number of requests,
+/// because the longest of a few says little.
+const EXCESS_OF_ONE: f64 = 5.0;
+
+/// Time in which a response is passed on to the caller before the process exits.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Maximum number of kinds of requests that are observed.
+const MAX_KINDS: usize = 1_024;
+
+/// Response times within one period.
+#[derive(Clone, Copy, Debug, Default)]
+struct Period {
+    longest: Duration,
+    count: u32,
+    /// Whether a response was still being passed on when the deadline of its request had passed.
+    outlasts_deadlines: bool,
+}
+
+impl Period {
+    fn record(&mut self, took: Duration, allowed: Duration) {
+        self.longest = self.longest.max(took);
+        self.count = self.count.saturating_add(1);
+        self.outlasts_deadlines |= took > allowed + RESPONSE_MARGIN;
+    }
+}
+
+/// Response times of one kind of requests.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    began: Instant,
+    current: Period,
+    previous: Period,
+}
+
+impl Times {
+    fn new(now: Instant) -> Self {
+        Self { began: now, current: Period::default(), previous: Period::default() }
+    }
+
+    fn record(&mut self, took: Duration, allowed: Duration, now: Instant) {
+        let age = now.saturating_duration_since(self.began);
+        if age >= PERIOD {
+            let is_previous = age < 2 * PERIOD;
+            self.previous = if is_previous { self.current } else { Period::default() };
+            self.current = Period::default();
+            self.began = now;
+        }
+        self.current.record(took, allowed);
+    }
+
+    /// Returns when one more request with this deadline ends at the latest, if it is sent at `now`.
+    fn end(&self, deadline: Instant, now: Instant) -> Instant {
+        let longest = self.current.longest.max(self.previous.longest);
+        let count = f64::from(self.current.count.saturating_add(self.previous.count).max(1));
+        let expected = now + longest.mul_f64(EXCESS + EXCESS_OF_ONE / count);
+        match self.current.outlasts_deadlines || self.previous.outlasts_deadlines {
+            true => expected,
+            false => expected.min(deadline),
+        }
+    }
+}
+
+/// The longest of the latest response times, by kind of requests.
+#[derive(Clone, Debug)]
+pub struct ResponseTimes<K> {
+    by_kind: collections::BTreeMap<K, Times>,
+}
+
+impl<K> Default for ResponseTimes<K> {
+    fn default() -> Self {
+        Self { by_kind: collections::BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone> ResponseTimes<K> {
+    /// Records how long a request took until its response was complete or its deadline passed; `allowed`
+    /// is the time until its deadline.
+    pub fn record(&mut self, kind: &K, took: Duration, allowed: Duration, now: Instant) {
+        if let Some(times) = self.by_kind.get_mut(kind) {
+            times.record(took, allowed, now);
+        } else if self.by_kind.len() < MAX_KINDS {
+            let mut times = Times::new(now);
+            times.record(took, allowed, now);
+            self.by_kind.insert(kind.clone(), times);
+        }
+    }
+
+    /// Drops the kinds that `is_known` does not select.
+    pub fn retain(&mut self, is_known: impl Fn(&K) -> bool) {
+        self.by_kind.retain(|kind, _| is_known(kind));
+    }
+
+    /// Returns whether a request that is sent at `now` ends before the process exits at `exit`.
+    #[must_use]
+    pub fn ends_before(&self, exit: Instant, kind: &K, deadline: Instant, now: Instant) -> bool {
+        let end = self.by_kind.get(kind).map_or(deadline, |times| times.end(deadline, now));
+        end + RESPONSE_MARGIN <= exit
+    }
+}
--- a/crates/steer/src/dispatch/give_up.rs
+++ b/crates/steer/src/dispatch/give_up.rs
@@ -7,9 +7,10 @@
 
 use std::time::{Duration, Instant};
 
-/// `Retry-After` when upstreams refused the request, were unreachable or could not be selected.
+/// `Retry-After` when upstreams refused the request, were unreachable or could not be selected, and when
+/// another node is to take it.
 ///
-/// Short, because a refusal does not say how long its cause lasts.
+/// Short, because a refusal does not say how long its cause lasts, and another node can serve at once.
 const RETRY_AFTER_REFUSAL: Duration = Duration::from_millis(60);
 
 /// `Retry-After` when nothing is known about when a retry would succeed.
@@ -59,6 +60,8 @@
         /// Time after which the first rest period ends.
         retry_after: Duration,
     },
+    /// This node is stopping and may exit before the request ends.
+    Stopping,
     /// No upstream of the service is eligible.
     NoUpstream,
     /// No upstream is expected to respond before the deadline.
@@ -90,6 +93,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Limited { .. } => "limited",
             Self::Resting { .. } => "resting",
+            Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Overloaded { .. } => "overloaded",
             Self::Unreachable => "unreachable",
@@ -111,7 +115,9 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoService | Self::NoHome | Self::NotSent => Some(RETRY_AFTER_DEFAULT),
-            Self::NoUpstream | Self::Unreachable | Self::Refused => Some(RETRY_AFTER_REFUSAL),
+            Self::Stopping | Self::NoUpstream | Self::Unreachable | Self::Refused => {
+                Some(RETRY_AFTER_REFUSAL)
+            }
             Self::Overloaded { retry_after }
             | Self::Limited { retry_after }
             | Self::Resting { retry_after }
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -244,6 +244,12 @@
         self.unless_may_have_run(give_up::Reason::Quarantined { retry_after })
     }
 
+    /// Returns the failure reason of a request that may not end before this node exits.
+    #[must_use]
+    pub fn reason_while_stopping(&self) -> give_up::Reason {
+        self.unless_may_have_run(give_up::Reason::Stopping)
+    }
+
     /// Records that the current attempt waits for a slot of its upstream.
     pub fn awaiting_slot(&mut self) {
         self.stage = Stage::Slot;
--- a/crates/steer/src/dispatch/stop.rs
+++ b/crates/steer/src/dispatch/stop.rs
@@ -1,10 +1,13 @@
 //! Planned stop: when a stopping node closes its callers' connections and exits.
 //!
 //! Look-ups no longer return a stopping node, but it continues to serve callers with an older
-//! look-up result. Afterwards it closes idle connections. It exits once nothing is open, or shortly
-//! before it would be killed.
+//! look-up result, as far as [`response_times`] expect their requests to end before the node exits.
+//! Afterwards it closes idle connections. It exits once nothing is open, or shortly before it would be
+//! killed.
+//!
+//! [`response_times`]: crate::common::response_times
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time during which callers with an older look-up result may still connect.
 ///
@@ -26,10 +29,16 @@
 pub struct Open {
     /// Number of connections.
     pub connections: usize,
-    /// Number of requests in flight.
+    /// Number of requests in flight, including those whose response is still being passed on.
     pub requests: usize,
 }
 
+/// Returns when a node whose stop began at `began` exits at the latest, when the kill follows at `grace`.
+#[must_use]
+pub fn exit(began: Instant, grace: Duration) -> Instant {
+    began + grace.saturating_sub(EXIT_BEFORE_KILL)
+}
+
 /// Next step of a stopping node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
