Planned stop: a node that owns upstreams refuses what might not end in time

What callers saw: a request that a stopping node took near the end of stop_time was cut off while it ran.

Cause: as at gateways, nothing compared the time that a request may take with the time left. Besides, the process ended 0.2 s after its last request had left the upstream, although a slow reader's answer may still be on its way.

Change: requests of callers and those that other nodes forward are refused as not run unless they end before stop_time is over, by the rule of gateways; a kind is a service and method. A stop waits until callers' connections have ended and answers to peers have been sent.

The slow reader was found by reading; no test shows it.

--- a/crates/node/src/common/body.rs
+++ b/crates/node/src/common/body.rs
@@ -32,6 +32,16 @@
     body.map_err(io::Error::other).boxed_unsync()
 }
 
+/// Returns `body`, which holds `guard` until it has been sent or is dropped.
+#[must_use]
+pub fn holding<G: Send + 'static>(body: Body, guard: G) -> Body {
+    let held = body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    });
+    held.boxed_unsync()
+}
+
 fn never(never: std::convert::Infallible) -> io::Error {
     match never {}
 }
--- a/crates/node/src/owner/callers/entry/mod.rs
+++ b/crates/node/src/owner/callers/entry/mod.rs
@@ -7,7 +7,6 @@
 use std::net;
 
 use http::Response;
-use http_body_util::BodyExt as _;
 use model::id;
 use model::member;
 use model::verdict;
@@ -151,11 +150,5 @@
 
 /// Counts the request as out at its owner until its answer has passed.
 fn with_routed(answer: Response<body::Body>, routed: routed::Routed) -> Response<body::Body> {
-    answer.map(|body| {
-        let held = body.map_frame(move |frame| {
-            let _ = &routed;
-            frame
-        });
-        held.boxed_unsync()
-    })
+    answer.map(|body| body::holding(body, routed))
 }
--- a/crates/node/src/owner/callers/server.rs
+++ b/crates/node/src/owner/callers/server.rs
@@ -33,6 +33,7 @@
 use crate::owner::runner;
 use crate::owner::settings;
 use crate::owner::stats;
+use crate::owner::stopping;
 use crate::owner::view;
 
 /// Requests that one HTTP/2 connection may have open. Not measured.
@@ -44,6 +45,9 @@
 /// `Retry-After` of a node that is not ready. Not measured; half of the time in which it becomes so.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
+/// `Retry-After` of a node that stops before the request may have ended; another node can serve at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(60);
+
 /// Pause after a failure to accept, such as too many open files. Not measured.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -58,6 +62,8 @@
     pub limits: settings::Limits,
     /// Figures.
     pub stats: sync::Arc<stats::Stats>,
+    /// The node's planned stop.
+    pub stopping: sync::Arc<stopping::Stopping>,
 }
 
 /// Serves callers until `stop` turns true, then ends every connection after what it has
@@ -148,7 +154,34 @@
         let ticket = text(&parts.headers, &head::TICKET);
         let order = self.order(parts, caller)?;
         let source = self.source(incoming, order.deadline).await?;
-        self.send(order, source, ticket.as_deref()).await
+        self.send_in_time(order, source, ticket.as_deref()).await
+    }
+
+    /// Sends a request unless this node may exit before the request ends.
+    async fn send_in_time(
+        &self,
+        order: runner::Order,
+        source: body::Source,
+        ticket: Option<&str>,
+    ) -> Result<Response<body::Body>, verdict::Failure> {
+        let (sent, deadline) = (self.handle.now(), order.deadline);
+        let kind = stopping::Kind::of(&order);
+        if !self.stopping.has_time(&kind, deadline, sent) {
+            let failure = verdict::Failure::not_run(verdict::Reason::NotReady);
+            return Err(failure.with_retry_after(STOPPING_RETRY));
+        }
+        match self.send(order, source, ticket).await {
+            Ok(answer) => {
+                let measurement = self.stopping.measure(&kind, sent, deadline);
+                Ok(answer.map(|body| body::holding(body, measurement)))
+            }
+            Err(failure) => {
+                if failure.reason == verdict::Reason::Deadline {
+                    self.stopping.record_timeout(&kind, sent, deadline);
+                }
+                Err(failure)
+            }
+        }
     }
 
     /// Checks a request's head and makes the order that is sent to owners.
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -13,5 +13,6 @@
 pub mod runner;
 pub mod settings;
 pub mod stats;
+pub mod stopping;
 pub mod store;
 pub mod view;
--- a/crates/node/src/owner/node.rs
+++ b/crates/node/src/owner/node.rs
@@ -32,6 +32,7 @@
 use crate::owner::runner;
 use crate::owner::settings;
 use crate::owner::stats;
+use crate::owner::stopping;
 use crate::owner::store::follower;
 use crate::owner::store::vmlist;
 use crate::owner::view;
@@ -55,6 +56,9 @@
     pub listen: settings::Listen,
     handle: handle::Handle,
     stop_callers: watch::Sender<bool>,
+    stopping: sync::Arc<stopping::Stopping>,
+    /// Becomes true when all connections of callers have ended after `stop_callers`.
+    callers_ended: watch::Receiver<bool>,
     limits: settings::Limits,
     threads: Vec<io_thread::IoThread>,
     thread: start::Thread,
@@ -88,6 +92,8 @@
         let stats = sync::Arc::new(stats::Stats::new());
         let calls = sync::Arc::new(client::Calls::default());
         let (stop_callers, stopped) = watch::channel(false);
+        let (ended, callers_ended) = watch::channel(false);
+        let stopping = sync::Arc::new(stopping::Stopping::default());
         let context = operators::api::Context {
             handle: handle.clone(),
             writes,
@@ -96,14 +102,14 @@
             stats: sync::Arc::clone(&stats),
         };
         let threads = vec![
-            start_callers(settings, &handle, stats, callers, stopped)?,
-            start_peers(&handle, peers, to_send)?,
+            start_callers(settings, &handle, stats, &stopping, callers, Stop { stopped, ended })?,
+            start_peers(&handle, &stopping, peers, to_send)?,
             start_store(settings, &handle, calls, to_write, to_apply)?,
             start_probes(&handle)?,
             start_operators(context, operators)?,
         ];
         let limits = settings.limits.clone();
-        Ok(Self { listen, handle, stop_callers, limits, threads, thread })
+        Ok(Self { listen, handle, stop_callers, stopping, callers_ended, limits, threads, thread })
     }
 
     /// Returns the way to ask its decisions.
@@ -117,13 +123,14 @@
     /// Returns how long it took, and whether everything had ended in time.
     pub async fn stop(mut self) -> (Duration, bool) {
         let began = Instant::now();
+        self.stopping.begin(began + self.limits.stop_time);
         self.handle.deliver(event::Event::Stop).await;
         // Callers may use a look-up for this long, so their new requests are still served.
-        tokio::time::sleep(self.limits.lookup_cache).await;
+        tokio::time::sleep(self.limits.lookup_cache.min(self.limits.stop_time)).await;
         // Without a receiver the callers' server has ended already.
         let _ = self.stop_callers.send(true);
         let is_done = loop {
-            if self.handle.view().is_done {
+            if self.has_ended_all() {
                 break true;
             }
             if began.elapsed() >= self.limits.stop_time {
@@ -137,6 +144,13 @@
         (began.elapsed(), is_done)
     }
 
+    /// Returns whether all requests have ended and their responses have been sent.
+    fn has_ended_all(&self) -> bool {
+        self.handle.view().is_done
+            && *self.callers_ended.borrow()
+            && !self.stopping.has_open_responses()
+    }
+
     /// Ends at once, as if the process had been killed.
     pub fn kill(mut self) {
         self.end();
@@ -178,20 +192,30 @@
     }
 }
 
+/// Stop of the callers' server: when it is to end, and when it has ended.
+struct Stop {
+    stopped: watch::Receiver<bool>,
+    ended: watch::Sender<bool>,
+}
+
 fn start_callers(
     settings: &settings::Settings,
     handle: &handle::Handle,
     stats: sync::Arc<stats::Stats>,
+    stopping: &sync::Arc<stopping::Stopping>,
     listener: std::net::TcpListener,
-    stopped: watch::Receiver<bool>,
+    stop: Stop,
 ) -> io::Result<io_thread::IoThread> {
     let handle = handle.clone();
     let limits = settings.limits.clone();
+    let stopping = sync::Arc::clone(stopping);
     io_thread::IoThread::start("callers", move || async move {
         let Some(listener) = register("callers", listener) else { return };
         let entry = entry(&handle);
-        let server = callers::server::Server { handle, entry, limits, stats };
-        callers::server::serve(server, listener, stopped).await;
+        let server = callers::server::Server { handle, entry, limits, stats, stopping };
+        callers::server::serve(server, listener, stop.stopped).await;
+        // Fails only when the node has ended.
+        let _ = stop.ended.send(true);
         // Streams that the graceful end waits for no longer still run here until the node ends.
         std::future::pending::<()>().await;
     })
@@ -199,16 +223,19 @@
 
 fn start_peers(
     handle: &handle::Handle,
+    stopping: &sync::Arc<stopping::Stopping>,
     listener: std::net::TcpListener,
     to_send: mpsc::Receiver<outputs::Outgoing>,
 ) -> io::Result<io_thread::IoThread> {
     let handle = handle.clone();
+    let stopping = sync::Arc::clone(stopping);
     io_thread::IoThread::start("peers", move || async move {
         let Some(listener) = register("peers", listener) else { return };
         let server = peers::server::Server {
             runner: runner::Runner::new(handle.clone()),
             entry: entry(&handle),
             handle: handle.clone(),
+            stopping,
         };
         let serve = peers::server::serve(server, listener);
         let send = peers::heartbeats::run(handle, to_send);
--- a/crates/node/src/owner/peers/server.rs
+++ b/crates/node/src/owner/peers/server.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::stream;
 use http::{Method, Response};
 use http_body::Frame;
 use http_body_util::{BodyExt as _, StreamBody};
@@ -31,6 +33,7 @@
 use crate::owner::peers::convert;
 use crate::owner::peers::forwarder;
 use crate::owner::runner;
+use crate::owner::stopping;
 
 /// Parts of an answer that wait to be sent. Not measured.
 const PARTS: usize = 8;
@@ -50,6 +53,8 @@
     pub runner: runner::Runner,
     /// Enters requests whose ticket this node issued.
     pub entry: entry::Entry,
+    /// The node's planned stop.
+    pub stopping: sync::Arc<stopping::Stopping>,
 }
 
 /// Serves peers until the listener fails.
@@ -76,7 +81,7 @@
 
 #[tonic::async_trait]
 impl Peer for Server {
-    type CarryStream = ReceiverStream<Result<peer::Download, Status>>;
+    type CarryStream = CarryStream;
 
     async fn carry(
         &self,
@@ -92,7 +97,12 @@
                 () = gone.closed() => {}
             }
         });
-        Ok(tonic::Response::new(ReceiverStream::new(download)))
+        let open = self.stopping.open_response();
+        let parts = ReceiverStream::new(download).map(move |part| {
+            let _ = &open;
+            part
+        });
+        Ok(tonic::Response::new(parts.boxed()))
     }
 
     async fn beat(
@@ -149,6 +159,7 @@
         parts: &Parts,
     ) -> Result<Response<body::Body>, failed::Failed> {
         let order = self.order(&head)?;
+        let sent = self.handle.now();
         let slot = self.runner.reserve(&order).await?;
         let go = peer::Go {
             upstream: slot.upstream.as_str().to_owned(),
@@ -156,7 +167,9 @@
         };
         // A closed download means that the entry gave up; the whole work is dropped then.
         let _ = send(parts, peer::download::Part::Go(go)).await;
-        self.runner.run(slot, &order, upload_body(upload, None)).await
+        let answer = self.runner.run(slot, &order, upload_body(upload, None)).await?;
+        let measurement = self.stopping.measure(&stopping::Kind::of(&order), sent, order.deadline);
+        Ok(answer.map(|body| body::holding(body, measurement)))
     }
 
     /// Finds an owner in this region. The body is asked for when the owner wants it.
@@ -192,19 +205,29 @@
             || failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotHome));
         let service = service.ok_or_else(not_home)?;
         let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
-        Ok(runner::Order {
+        let now = self.handle.now();
+        let order = runner::Order {
             service: sync::Arc::clone(&service.spec),
             place: id::Place::new(&head.place),
             method,
             path: head.path.clone(),
             headers: forwarder::headers(&head.headers),
-            deadline: self.handle.now() + Duration::from_millis(head.remaining_ms),
+            deadline: now + Duration::from_millis(head.remaining_ms),
             avoid: head.avoid.iter().map(|name| id::Upstream::new(name)).collect(),
             may_wait: head.may_wait,
-        })
+        };
+        match self.stopping.has_time(&stopping::Kind::of(&order), order.deadline, now) {
+            true => Ok(order),
+            false => {
+                Err(failed::Failed::before(verdict::Failure::not_run(verdict::Reason::NotReady)))
+            }
+        }
     }
 }
 
+/// Stream of the parts of an answer.
+type CarryStream = stream::BoxStream<'static, Result<peer::Download, Status>>;
+
 type Parts = mpsc::Sender<Result<peer::Download, Status>>;
 
 async fn send(parts: &Parts, part: peer::download::Part) -> Result<(), ()> {
@@ -239,7 +262,7 @@
 /// peer is asked through `ask` to send it.
 fn upload_body(upload: Streaming<peer::Upload>, ask: Option<Parts>) -> body::Body {
     let state = Some((upload, ask));
-    let frames = futures_util::stream::unfold(state, |state| async move {
+    let frames = stream::unfold(state, |state| async move {
         let (mut upload, ask) = state?;
         if let Some(parts) = ask {
             // A closed download means that the entry gave up; the body then fails.
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -8,3 +8,4 @@
 mod gateway;
 mod rig;
 mod silence;
+mod stop_load;
--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -34,6 +34,9 @@
 const UPSTREAMS: usize = 3;
 const SLOTS: u32 = 4;
 
+/// Limits of nodes, where a test needs no others.
+const LIMITS: &str = "lookup_cache: 300ms, stop_time: 30s, head_time: 1s";
+
 /// Last byte from which on addresses are those of nodes; upstreams have the ones below.
 const NODES_FROM: u8 = 100;
 
@@ -48,6 +51,8 @@
     folder: tempfile::TempDir,
     /// Network of its addresses, by its second and third byte.
     network: [u8; 2],
+    /// Limits of its nodes, as in their settings.
+    limits: &'static str,
 }
 
 /// A node's process.
@@ -78,6 +83,11 @@
 impl Rig {
     /// Starts `nodes` nodes in each of `regions`, with the service declared and in force.
     pub async fn start(regions: &[&str], nodes: usize) -> Self {
+        Self::start_with(regions, nodes, LIMITS).await
+    }
+
+    /// Starts as [`Self::start`] does, with these limits in the settings of the nodes.
+    pub async fn start_with(regions: &[&str], nodes: usize, limits: &'static str) -> Self {
         // Another deployment may take a port that this one frees, in this process or another.
         let own = loopback::next();
         let [_, high, middle, _] = own.octets();
@@ -91,6 +101,7 @@
             upstreams: Vec::new(),
             folder: tempfile::tempdir().expect("a folder can be made"),
             network: [high, middle],
+            limits,
         };
         for region in regions {
             rig.start_upstreams(region).await;
@@ -149,13 +160,14 @@
              seeds: [{}]\nstore: \"{}\"\nvms: \"{}\"\noperators:\n  \
              - {{ name: rig, token_sha256: {}, may: write }}\n  \
              - {{ name: reader, token_sha256: {} }}\n\
-             limits: {{ lookup_cache: 300ms, stop_time: 30s, head_time: 1s }}\n",
+             limits: {{ {} }}\n",
             number % nodes.max(1) % 2 + 1,
             seeds.join(", "),
             self.store.address,
             self.vms.address,
             access::hash(TOKEN),
             access::hash(READER),
+            self.limits,
         );
         let file = self.folder.path().join(format!("{name}.yaml"));
         std::fs::write(&file, settings).expect("the settings are written");
