Full upstreams are not taken for unreachable, and nothing that runs is ended for silence

What callers saw: while all slots of a service ran requests that took longer than usual, a gateway reset their connections after 1.4 s and answered 502, refused new ones, and was no longer named by look-ups; so did other gateways whose requests waited there.

Cause: a health check waits for a slot like a request. No first byte within 350 ms counted as a cut, although the connection had been accepted. A silent link looks the same to one gateway, and so does a full upstream that resets connections.

Change: where upstreams accept the check and do not respond, the gateway leaves it open and asks up to three others to request the health check of the same upstreams (/peer/served). Upstreams serve in order of arrival, so another gateway that is served proves a cut. If none is served, nothing follows; if none can be asked, the group gets no new work until it responds. Requests in flight are repeated where a cut is proved and their route allows it, and keep their connection otherwise. The check whether an upstream has crashed goes by the same verdict.

--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -1,22 +1,35 @@
 //! Checks whether upstreams respond, without a request of a caller.
 //!
-//! Requests the health check of upstreams and shares the result between requests; the callers decide
-//! which upstreams are checked. The first byte is enough: an upstream that is full, draining or failing
-//! responds too, and a response of any status shows that it is reached.
+//! Requests the health check of upstreams; the callers decide which upstreams are checked. The first byte is
+//! enough: an upstream that is full, draining or failing responds too, and a response of any status shows
+//! that it is reached. If upstreams accept connections and do not respond, other nodes are asked
+//! ([`peer_check`]). [`check`] says what follows.
+//!
+//! [`check`]: steer::dispatch::connectivity::check
 
 use std::io;
 use std::net;
 use std::time::{Duration, Instant};
 
-use futures_util::future;
+use futures_util::{StreamExt as _, future, stream};
 use rand::RngExt as _;
+use steer::dispatch::connectivity::check::{self, Reply, Verdict};
 use steer::dispatch::dispatcher::connectivity::Target;
+use steer::dispatch::peer_load;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync;
 
 use crate::common::socket;
+use crate::gateway::peer_check;
 use crate::gateway::proxy::connection;
+use crate::gateway::state;
+
+/// Bytes of a status line up to and including the status, such as `HTTP/1.1 200`.
+const STATUS_LINE_BYTES: usize = 12;
+
+/// Bytes of a status.
+const STATUS_BYTES: usize = 3;
 
 /// Draws a number below `end`.
 pub fn draw(end: usize) -> usize {
@@ -28,67 +41,160 @@
 /// Requests that fail together share one attempt, because a crash or a partition ends many of them at once.
 #[derive(Debug, Default)]
 pub struct Others {
-    /// Start time of the latest attempt, and whether an upstream responded.
+    /// Start time of the latest attempt, and whether the upstreams are lost.
     latest: sync::Mutex<Option<(Instant, bool)>>,
 }
 
 impl Others {
-    /// Returns whether any of the upstreams that `others` returns responded after `since`.
-    pub async fn are_reached(
+    /// Returns whether a check that began after `since` shows that this node reaches none of the upstreams
+    /// that `others` returns. Full upstreams are not lost.
+    pub async fn are_lost(
         &self,
+        state: &state::State,
         since: Instant,
         others: impl FnOnce(Instant) -> Vec<Target>,
     ) -> bool {
         let mut latest = self.latest.lock().await;
-        if let Some((began, are_reached)) = *latest
+        if let Some((began, are_lost)) = *latest
             && began >= since
         {
-            return are_reached;
+            return are_lost;
         }
         let began = Instant::now();
-        let targets = others(began);
         // Without other upstreams, the refusal is taken for a crash.
-        let are_reached =
-            targets.is_empty() || reaches_any(&targets, connection::CONNECT_TIMEOUT).await;
-        *latest = Some((began, are_reached));
-        are_reached
+        let are_lost = run(state, &others(began)).await == Verdict::Lost;
+        *latest = Some((began, are_lost));
+        are_lost
     }
 }
 
-/// Returns whether any of `targets` responds. `timeout` applies to opening the connection, and then
-/// to the first byte.
-pub async fn reaches_any(targets: &[Target], timeout: Duration) -> bool {
-    if targets.is_empty() {
-        return false;
+/// Checks whether this node reaches any of `targets`, and asks other nodes if they do not respond.
+pub async fn run(state: &state::State, targets: &[Target]) -> Verdict {
+    let probes = probe(targets, connection::CONNECT_TIMEOUT).await;
+    if let Some(verdict) = check::direct_verdict(&probes.replies) {
+        return verdict;
+    }
+    // The checks go on meanwhile, so that they are ahead of those of other nodes at each upstream.
+    let unanswered = probes.unanswered;
+    let keys: Vec<peer_load::Key> = unanswered.iter().map(|probe| probe.key).collect();
+    let late_response = late_response(unanswered);
+    tokio::select! {
+        biased;
+        () = late_response => Verdict::Reached,
+        peers = peer_check::ask(state, &keys) => check::verdict_with(peers),
     }
+}
+
+/// Results of the checks of some upstreams.
+#[derive(Debug, Default)]
+pub struct Probes {
+    /// Reply of each upstream; where one responds, only those that came before.
+    pub replies: Vec<Reply>,
+    unanswered: Vec<Unanswered>,
+}
+
+/// A check that an upstream has not answered in time.
+#[derive(Debug)]
+struct Unanswered {
+    key: peer_load::Key,
+    /// The connection; `None` if it was closed.
+    stream: Option<TcpStream>,
+}
+
+/// Requests the health check of `targets` until one responds. `timeout` applies to opening the connection,
+/// and then to the first byte.
+pub async fn probe(targets: &[Target], timeout: Duration) -> Probes {
     // Polled within this task and before the timers, so that a connection or a response that arrived
     // while the process was paused counts although the timeout has passed by then.
-    let checks = targets.iter().map(|target| Box::pin(check(target, timeout)));
-    future::select_ok(checks).await.is_ok()
+    let mut checks: stream::FuturesUnordered<_> =
+        targets.iter().map(|target| probe_one(target, timeout)).collect();
+    let mut probes = Probes::default();
+    while let Some((reply, unanswered)) = checks.next().await {
+        probes.replies.push(reply);
+        probes.unanswered.extend(unanswered);
+        if reply == Reply::Responded {
+            break;
+        }
+    }
+    probes
 }
 
 /// Opens a connection to an upstream and waits for the first byte of its health check.
-async fn check(target: &Target, timeout: Duration) -> io::Result<()> {
-    let mut stream = tokio::time::timeout(timeout, TcpStream::connect(target.address)).await??;
-    // With a reset, the upstream releases the connection immediately.
-    socket::reset_when_closed(&stream)?;
-    match &target.health_check_path {
-        Some(path) => {
-            let first_byte = request(&mut stream, path, target.address);
-            tokio::time::timeout(timeout, first_byte).await?
+async fn probe_one(target: &Target, timeout: Duration) -> (Reply, Option<Unanswered>) {
+    let unanswered = |stream| (Reply::Unanswered, Some(Unanswered { key: target.key, stream }));
+    let connect = TcpStream::connect(target.address);
+    let mut stream = match tokio::time::timeout(timeout, connect).await {
+        Ok(Ok(stream)) => stream,
+        // A full upstream resets connections that it has accepted.
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionReset => {
+            return unanswered(None);
         }
-        None => Ok(()),
+        Ok(Err(_)) | Err(_) => return (Reply::NotConnected, None),
+    };
+    let Some(path) = &target.health_check_path else { return (Reply::Responded, None) };
+    let first_byte = request(&mut stream, path, target.address);
+    match tokio::time::timeout(timeout, first_byte).await {
+        Ok(Ok(())) => (Reply::Responded, None),
+        Ok(Err(_)) => unanswered(None),
+        Err(_) => unanswered(Some(stream)),
     }
 }
 
 /// Sends the request of a health check and waits for the first byte of the response.
-///
-/// It is a `GET`, as health checks are defined for it; an upstream may take another method for work.
 async fn request(stream: &mut TcpStream, path: &str, host: net::SocketAddr) -> io::Result<()> {
-    let head = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
-    stream.write_all(head.as_bytes()).await?;
+    send(stream, path, host).await?;
     match stream.read(&mut [0; 1]).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
         _ => Ok(()),
     }
 }
+
+/// Sends the request of a health check.
+///
+/// It is a `GET`, as health checks are defined for it; an upstream may take another method for work.
+async fn send(stream: &mut TcpStream, path: &str, host: net::SocketAddr) -> io::Result<()> {
+    // With a reset, the upstream releases the connection immediately.
+    socket::reset_when_closed(stream)?;
+    let head = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await
+}
+
+/// Waits until any of the checks that were not answered in time is answered.
+async fn late_response(unanswered: Vec<Unanswered>) {
+    let streams = unanswered.into_iter().filter_map(|probe| probe.stream);
+    let first_byte = |mut stream: TcpStream| {
+        Box::pin(async move {
+            match stream.read(&mut [0; 1]).await {
+                Ok(1..) => {}
+                Ok(0) | Err(_) => future::pending().await,
+            }
+        })
+    };
+    let checks: Vec<_> = streams.map(first_byte).collect();
+    match checks.is_empty() {
+        true => future::pending().await,
+        false => _ = future::select_all(checks).await,
+    }
+}
+
+/// Returns which of `targets` serve a health check, for a node that got no response from them.
+///
+/// A refusal does not count, since a full upstream may refuse this check while the other one waits.
+pub async fn served(targets: &[Target], timeout: Duration) -> Vec<peer_load::Key> {
+    let checks = targets.iter().map(|target| async move {
+        let is_served = tokio::time::timeout(timeout, serves(target)).await;
+        matches!(is_served, Ok(Ok(true))).then_some(target.key)
+    });
+    future::join_all(checks).await.into_iter().flatten().collect()
+}
+
+/// Returns whether the health check of an upstream is answered with success.
+async fn serves(target: &Target) -> io::Result<bool> {
+    let Some(path) = &target.health_check_path else { return Ok(false) };
+    let mut stream = TcpStream::connect(target.address).await?;
+    send(&mut stream, path, target.address).await?;
+    let mut line = [0; STATUS_LINE_BYTES];
+    stream.read_exact(&mut line).await?;
+    let status = &line[STATUS_LINE_BYTES - STATUS_BYTES..];
+    Ok(status.starts_with(b"2") && status.iter().all(u8::is_ascii_digit))
+}
--- a/crates/node/src/gateway/connectivity.rs
+++ b/crates/node/src/gateway/connectivity.rs
@@ -7,12 +7,12 @@
 use std::rc;
 use std::time::Instant;
 
+use steer::dispatch::connectivity::check::Verdict;
 use steer::dispatch::connectivity::group::Change;
 use steer::dispatch::dispatcher::connectivity::Check;
 use tokio::task;
 
 use crate::gateway::connection_check;
-use crate::gateway::proxy::connection;
 use crate::gateway::state;
 
 /// Makes the checks that are due until the task ends.
@@ -33,13 +33,11 @@
 
 async fn make(state: rc::Rc<state::State>, check: Check) {
     state.metrics.connectivity_checks.add(1);
-    // An empty sample does not show that this node is cut off.
-    let has_responded = check.targets.is_empty()
-        || connection_check::reaches_any(&check.targets, connection::CONNECT_TIMEOUT).await;
-    let change = state.dispatcher.borrow_mut().end_check(&check.scope, has_responded);
+    let verdict = connection_check::run(&state, &check.targets).await;
+    let change = state.dispatcher.borrow_mut().end_check(&check.scope, verdict);
     state.check_due.notify_one();
-    if !has_responded {
-        state.check_failed.notify_waiters();
+    if verdict == Verdict::Lost {
+        state.group_lost.notify_waiters();
     }
     let (service, region) = (check.scope.service.as_str(), check.scope.region.as_str());
     let upstreams = check.targets.len();
@@ -47,6 +45,11 @@
         None => return,
         Some(Change::Lost) => log::warn!(service, region, upstreams; "service-unreached"),
         Some(Change::Regained) => log::info!(service, region; "service-reached"),
+        Some(Change::Busy | Change::Unclear) => {
+            let used = change == Some(Change::Busy);
+            log::info!(service, region, upstreams, used; "service-silent");
+            return;
+        }
     }
     state.beat.notify_one();
 }
--- a/crates/node/src/gateway/control_server.rs
+++ b/crates/node/src/gateway/control_server.rs
@@ -19,6 +19,7 @@
 use crate::common::socket;
 use crate::gateway::control;
 use crate::gateway::directory;
+use crate::gateway::peer_check;
 use crate::gateway::state;
 
 /// Pause after a failure to accept, such as too many open files.
@@ -43,8 +44,8 @@
         let state = rc::Rc::clone(&state);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
-                let answer = answer(&state, &request);
-                async move { Ok::<_, convert::Infallible>(answer) }
+                let state = rc::Rc::clone(&state);
+                async move { Ok::<_, convert::Infallible>(answer(&state, &request).await) }
             });
             let mut builder = http1::Builder::new();
             builder.timer(rt::TokioTimer::new()).header_read_timeout(HEAD_TIME);
@@ -54,7 +55,7 @@
     }
 }
 
-fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     match request.uri().path() {
         names::READY => {
             let mut response = Response::new(Full::default());
@@ -70,6 +71,15 @@
             response.headers_mut().insert(header::CONTENT_TYPE, json);
             response
         }
+        peer_check::PATH => {
+            let served = peer_check::answer(state, request.uri().query().unwrap_or_default()).await;
+            let mut response =
+                Response::new(Full::new(Bytes::from(served.clone().unwrap_or_default())));
+            if served.is_none() {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
         _ => control::answer(state, request),
     }
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod organisation_metrics;
 pub mod own_headers;
 pub mod peer;
+pub mod peer_check;
 pub mod process;
 pub mod proxy;
 pub mod quarantine;
--- a/crates/node/src/gateway/peer.rs
+++ b/crates/node/src/gateway/peer.rs
@@ -1,6 +1,6 @@
-//! Client of other nodes: fetches changes from their copies of the store.
+//! Client of other nodes: makes calls to them and limits their time and size.
 //!
-//! Makes the call and limits its time and size; [`extracts`] decodes the response.
+//! Fetches changes from their copies of the store, which [`extracts`] decodes.
 
 use std::net;
 use std::time::Duration;
@@ -34,25 +34,31 @@
     peer: net::SocketAddr,
     after: position::Position,
 ) -> anyhow::Result<extract::Extract> {
-    tokio::time::timeout(EXCHANGE_TIME, exchange(peer, after)).await?
+    let bytes = get(peer, &format!("{CHANGES}?{after}"), EXCHANGE_TIME).await?;
+    Ok(extracts::decode(&bytes)?)
 }
 
-async fn exchange(
-    peer: net::SocketAddr,
-    after: position::Position,
-) -> anyhow::Result<extract::Extract> {
+/// Requests `target`, a path with its query, from the node at `peer`, and returns the body of the response.
+///
+/// # Errors
+///
+/// Fails if the node does not respond with success within `timeout`.
+pub async fn get(peer: net::SocketAddr, target: &str, timeout: Duration) -> anyhow::Result<Bytes> {
+    tokio::time::timeout(timeout, exchange(peer, target)).await?
+}
+
+async fn exchange(peer: net::SocketAddr, target: &str) -> anyhow::Result<Bytes> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
-    let request = Request::get(format!("{CHANGES}?{after}"))
+    let request = Request::get(target)
         .header(http::header::HOST, peer.to_string())
         .body(Empty::<Bytes>::new())?;
     let exchange = async {
         let answer = sender.send_request(request).await?;
         anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
         let body = Limited::new(answer.into_body(), LARGEST_ANSWER);
-        let bytes = body.collect().await.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
-        Ok(extracts::decode(&bytes)?)
+        Ok(body.collect().await.map_err(|error| anyhow::anyhow!(error))?.to_bytes())
     };
     tokio::pin!(connection);
     tokio::pin!(exchange);
--- a/crates/node/src/gateway/proxy/crash.rs
+++ b/crates/node/src/gateway/proxy/crash.rs
@@ -81,7 +81,7 @@
         let dispatcher = state.dispatcher.borrow();
         dispatcher.others_than(upstream, &mut connection_check::draw, now)
     };
-    is_reached_elsewhere && !state.others.are_reached(since, others).await
+    is_reached_elsewhere && state.others.are_lost(state, since, others).await
 }
 
 fn record(state: &state::State, sent: &Sent, ended: Instant) {
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -41,7 +41,8 @@
     Withdrawn,
     /// Nothing was sent, because no connection is open and the upstream's group cannot be connected to.
     Unreached,
-    /// The request was sent, and its upstream was found out of reach before the response. It may have been executed.
+    /// The request was sent, its upstream was found out of reach before the response, and the request may be
+    /// repeated. It may have been executed.
     Unanswered,
     /// The request was sent, and the connection was closed before the response. It may have been executed.
     Closed(String),
@@ -72,8 +73,8 @@
 }
 
 /// Sends a request on `connection` and reads the response. `observe` receives the statements of the
-/// upstream about itself in the response headers. `out_of_reach` ends the wait for the response head:
-/// a request has no limit of its own but its deadline, because its upstream may work on it for long.
+/// upstream about itself in the response headers. `out_of_reach` ends the wait for the response head; apart
+/// from it, only the request's deadline limits the wait, because its upstream may work on it for long.
 ///
 /// # Errors
 ///
--- a/crates/node/src/gateway/proxy/tries/sending.rs
+++ b/crates/node/src/gateway/proxy/tries/sending.rs
@@ -2,6 +2,7 @@
 //!
 //! Uses a pooled connection if there is one, and opens a new one otherwise.
 
+use std::future;
 use std::rc;
 use std::sync;
 use std::time::Instant;
@@ -51,7 +52,7 @@
                 self.server.state.dialect,
                 self.request.rules,
                 |statement, headers| self.server.state.observe(upstream, statement, headers),
-                self.server.state.wait_until_out_of_reach(upstream),
+                self.wait_until_repeatable(upstream),
             )
             .await;
             if let Some(guard) = guard {
@@ -70,6 +71,15 @@
         }
     }
 
+    /// Waits until the upstream of the current attempt is out of reach, if the request may then be sent to
+    /// another one. A request that may not be repeated keeps its connection until its deadline.
+    async fn wait_until_repeatable(&self, upstream: &discovery::Entry) {
+        match self.progress.may_repeat(self.request.body.is_ready()) {
+            true => self.server.state.wait_until_out_of_reach(upstream).await,
+            false => future::pending().await,
+        }
+    }
+
     async fn connect(
         &self,
         upstream: &discovery::Entry,
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -103,8 +103,10 @@
     pub others: connection_check::Others,
     /// Wakes the task that checks whether services are reached.
     pub check_due: Notify,
-    /// Wakes the requests in flight, which end if their upstream is out of reach.
-    pub check_failed: Notify,
+    /// Wakes the requests in flight when a check finds that a group of upstreams is not reached.
+    pub group_lost: Notify,
+    /// Number of checks in progress on behalf of other nodes.
+    pub checks_for_peers: cell::Cell<u32>,
     /// Wakes the task that reports crashes to other nodes.
     pub quarantine_changed: Notify,
     /// Asks for slots of upstreams, and the slots that this node owns.
@@ -178,7 +180,8 @@
             beat: Notify::new(),
             others: connection_check::Others::default(),
             check_due: Notify::new(),
-            check_failed: Notify::new(),
+            group_lost: Notify::new(),
+            checks_for_peers: cell::Cell::new(0),
             slots: slots::Slots::new(),
         }
     }
--- a/crates/node/src/gateway/state/upstreams.rs
+++ b/crates/node/src/gateway/state/upstreams.rs
@@ -34,7 +34,7 @@
     /// Waits until an upstream is out of reach, as [`steer::dispatch::connectivity`] defines it.
     pub async fn wait_until_out_of_reach(&self, upstream: &discovery::Entry) {
         loop {
-            self.check_failed.notified().await;
+            self.group_lost.notified().await;
             if self.dispatcher.borrow().is_out_of_reach(upstream, Instant::now()) {
                 return;
             }
--- /dev/null
+++ b/crates/node/tests/gateway/full_upstreams.rs
@@ -0,0 +1,221 @@
+//! Full upstreams, whose health checks wait for a slot, and links that fall silent: both bring no response.
+
+use std::net;
+use std::sync;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use tokio::task;
+
+use crate::client;
+use crate::cut_off::{AT_ONCE, CONTACT, Fleet, Named};
+use crate::path::Cut;
+use crate::rig::{self, Gateway};
+
+/// Slots of an upstream, and requests that wait at it.
+const SLOTS: u32 = 4;
+/// See [`SLOTS`].
+const QUEUE: u32 = 24;
+
+/// Work of usual requests.
+const SHORT_WORK: Duration = Duration::from_millis(50);
+
+/// Work of requests that fill the slots for longer than usual work explains.
+const LONG_WORK: Duration = Duration::from_millis(1_800);
+
+/// Time for which callers ask before.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Time after which silence is suspect and has been checked.
+const CHECKED: Duration = Duration::from_millis(1_700);
+
+/// What callers ask for.
+const TARGETS: [&str; 2] = ["/read/a", "/write/a"];
+
+/// Lets upstreams run requests for this long from now on.
+fn set_work(fleet: &Fleet, work: Duration) {
+    fleet.upstreams.iter().for_each(|upstream| upstream.run_at_once(SLOTS, QUEUE, work));
+}
+
+/// Sends `count` requests that may not be repeated to a gateway, all at once.
+fn send(gateway: &Gateway, name: &str, count: usize) -> task::JoinSet<client::Answer> {
+    let mut answers = task::JoinSet::new();
+    for number in 0..count {
+        let (address, id) = (gateway.callers, format!("{name}-{number}"));
+        answers.spawn(async move {
+            // Each about an object of its own, so that all upstreams get some.
+            let request = client::request("POST", "/write/a", &id, "x");
+            let request = request.replace("Key=7", &format!("Key={number}"));
+            client::Client::connect(address).await.try_ask(&request).await
+        });
+    }
+    answers
+}
+
+/// Returns how many of the upstreams' slots there are.
+fn slots(fleet: &Fleet) -> usize {
+    fleet.upstreams.len() * usize::try_from(SLOTS).expect("a few")
+}
+
+fn assert_served(answers: &[client::Answer]) {
+    let others: Vec<_> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(others.is_empty(), "{} of {} are not served: {others:?}", others.len(), answers.len());
+}
+
+/// Fails where any gateway logs that it lost a service.
+fn assert_none_lost(fleet: &Fleet) {
+    for gateway in &fleet.gateways {
+        assert!(!gateway.has_logged(&["event=service-unreached"]));
+    }
+}
+
+/// Looks up at all gateways until it is over; returns how often one of `named` was missing.
+async fn look_ups_missing(fleet: &Fleet, named: &[net::SocketAddr], time: Duration) -> usize {
+    let began = Instant::now();
+    let mut missing = 0;
+    while began.elapsed() < time {
+        for gateway in &fleet.gateways {
+            let answer = gateway.look_up().await;
+            missing +=
+                named.iter().filter(|address| !answer.contains(&address.to_string())).count();
+        }
+        tokio::time::sleep(rig::LOOK_EVERY).await;
+    }
+    missing
+}
+
+/// Fills all slots by requests of the first of `gateways`, and checks that they are served, that those of the
+/// others are served after them, and that look-ups name all gateways that stay.
+async fn full_upstreams_are_no_cut(gateways: usize, is_first_stopped: bool) {
+    let fleet = Fleet::start_of(gateways, 0).await;
+    set_work(&fleet, SHORT_WORK);
+    fleet.ask_for(TARGETS, Instant::now() + WARM_UP).await;
+    set_work(&fleet, LONG_WORK);
+    let mut staying: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.callers).collect();
+    if is_first_stopped {
+        fleet.gateways[0].signal(Signal::TERM);
+        staying.remove(0);
+    }
+    // Twice as many, so that no slot is left free whichever upstreams are chosen.
+    let first = send(&fleet.gateways[0], "first", 2 * slots(&fleet));
+    // These wait for a slot, and their gateways get no response meanwhile either.
+    tokio::time::sleep(SHORT_WORK).await;
+    let others: Vec<_> =
+        fleet.gateways[1..].iter().map(|gateway| send(gateway, "other", 2)).collect();
+    let missing = match is_first_stopped {
+        // Its own look-ups may end with it.
+        true => 0,
+        false => look_ups_missing(&fleet, &staying, CHECKED).await,
+    };
+    assert_eq!(missing, 0, "look-ups lack a gateway");
+    assert_served(&first.join_all().await);
+    for answers in others {
+        assert_served(&answers.join_all().await);
+    }
+    let abandoned: u32 = fleet.upstreams.iter().map(|u| u.record().abandoned).sum();
+    assert_eq!(abandoned, 0, "requests are broken off");
+    let checks: u32 = fleet.upstreams.iter().map(|u| u.record().health_checks).sum();
+    assert!(checks > 0, "the silence is checked");
+    assert_none_lost(&fleet);
+}
+
+/// A gateway took full upstreams for unreachable ones, and broke off what they ran.
+#[tokio::test]
+async fn lost_full_upstreams_finish_what_they_run() {
+    full_upstreams_are_no_cut(2, false).await;
+}
+
+/// The same while the gateway is stopped as planned, when a broken request counts as lost.
+#[tokio::test]
+async fn lost_full_upstreams_finish_during_a_stop() {
+    full_upstreams_are_no_cut(2, true).await;
+}
+
+/// The same without another gateway that could tell a full upstream from a silent link.
+#[tokio::test]
+async fn lost_full_upstreams_of_one_gateway_finish() {
+    full_upstreams_are_no_cut(1, false).await;
+}
+
+/// The same in a fleet of which only one gateway fills the upstreams.
+#[tokio::test]
+async fn lost_full_upstreams_of_four_gateways_finish() {
+    full_upstreams_are_no_cut(4, false).await;
+}
+
+/// Callers that keep all slots of the upstreams taken by way of one gateway.
+struct Load {
+    is_over: sync::Arc<AtomicBool>,
+    callers: task::JoinSet<usize>,
+}
+
+impl Load {
+    fn start(gateway: &Gateway, callers: usize) -> Self {
+        let is_over = sync::Arc::new(AtomicBool::new(false));
+        let mut tasks = task::JoinSet::new();
+        for number in 0..callers {
+            let (address, is_over) = (gateway.callers, sync::Arc::clone(&is_over));
+            tasks.spawn(async move {
+                let mut served = 0;
+                for count in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let id = format!("load-{number}-{count}");
+                    let mut caller = client::Client::connect(address).await;
+                    served += usize::from(caller.get("/read/a", &id).await.status == 200);
+                }
+                served
+            });
+        }
+        Self { is_over, callers: tasks }
+    }
+
+    /// Returns how many requests were served.
+    async fn finish(self) -> usize {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.callers.join_all().await.into_iter().sum()
+    }
+}
+
+/// A gateway whose link falls silent while another one keeps all slots taken: fullness does not explain its silence.
+#[tokio::test]
+async fn recover_a_silent_link_beside_full_upstreams_is_found() {
+    let fleet = Fleet::start_of(2, 1).await;
+    set_work(&fleet, 3 * SHORT_WORK);
+    let load = Load::start(&fleet.gateways[1], 2 * slots(&fleet));
+    fleet.ask_for(TARGETS, Instant::now() + WARM_UP).await;
+    fleet.set(Some(Cut::Silent));
+    let began = Instant::now();
+    let sent = send(&fleet.gateways[0], "sent", 6);
+    fleet.wait_named(Named::Connected).await;
+    let named = began.elapsed();
+    assert!(named <= CONTACT, "named for {named:?}");
+    assert!(load.finish().await > 100, "the other gateway serves");
+    fleet.set(None);
+    fleet.wait_named(Named::All).await;
+    drop(sent);
+}
+
+/// Requests that ran when a link fell silent were broken off, although their answers come when it works again.
+#[tokio::test]
+async fn lost_requests_in_flight_outlive_a_silent_link() {
+    let fleet = Fleet::start_of(2, 1).await;
+    set_work(&fleet, SHORT_WORK);
+    fleet.ask_for(TARGETS, Instant::now() + WARM_UP).await;
+    set_work(&fleet, LONG_WORK);
+    let running = send(&fleet.gateways[0], "running", slots(&fleet) / 2);
+    tokio::time::sleep(2 * SHORT_WORK).await;
+    fleet.set(Some(Cut::Silent));
+    fleet.wait_named(Named::Connected).await;
+    // New work is not sent into the cut.
+    let asked = Instant::now();
+    let answer = fleet.gateways[0].caller().await.post("/write/a", "new", "x").await;
+    let took = asked.elapsed();
+    assert!(answer.status == 503 && took < AT_ONCE, "{} after {took:?}", answer.status);
+    fleet.set(None);
+    assert_served(&running.join_all().await);
+    let ran = fleet.upstreams.iter().any(|u| u.record().ran.contains_key("new"));
+    assert!(!ran, "a refused request ran");
+}
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod cut_off;
 mod fleet;
 mod foreign;
+mod full_upstreams;
 mod limits;
 mod organisations;
 mod path;
--- a/crates/steer/src/dispatch/connectivity/group.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -2,13 +2,18 @@
 //! and what follows from the checks.
 //!
 //! Only a response shows that a group is reached. A device between this node and the upstreams may accept
-//! connections in their place, and then reset them or stay silent.
+//! connections in their place, and then reset them or stay silent. Full upstreams do the same, so that
+//! without a response a group is lost only where other nodes get one ([`check`]).
+//!
+//! [`check`]: crate::dispatch::connectivity::check
 
 use std::collections;
 use std::time::{Duration, Instant};
 
 use model::id;
 
+use crate::dispatch::connectivity::check::Verdict;
+
 /// Number of upstreams that fail, with no response on a new connection in between, from which a check is due.
 ///
 /// One failure is usually that of its upstream.
@@ -48,6 +53,10 @@
     Lost,
     /// Upstreams respond to checks again.
     Regained,
+    /// Upstreams respond neither to checks nor to those of other nodes.
+    Busy,
+    /// Upstreams do not respond to checks, and no other node tells why.
+    Unclear,
 }
 
 /// State of a group that is not reached.
@@ -61,6 +70,15 @@
     responded: Option<Instant>,
 }
 
+/// State of a group whose silence has not been found to be that of a cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// The group is used as before.
+    Busy,
+    /// New requests are not sent to the group.
+    Unclear,
+}
+
 /// Connectivity of one group.
 #[derive(Clone, Debug, Default)]
 pub struct Group {
@@ -76,6 +94,8 @@
     passed: Option<Instant>,
     /// When the latest of the new connections that brought a response was opened.
     responding_connection: Option<Instant>,
+    /// What the latest check left open; `None` if a response came since.
+    silence: Option<Silence>,
     unreached: Option<Unreached>,
 }
 
@@ -103,6 +123,7 @@
 
     /// Records a response.
     pub fn record_response(&mut self, now: Instant) {
+        self.silence = None;
         if let Some(unreached) = &mut self.unreached {
             unreached.responded = Some(now);
         }
@@ -116,8 +137,8 @@
     /// Returns whether a check is due.
     #[must_use]
     pub fn is_check_due(&self, now: Instant) -> bool {
-        let is_wanted = self.is_suspect || self.unreached.is_some();
-        is_wanted && !self.is_checking && !self.was_checked_lately(now)
+        let is_open = self.silence.is_some() || self.unreached.is_some();
+        (self.is_suspect || is_open) && !self.is_checking && !self.was_checked_lately(now)
     }
 
     /// Records that a check begins.
@@ -127,33 +148,66 @@
         self.is_suspect = false;
     }
 
-    /// Records whether any of the checked upstreams responded.
+    /// Records what a check showed.
     ///
     /// A response to a request on a connection that was opened during the check counts as well:
     /// upstreams that are full may respond to the check too late.
-    pub fn end_check(&mut self, has_responded: bool) -> Option<Change> {
+    pub fn end_check(&mut self, verdict: Verdict) -> Option<Change> {
         self.is_checking = false;
         let since = self.checked?;
-        let is_reached = has_responded || self.responding_connection.is_some_and(|at| at > since);
-        if is_reached {
-            self.passed = Some(since);
+        let has_responded = self.responding_connection.is_some_and(|at| at > since);
+        match verdict {
+            Verdict::Reached => self.end_successful_check(since),
+            _ if has_responded => self.end_successful_check(since),
+            Verdict::Lost => self.end_failed_check(since),
+            Verdict::Busy => self.end_open_check(Silence::Busy),
+            Verdict::Unclear => self.end_open_check(Silence::Unclear),
         }
-        match (&mut self.unreached, is_reached) {
-            (None, true) => self.failed.clear(),
-            (None, false) => {
-                self.unreached = Some(Unreached { since, passed: 0, responded: None });
-                return Some(Change::Lost);
+    }
+
+    fn end_successful_check(&mut self, since: Instant) -> Option<Change> {
+        self.passed = Some(since);
+        self.silence = None;
+        let Some(unreached) = &mut self.unreached else {
+            self.failed.clear();
+            return None;
+        };
+        unreached.passed += 1;
+        if unreached.passed < PASSED_CHECKS {
+            return None;
+        }
+        *self = Self { checked: self.checked, passed: self.passed, ..Self::default() };
+        Some(Change::Regained)
+    }
+
+    fn end_failed_check(&mut self, since: Instant) -> Option<Change> {
+        self.silence = None;
+        match &mut self.unreached {
+            Some(unreached) => {
+                unreached.passed = 0;
+                None
             }
-            (Some(unreached), false) => unreached.passed = 0,
-            (Some(unreached), true) => {
-                unreached.passed += 1;
-                if unreached.passed >= PASSED_CHECKS {
-                    *self = Self { checked: self.checked, passed: self.passed, ..Self::default() };
-                    return Some(Change::Regained);
-                }
+            None => {
+                self.unreached = Some(Unreached { since, passed: 0, responded: None });
+                Some(Change::Lost)
             }
         }
-        None
+    }
+
+    /// Ends a check that does not show whether the group is full or this node is cut off. A group that is
+    /// lost stays so.
+    fn end_open_check(&mut self, silence: Silence) -> Option<Change> {
+        if let Some(unreached) = &mut self.unreached {
+            unreached.passed = 0;
+            return None;
+        }
+        self.failed.clear();
+        let previous = self.silence.replace(silence);
+        let change = match silence {
+            Silence::Busy => Change::Busy,
+            Silence::Unclear => Change::Unclear,
+        };
+        (previous != Some(silence)).then_some(change)
     }
 
     /// Returns whether a check that began after `since` succeeded.
@@ -166,7 +220,8 @@
     #[must_use]
     pub fn is_idle(&self, now: Instant) -> bool {
         let has_failures = !self.failed.is_empty() && !self.has_old_failures(now);
-        let is_wanted = self.is_suspect || self.is_checking || self.unreached.is_some();
+        let is_open = self.silence.is_some() || self.unreached.is_some();
+        let is_wanted = self.is_suspect || self.is_checking || is_open;
         let is_recent = |began| now.saturating_duration_since(began) < FAILURE_RETENTION;
         !is_wanted && !has_failures && !self.passed.is_some_and(is_recent)
     }
@@ -186,6 +241,7 @@
     pub fn access(&self, now: Instant) -> Access {
         let is_recent = |at| now.saturating_duration_since(at) <= OPEN_CONNECTIONS_USE;
         match self.unreached {
+            None if self.silence == Some(Silence::Unclear) => Access::None,
             None => Access::Full,
             Some(Unreached { passed: 1.., .. }) => Access::Full,
             Some(Unreached { responded: Some(at), .. }) if is_recent(at) => Access::OpenConnections,
--- a/crates/steer/src/dispatch/connectivity/mod.rs
+++ b/crates/steer/src/dispatch/connectivity/mod.rs
@@ -5,20 +5,24 @@
 //! callers' requests. This rule concludes from failures at several upstreams of a [`group`] that the
 //! node itself may be cut off, and has that checked: the gateway requests the health check of
 //! a few of them ([`sample`]) and waits for the first byte. Any status shows that the upstream is reached. A
-//! service without a health check has its connections opened only. While none responds, the group gets no
+//! service without a health check has its connections opened only. If the upstreams accept connections and do
+//! not respond, they may be full, and other nodes are asked ([`check`]). While the group is lost, it gets no
 //! requests. A service without another group is refused at once and reported to other nodes ([`report`]),
 //! and [`lookup`] returns nodes that reach it. Only checks find out that the group is
 //! reached again.
 //!
 //! A request without a response is no failure by itself, because the upstream may work on it for long. It
 //! leads to a check where its upstream is silent while no other responds, or where its deadline passes at a
-//! silent upstream, and the check decides.
+//! silent upstream. Requests in flight are not ended, whatever the check finds: the upstream may be at work
+//! on them, and their responses arrive when the connection works again. Where the group is lost, those that
+//! may be repeated are sent to another upstream.
 //!
 //! A node that is cut off and a service whose upstreams are all down are not distinguished. In the
 //! second case all nodes report the same, and look-ups return them as if none did.
 //!
 //! [`lookup`]: crate::dispatch::fleet::lookup
 
+pub mod check;
 pub mod group;
 pub mod report;
 pub mod sample;
@@ -28,6 +32,7 @@
 
 use model::id;
 
+use crate::dispatch::connectivity::check::Verdict;
 use crate::dispatch::connectivity::group::{Access, Change, Group};
 use crate::dispatch::upstream;
 
@@ -116,10 +121,10 @@
     pub fn end_check(
         &mut self,
         scope: &Scope,
-        has_responded: bool,
+        verdict: Verdict,
         known: impl Iterator<Item = Scope>,
     ) -> Option<Change> {
-        let change = self.group_mut(&scope.service, &scope.region)?.end_check(has_responded);
+        let change = self.group_mut(&scope.service, &scope.region)?.end_check(verdict);
         if change == Some(Change::Lost) {
             known.filter(|other| scope.is_related(other)).for_each(|other| self.suspect(other));
         }
@@ -139,6 +144,13 @@
         group.map_or(Access::Full, |group| group.access(now))
     }
 
+    /// Returns whether this node does not reach the group of an upstream, also not over open connections.
+    #[must_use]
+    pub fn is_lost(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let group = self.group(&upstream.entry.service, &upstream.region);
+        group.is_some_and(|group| !group.is_reached() && group.access(now) == Access::None)
+    }
+
     /// Returns whether a group is reached, as reported to other nodes.
     #[must_use]
     pub fn is_reached(&self, service: &id::Service, region: &id::Region) -> bool {
--- a/crates/steer/src/dispatch/dispatcher/connectivity.rs
+++ b/crates/steer/src/dispatch/dispatcher/connectivity.rs
@@ -11,10 +11,12 @@
 use model::discovery;
 use model::id;
 
+use crate::dispatch::connectivity::check::Verdict;
 use crate::dispatch::connectivity::group::{Access, Change, SUSPECT_UPSTREAMS};
 use crate::dispatch::connectivity::{Scope, report, sample};
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::eligibility;
+use crate::dispatch::peer_load;
 use crate::dispatch::upstream;
 
 /// A check that is to be made: whether any of some upstreams of a group responds.
@@ -29,6 +31,8 @@
 /// An upstream that is checked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
+    /// Its compact identifier.
+    pub key: peer_load::Key,
     /// Its address.
     pub address: net::SocketAddr,
     /// Path of its health check; without one, a connection that opens counts as a response.
@@ -69,12 +73,12 @@
         due.map(check).collect()
     }
 
-    /// Records whether any upstream of a check responded.
-    pub fn end_check(&mut self, scope: &Scope, has_responded: bool) -> Option<Change> {
+    /// Records what a check showed.
+    pub fn end_check(&mut self, scope: &Scope, verdict: Verdict) -> Option<Change> {
         let known = self.upstreams.groups();
         let known = known
             .map(|(service, region)| Scope { service: service.clone(), region: region.clone() });
-        self.connectivity.end_check(scope, has_responded, known)
+        self.connectivity.end_check(scope, verdict, known)
     }
 
     /// Returns whether a check is due, after applying what time changes.
@@ -115,13 +119,13 @@
         groups
     }
 
-    /// Returns whether a request in flight at an upstream gets no response any more: checks of its group
-    /// fail, and the upstream is silent for longer than its work explains.
+    /// Returns whether a request in flight at an upstream gets no response before this node reaches the
+    /// upstream again: its group is lost, and the upstream is silent for longer than its work explains.
     #[must_use]
     pub fn is_out_of_reach(&self, upstream: &discovery::Entry, now: Instant) -> bool {
         let Some(known) = self.upstreams.get(&upstream.id) else { return false };
         let mean = self.work.get(&upstream.service).copied().unwrap_or_default().mean();
-        self.connectivity.access(known, now) == Access::None && known.health.is_silent(mean, now)
+        self.connectivity.is_lost(known, now) && known.health.is_silent(mean, now)
     }
 
     /// Returns the services that this node cannot connect to in any region.
@@ -173,7 +177,14 @@
     fn target(&self, upstream: &upstream::Upstream) -> Target {
         let rules = self.routing.services.get(&upstream.entry.service);
         let health_check_path = rules.and_then(|rules| rules.health_check_path.clone());
-        Target { address: upstream.entry.address, health_check_path }
+        Target { key: upstream.key, address: upstream.entry.address, health_check_path }
+    }
+
+    /// Returns the upstreams with these identifiers, for a check on behalf of another node.
+    #[must_use]
+    pub fn targets(&self, keys: &[peer_load::Key]) -> Vec<Target> {
+        let known = keys.iter().filter_map(|key| self.upstreams.get_by_key(*key));
+        known.map(|upstream| self.target(upstream)).collect()
     }
 
     /// Iterates over the upstreams of a group that may be checked.
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -319,6 +319,13 @@
         next
     }
 
+    /// Returns whether the request may be sent to another upstream although the current attempt was sent and
+    /// may be executed.
+    #[must_use]
+    pub fn may_repeat(&self, is_body_ready: bool) -> bool {
+        self.is_repeatable && is_body_ready && self.sent + 1 < self.max_attempts
+    }
+
     /// Ends the request at its deadline, together with the pending attempt.
     pub fn expire(&mut self) -> give_up::Reason {
         let reason = match (self.may_have_run, self.stage) {
