--- a/crates/node/src/gateway/proxy/tries/choice.rs
+++ b/crates/node/src/gateway/proxy/tries/choice.rs
@@ -2,7 +2,7 @@
 //!
 //! [`steer::dispatch::retry`] selects the upstream; this module provides the inputs and records the result.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id;
 use model::key;
@@ -19,7 +19,14 @@
         let request = self.for_choice();
         let mut dispatcher = self.server.state.dispatcher.borrow_mut();
         let chosen = self.progress.choose(request, &mut dispatcher, Instant::now());
+        let wait = match &chosen {
+            Ok(choice) => dispatcher.expected_wait(&choice.upstream, Instant::now()),
+            Err(_) => Duration::ZERO,
+        };
         drop(dispatcher);
+        if chosen.is_ok() && !self.has_time(wait) {
+            return Err(self.progress.reason_while_stopping());
+        }
         match &chosen {
             Ok(choice) if choice.is_diverted() => self.record_diverted(choice),
             Err(give_up::Reason::Limited { .. }) => self.server.state.metrics.limited.add(1),
@@ -31,8 +38,7 @@
     /// Checks whether the request may still be sent: it ends before a stopping node exits, its key is
     /// valid, and it is not quarantined.
     pub(super) fn check(&mut self) -> Result<(), give_up::Reason> {
-        let tries::Request { route, service, deadline, .. } = &self.request;
-        if !self.server.state.has_time(&route.name, service, *deadline) {
+        if !self.has_time(Duration::ZERO) {
             return Err(self.progress.reason_while_stopping());
         }
         if self.is_revoked() {
@@ -46,6 +52,12 @@
         Ok(())
     }
 
+    /// Returns whether the request ends before a stopping node exits, if it queues for about `wait`.
+    fn has_time(&self, wait: Duration) -> bool {
+        let tries::Request { route, service, deadline, .. } = &self.request;
+        self.server.state.has_time(&route.name, service, *deadline, wait)
+    }
+
     /// Returns the properties of the request that the dispatch rules use.
     pub(super) fn for_choice(&self) -> retry::Request<'a> {
         retry::Request {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -19,7 +19,7 @@
 use std::collections;
 use std::rc;
 use std::sync;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id;
 use model::routing;
@@ -336,12 +336,19 @@
         me.sequence += 1;
     }
 
-    /// Returns whether a request that is sent now ends before this node exits, as far as that is known.
+    /// Returns whether a request that is sent now, and queues for about `wait`, ends before this node exits,
+    /// as far as that is known.
     #[must_use]
-    pub fn has_time(&self, route: &id::Route, service: &id::Service, deadline: Instant) -> bool {
+    pub fn has_time(
+        &self,
+        route: &id::Route,
+        service: &id::Service,
+        deadline: Instant,
+        wait: Duration,
+    ) -> bool {
         let Some(exit) = self.exit.get() else { return true };
         let kind = (route.clone(), service.clone());
-        self.response_times.borrow().ends_before(exit, &kind, deadline, Instant::now())
+        self.response_times.borrow().ends_before(exit, &kind, deadline, wait, Instant::now())
     }
 
     /// Marks the node as shutting down; it exits at `exit` at the latest.
--- a/crates/node/src/owner/stopping.rs
+++ b/crates/node/src/owner/stopping.rs
@@ -7,7 +7,7 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::id;
 use steer::common::response_times::ResponseTimes;
@@ -51,7 +51,7 @@
     #[must_use]
     pub fn has_time(&self, kind: &Kind, deadline: Instant, now: Instant) -> bool {
         let Some(exit) = self.exit.get() else { return true };
-        self.response_times().ends_before(*exit, kind, deadline, now)
+        self.response_times().ends_before(*exit, kind, deadline, Duration::ZERO, now)
     }
 
     /// Records a request whose deadline passed without a response.
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -407,6 +407,7 @@
             "rows": [
                 ["desk", upstream::HEALTH_CHECK_PATH, 100, "1s", 50.0],
                 ["shelf", null, 100, "1s", 50.0],
+                ["vault", upstream::HEALTH_CHECK_PATH, 100, "1s", 50.0],
             ],
         },
     })
--- a/crates/steer/src/common/response_times.rs
+++ b/crates/steer/src/common/response_times.rs
@@ -11,13 +11,17 @@
 /// Length of a period. The longest times of the current and the previous period count.
 const PERIOD: Duration = Duration::from_secs(300);
 
-/// Factor by which a request may exceed the longest of many.
-const EXCESS: f64 = 1.1;
+/// Factor by which a request may exceed the longest of many, because queues grow while several processes stop.
+const EXCESS: f64 = 4.0;
 
 /// Amount by which that factor is higher after a single request; divided by the number of requests,
 /// because the longest of a few says little.
 const EXCESS_OF_ONE: f64 = 5.0;
 
+/// Factor by which a request may queue longer than estimated. The longest times before do not show how long
+/// the queue is at this moment, and estimates lag behind it.
+const QUEUE_EXCESS: f64 = 2.0;
+
 /// Time in which a response is passed on to the caller before the process exits.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -65,11 +69,13 @@
         self.current.record(took, allowed);
     }
 
-    /// Returns when one more request with this deadline ends at the latest, if it is sent at `now`.
-    fn end(&self, deadline: Instant, now: Instant) -> Instant {
+    /// Returns when one more request with this deadline ends at the latest, if it is sent at `now` and
+    /// queues for about `wait`.
+    fn end(&self, deadline: Instant, wait: Duration, now: Instant) -> Instant {
         let longest = self.current.longest.max(self.previous.longest);
         let count = f64::from(self.current.count.saturating_add(self.previous.count).max(1));
-        let expected = now + longest.mul_f64(EXCESS + EXCESS_OF_ONE / count);
+        let longest = longest.mul_f64(EXCESS + EXCESS_OF_ONE / count);
+        let expected = now + longest + wait.mul_f64(QUEUE_EXCESS);
         match self.current.outlasts_deadlines || self.previous.outlasts_deadlines {
             true => expected,
             false => expected.min(deadline),
@@ -107,10 +113,18 @@
         self.by_kind.retain(|kind, _| is_known(kind));
     }
 
-    /// Returns whether a request that is sent at `now` ends before the process exits at `exit`.
+    /// Returns whether a request that is sent at `now`, and is estimated to queue for `wait`, ends before the
+    /// process exits at `exit`.
     #[must_use]
-    pub fn ends_before(&self, exit: Instant, kind: &K, deadline: Instant, now: Instant) -> bool {
-        let end = self.by_kind.get(kind).map_or(deadline, |times| times.end(deadline, now));
+    pub fn ends_before(
+        &self,
+        exit: Instant,
+        kind: &K,
+        deadline: Instant,
+        wait: Duration,
+        now: Instant,
+    ) -> bool {
+        let end = self.by_kind.get(kind).map_or(deadline, |times| times.end(deadline, wait, now));
         end + RESPONSE_MARGIN <= exit
     }
 }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -49,6 +49,14 @@
         crowding
     }
 
+    /// Returns how long a request that is sent to an upstream now is estimated to queue there.
+    #[must_use]
+    pub fn expected_wait(&self, upstream: &discovery::Entry, now: Instant) -> Duration {
+        let Some(known) = self.upstreams.get(&upstream.id) else { return Duration::ZERO };
+        let mean = self.work.get(&upstream.service).copied().unwrap_or_default().mean();
+        Duration::try_from_secs_f64(known.wait_when_sent(mean, now).0).unwrap_or_default()
+    }
+
     /// Records the outcome of an attempt whose start was recorded by [`Dispatcher::sent`] `waited` ago.
     ///
     /// Ignored if the upstream has been removed or restarted since.
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -245,8 +245,8 @@
     }
 
     /// Returns the failure reason of a request that may not end before this node exits.
-    #[must_use]
-    pub fn reason_while_stopping(&self) -> give_up::Reason {
+    pub fn reason_while_stopping(&mut self) -> give_up::Reason {
+        self.stage = Stage::Idle;
         self.unless_may_have_run(give_up::Reason::Stopping)
     }
 
