Checks for peers that no longer wait end; a crash is judged within 0.7 s

A gateway counts the checks that it makes for others, two at a time. Where the other one closed its connection before the answer, which it does once a third one has answered, the check was dropped and stayed counted, so that after two of them no question was answered any more.

The check whether other upstreams respond after one refuses connections is limited to 0.7 s, as it was before it asked other gateways: the request that it belongs to waits for it before it is repeated.

--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -31,6 +31,10 @@
 /// Bytes of a status.
 const STATUS_BYTES: usize = 3;
 
+/// Maximum time of a check of other upstreams, because the request whose upstream refuses connections waits
+/// for it before it is repeated.
+const OTHERS_TIME: Duration = Duration::from_millis(700);
+
 /// Draws a number below `end`.
 pub fn draw(end: usize) -> usize {
     rand::rng().random_range(0..end)
@@ -62,7 +66,9 @@
         }
         let began = Instant::now();
         // Without other upstreams, the refusal is taken for a crash.
-        let are_lost = run(state, &others(began)).await == Verdict::Lost;
+        let targets = others(began);
+        let verdict = tokio::time::timeout(OTHERS_TIME, run(state, &targets)).await;
+        let are_lost = verdict == Ok(Verdict::Lost);
         *latest = Some((began, are_lost));
         are_lost
     }
--- a/crates/node/src/gateway/peer_check.rs
+++ b/crates/node/src/gateway/peer_check.rs
@@ -3,6 +3,7 @@
 //! Asks a few live nodes which of the upstreams serve their health checks, and answers such questions.
 //! [`steer::dispatch::connectivity::check`] says what the answers show.
 
+use std::cell;
 use std::net;
 use std::time::{Duration, Instant};
 
@@ -65,17 +66,33 @@
 /// query is malformed or too many checks are in progress.
 pub async fn answer(state: &state::State, query: &str) -> Option<String> {
     let keys = decode(query).filter(|keys| keys.len() <= MAX_UPSTREAMS)?;
-    let in_progress = &state.checks_for_peers;
-    if in_progress.get() >= MAX_CHECKS_FOR_PEERS {
-        return None;
-    }
+    let _in_progress = InProgress::start(&state.checks_for_peers)?;
     let targets = state.dispatcher.borrow().targets(&keys);
-    in_progress.set(in_progress.get() + 1);
     let served = connection_check::served(&targets, CHECK_TIME).await;
-    in_progress.set(in_progress.get() - 1);
     Some(encode(&served))
 }
 
+/// Counts a check as in progress until it is dropped, also when the node that asked no longer waits.
+#[derive(Debug)]
+struct InProgress<'a>(&'a cell::Cell<u32>);
+
+impl<'a> InProgress<'a> {
+    /// Counts a check; `None` if too many are in progress.
+    fn start(count: &'a cell::Cell<u32>) -> Option<Self> {
+        let has_room = count.get() < MAX_CHECKS_FOR_PEERS;
+        has_room.then(|| {
+            count.set(count.get() + 1);
+            Self(count)
+        })
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 fn encode(keys: &[peer_load::Key]) -> String {
     let keys: Vec<String> = keys.iter().map(|key| key.0.to_string()).collect();
     keys.join(&SEPARATOR.to_string())
--- a/crates/node/tests/gateway/full_upstreams.rs
+++ b/crates/node/tests/gateway/full_upstreams.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use model::id;
 use rustix::process::Signal;
+use steer::dispatch::peer_load;
 use tokio::task;
 
 use crate::client;
@@ -219,3 +221,32 @@
     let ran = fleet.upstreams.iter().any(|u| u.record().ran.contains_key("new"));
     assert!(!ran, "a refused request ran");
 }
+
+/// Asks a gateway as another one does whether an upstream serves health checks.
+async fn ask_as_peer(gateway: &Gateway, upstream: &str) -> client::Client {
+    let key = peer_load::Key::of(&id::Upstream::new(upstream));
+    let mut peer = client::Client::connect(gateway.peers).await;
+    let request = format!("GET /peer/served?{} HTTP/1.1\r\nHost: a\r\n\r\n", key.0);
+    peer.write(request.as_bytes()).await;
+    peer
+}
+
+/// Checks for gateways that no longer wait were counted as in progress for good, until none was made any more.
+#[tokio::test]
+async fn checks_for_peers_that_left_end() {
+    let fleet = Fleet::start_of(1, 0).await;
+    set_work(&fleet, LONG_WORK);
+    let running = send(&fleet.gateways[0], "running", 2 * slots(&fleet));
+    tokio::time::sleep(2 * SHORT_WORK).await;
+    for _ in 0..4 {
+        let left = ask_as_peer(&fleet.gateways[0], "i-0").await;
+        tokio::time::sleep(SHORT_WORK).await;
+        drop(left);
+    }
+    let answer = ask_as_peer(&fleet.gateways[0], "i-0").await.read().await;
+    assert_eq!((answer.status, answer.text().as_str()), (200, ""), "a full upstream serves none");
+    assert_served(&running.join_all().await);
+    let answer = ask_as_peer(&fleet.gateways[0], "i-0").await.read().await;
+    let key = peer_load::Key::of(&id::Upstream::new("i-0"));
+    assert_eq!((answer.status, answer.text()), (200, key.0.to_string()));
+}
