Connections that a full upstream closes are no proof of a cut either

Where a check's connection was closed, another gateway that is served there need not have passed it: a full upstream resets connections while its queue is long, and accepts again. Such a check is made once more, and counts only if the connection is closed again.

lost_upstreams_out_of_connections_finish: upstreams that run requests reset new connections.

--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -13,7 +13,7 @@
 
 use futures_util::{StreamExt as _, future, stream};
 use rand::RngExt as _;
-use steer::dispatch::connectivity::check::{self, Reply, Verdict};
+use steer::dispatch::connectivity::check::{self, PeerView, Reply, Verdict};
 use steer::dispatch::dispatcher::connectivity::Target;
 use steer::dispatch::peer_load;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -80,15 +80,36 @@
     if let Some(verdict) = check::direct_verdict(&probes.replies) {
         return verdict;
     }
-    // The checks go on meanwhile, so that they are ahead of those of other nodes at each upstream.
-    let unanswered = probes.unanswered;
+    let Probes { unanswered, .. } = probes;
     let keys: Vec<peer_load::Key> = unanswered.iter().map(|probe| probe.key).collect();
-    let late_response = late_response(unanswered);
-    tokio::select! {
+    let (waiting, closed): (Vec<Unanswered>, Vec<Unanswered>) =
+        unanswered.into_iter().partition(|probe| probe.stream.is_some());
+    let waiting_keys: Vec<peer_load::Key> = waiting.iter().map(|probe| probe.key).collect();
+    // The checks go on meanwhile, so that they are ahead of those of other nodes at each upstream.
+    let served = tokio::select! {
         biased;
-        () = late_response => Verdict::Reached,
-        peers = peer_check::ask(state, &keys) => check::verdict_with(peers),
-    }
+        () = late_response(waiting) => return Verdict::Reached,
+        served = peer_check::ask(state, &keys) => served,
+    };
+    let Some(served) = served else { return check::verdict_with(PeerView::Unknown) };
+    let has_overtaken = served.iter().any(|key| waiting_keys.contains(key));
+    let closed = closed.iter().filter(|probe| served.contains(&probe.key)).map(|probe| probe.key);
+    let closed: Vec<peer_load::Key> = closed.collect();
+    let is_served = has_overtaken || is_closed_again(targets, &closed).await;
+    check::verdict_with(if is_served { PeerView::Served } else { PeerView::NotServed })
+}
+
+/// Returns whether connections to upstreams that serve another node are closed once more.
+///
+/// A full upstream resets connections only while its queue is long, and it has just served the other node.
+async fn is_closed_again(targets: &[Target], closed: &[peer_load::Key]) -> bool {
+    let again: Vec<Target> =
+        targets.iter().filter(|target| closed.contains(&target.key)).cloned().collect();
+    let probes = probe(&again, connection::CONNECT_TIMEOUT).await;
+    let is_closed = |probe: &Unanswered| probe.stream.is_none();
+    !again.is_empty()
+        && !probes.replies.contains(&Reply::Responded)
+        && probes.unanswered.iter().all(is_closed)
 }
 
 /// Results of the checks of some upstreams.
--- a/crates/node/src/gateway/control_server.rs
+++ b/crates/node/src/gateway/control_server.rs
@@ -57,13 +57,10 @@
 
 async fn answer(state: &state::State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     match request.uri().path() {
-        names::READY => {
-            let mut response = Response::new(Full::default());
-            if !state.is_ready() {
-                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            }
-            response
-        }
+        names::READY => match state.is_ready() {
+            true => Response::new(Full::default()),
+            false => unavailable(),
+        },
         names::RESOLVE => {
             let body = directory::answer(state, request.uri().query().unwrap_or_default());
             let mut response = Response::new(Full::new(Bytes::from(body)));
@@ -72,14 +69,17 @@
             response
         }
         peer_check::PATH => {
-            let served = peer_check::answer(state, request.uri().query().unwrap_or_default()).await;
-            let mut response =
-                Response::new(Full::new(Bytes::from(served.clone().unwrap_or_default())));
-            if served.is_none() {
-                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            match peer_check::answer(state, request.uri().query().unwrap_or_default()).await {
+                Some(served) => Response::new(Full::new(Bytes::from(served))),
+                None => unavailable(),
             }
-            response
         }
         _ => control::answer(state, request),
     }
 }
+
+fn unavailable() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
--- a/crates/node/src/gateway/peer_check.rs
+++ b/crates/node/src/gateway/peer_check.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt as _, stream};
-use steer::dispatch::connectivity::check::{MAX_CHECKS_FOR_PEERS, MAX_PEERS, PeerView};
+use steer::dispatch::connectivity::check::{MAX_CHECKS_FOR_PEERS, MAX_PEERS};
 use steer::dispatch::peer_load;
 
 use crate::gateway::connection_check;
@@ -30,25 +30,27 @@
 /// Time in which another node answers: its own check, and the way there and back.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
-/// Asks other nodes which of these upstreams serve their health checks, until one does.
-pub async fn ask(state: &state::State, upstreams: &[peer_load::Key]) -> PeerView {
+/// Asks other nodes which of these upstreams serve their health checks, until one is served by any; `None`
+/// if no node replies.
+pub async fn ask(
+    state: &state::State,
+    upstreams: &[peer_load::Key],
+) -> Option<Vec<peer_load::Key>> {
     let question = format!("{PATH}?{}", encode(upstreams));
     let peers = peers(state);
     let mut answers: stream::FuturesUnordered<_> =
         peers.iter().map(|peer| peer::get(*peer, &question, ANSWER_TIME)).collect();
-    let mut view = PeerView::Unknown;
+    let mut none_served = None;
     while let Some(answer) = answers.next().await {
         let served = answer.ok().and_then(|bytes| decode(std::str::from_utf8(&bytes).ok()?));
         match served {
-            Some(served) if served.iter().any(|key| upstreams.contains(key)) => {
-                return PeerView::Served;
-            }
-            Some(_) => view = PeerView::NotServed,
+            Some(served) if served.is_empty() => none_served = Some(served),
+            Some(served) => return Some(served),
             // The node did not answer, has too many checks in progress, or is of an earlier version.
             None => {}
         }
     }
-    view
+    none_served
 }
 
 /// Returns the addresses of a few live nodes, drawn at random.
--- a/crates/node/tests/gateway/full_upstreams.rs
+++ b/crates/node/tests/gateway/full_upstreams.rs
@@ -146,6 +146,22 @@
     full_upstreams_are_no_cut(4, false).await;
 }
 
+/// Upstreams that accept no more connections reset those of health checks, which was taken for a cut.
+#[tokio::test]
+async fn lost_upstreams_out_of_connections_finish() {
+    let fleet = Fleet::start_of(2, 0).await;
+    set_work(&fleet, SHORT_WORK);
+    fleet.ask_for(TARGETS, Instant::now() + WARM_UP).await;
+    set_work(&fleet, LONG_WORK);
+    let running = send(&fleet.gateways[0], "running", 2 * slots(&fleet));
+    tokio::time::sleep(2 * SHORT_WORK).await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.reset_connections(true));
+    let all: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.callers).collect();
+    assert_eq!(look_ups_missing(&fleet, &all, CHECKED).await, 0, "look-ups lack a gateway");
+    assert_served(&running.join_all().await);
+    assert_none_lost(&fleet);
+}
+
 /// Callers that keep all slots of the upstreams taken by way of one gateway.
 struct Load {
     is_over: sync::Arc<AtomicBool>,
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -85,6 +85,8 @@
     leavings: sync::Mutex<Vec<String>>,
     rests: sync::Mutex<Vec<String>>,
     slots: sync::Mutex<Option<sync::Arc<Slots>>>,
+    /// Whether it resets new connections, as it does beyond those that it accepts.
+    resets_connections: sync::atomic::AtomicBool,
     crashed: Notify,
     is_down: watch::Sender<bool>,
     record: sync::Mutex<Record>,
@@ -211,6 +213,7 @@
             leavings: sync::Mutex::default(),
             rests: sync::Mutex::default(),
             slots: sync::Mutex::default(),
+            resets_connections: sync::atomic::AtomicBool::new(false),
             crashed: Notify::new(),
             is_down: watch::Sender::new(false),
             record: sync::Mutex::default(),
@@ -233,6 +236,11 @@
         *lock(&self.shared.slots) = Some(sync::Arc::new(slots));
     }
 
+    /// Lets it reset new connections from now on, or accept them again; open ones go on.
+    pub fn reset_connections(&self, resets: bool) {
+        self.shared.resets_connections.store(resets, sync::atomic::Ordering::SeqCst);
+    }
+
     /// Lets its answers name these limits from now on, one in a field; none where there are none.
     pub fn name_limits(&self, limits: &[&str]) {
         *lock(&self.shared.limits) = limits.iter().map(|&limit| limit.to_owned()).collect();
@@ -307,6 +315,11 @@
             }
         };
         let Ok((stream, _)) = accepted else { return };
+        if shared.resets_connections.load(sync::atomic::Ordering::SeqCst) {
+            // Without it the connection is closed in order.
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            continue;
+        }
         // Without it answers are only slower.
         let _ = stream.set_nodelay(true);
         let shared = sync::Arc::clone(shared);
--- a/crates/steer/src/dispatch/connectivity/check.rs
+++ b/crates/steer/src/dispatch/connectivity/check.rs
@@ -27,7 +27,8 @@
 /// What other nodes found at the upstreams that did not answer this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerView {
-    /// At least one of these upstreams served the health check of another node.
+    /// At least one of these upstreams served the health check of another node, while that of this node still
+    /// waited there or its connections were closed twice.
     Served,
     /// None served one.
     NotServed,
