A response during a check that stays open keeps the group used; the steps of a check in functions of their own

A check without a verdict held new requests back until the next response, also where a response had come on an open connection while the check ran. a_response_during_an_open_check_keeps_the_group_used holds this. connection_check::run is split where it asks other nodes.

--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -77,26 +77,40 @@
 /// Checks whether this node reaches any of `targets`, and asks other nodes if they do not respond.
 pub async fn run(state: &state::State, targets: &[Target]) -> Verdict {
     let probes = probe(targets, connection::CONNECT_TIMEOUT).await;
-    if let Some(verdict) = check::direct_verdict(&probes.replies) {
-        return verdict;
+    match check::direct_verdict(&probes.replies) {
+        Some(verdict) => verdict,
+        None => ask_peers(state, targets, probes.unanswered).await,
     }
-    let Probes { unanswered, .. } = probes;
-    let keys: Vec<peer_load::Key> = unanswered.iter().map(|probe| probe.key).collect();
+}
+
+/// Asks other nodes whether they are served by upstreams that did not answer this node.
+async fn ask_peers(
+    state: &state::State,
+    targets: &[Target],
+    unanswered: Vec<Unanswered>,
+) -> Verdict {
+    let all = keys(&unanswered);
     let (waiting, closed): (Vec<Unanswered>, Vec<Unanswered>) =
         unanswered.into_iter().partition(|probe| probe.stream.is_some());
-    let waiting_keys: Vec<peer_load::Key> = waiting.iter().map(|probe| probe.key).collect();
+    let (waiting_keys, mut closed_keys) = (keys(&waiting), keys(&closed));
     // The checks go on meanwhile, so that they are ahead of those of other nodes at each upstream.
     let served = tokio::select! {
         biased;
         () = late_response(waiting) => return Verdict::Reached,
-        served = peer_check::ask(state, &keys) => served,
+        served = peer_check::ask(state, &all) => served,
     };
     let Some(served) = served else { return check::verdict_with(PeerView::Unknown) };
-    let has_overtaken = served.iter().any(|key| waiting_keys.contains(key));
-    let closed = closed.iter().filter(|probe| served.contains(&probe.key)).map(|probe| probe.key);
-    let closed: Vec<peer_load::Key> = closed.collect();
-    let is_served = has_overtaken || is_closed_again(targets, &closed).await;
-    check::verdict_with(if is_served { PeerView::Served } else { PeerView::NotServed })
+    closed_keys.retain(|key| served.contains(key));
+    let has_overtaken = waiting_keys.iter().any(|key| served.contains(key));
+    let peers = match has_overtaken || is_closed_again(targets, &closed_keys).await {
+        true => PeerView::Served,
+        false => PeerView::NotServed,
+    };
+    check::verdict_with(peers)
+}
+
+fn keys(probes: &[Unanswered]) -> Vec<peer_load::Key> {
+    probes.iter().map(|probe| probe.key).collect()
 }
 
 /// Returns whether connections to upstreams that serve another node are closed once more.
--- a/crates/steer/src/dispatch/connectivity/group.rs
+++ b/crates/steer/src/dispatch/connectivity/group.rs
@@ -94,7 +94,9 @@
     passed: Option<Instant>,
     /// When the latest of the new connections that brought a response was opened.
     responding_connection: Option<Instant>,
-    /// What the latest check left open; `None` if a response came since.
+    /// When the latest response arrived.
+    responded: Option<Instant>,
+    /// What the latest check left open; `None` if a response came since it began.
     silence: Option<Silence>,
     unreached: Option<Unreached>,
 }
@@ -123,6 +125,7 @@
 
     /// Records a response.
     pub fn record_response(&mut self, now: Instant) {
+        self.responded = Some(now);
         self.silence = None;
         if let Some(unreached) = &mut self.unreached {
             unreached.responded = Some(now);
@@ -160,6 +163,7 @@
             Verdict::Reached => self.end_successful_check(since),
             _ if has_responded => self.end_successful_check(since),
             Verdict::Lost => self.end_failed_check(since),
+            Verdict::Busy | Verdict::Unclear if self.responded.is_some_and(|at| at > since) => None,
             Verdict::Busy => self.end_open_check(Silence::Busy),
             Verdict::Unclear => self.end_open_check(Silence::Unclear),
         }
--- a/crates/steer/tests/connectivity.rs
+++ b/crates/steer/tests/connectivity.rs
@@ -162,6 +162,20 @@
     assert_eq!(group.access(now + INTERVAL), Access::Full);
 }
 
+/// Responses on open connections show that the upstreams are at work.
+#[test]
+fn a_response_during_an_open_check_keeps_the_group_used() {
+    let now = Instant::now();
+    for verdict in [Verdict::Busy, Verdict::Unclear] {
+        let mut group = Group::default();
+        group.suspect();
+        group.begin_check(now);
+        group.record_response(now + INTERVAL / 10);
+        assert_eq!(group.end_check(verdict), None);
+        assert_eq!(group.access(now + INTERVAL), Access::Full);
+    }
+}
+
 #[test]
 fn a_lost_group_stays_lost_while_checks_leave_it_open() {
     let now = Instant::now();
