Stop: a single slow request does not make it refuse short ones

Trace: one of some 80 short requests before the stop had taken about 0.45 s, which the rule multiplied by four, for minutes.

--- a/crates/steer/src/common/response_times.rs
+++ b/crates/steer/src/common/response_times.rs
@@ -11,9 +11,17 @@
 /// Length of a period. The longest times of the current and the previous period count.
 const PERIOD: Duration = Duration::from_secs(300);
 
-/// Factor by which a request may exceed the longest of many, because queues grow while several processes stop.
+/// Factor by which a request may exceed what almost all of many took, because queues grow while several
+/// processes stop.
 const EXCESS: f64 = 4.0;
 
+/// Number of requests of which the longest one is not multiplied: a single slow request says little of
+/// the next one.
+const REQUESTS_PER_OUTLIER: u32 = 50;
+
+/// Number of the longest times that are kept.
+const LONGEST: usize = 8;
+
 /// Amount by which that factor is higher after a single request; divided by the number of requests,
 /// because the longest of a few says little.
 const EXCESS_OF_ONE: f64 = 5.0;
@@ -31,7 +39,8 @@
 /// Response times within one period.
 #[derive(Clone, Copy, Debug, Default)]
 struct Period {
-    longest: Duration,
+    /// The longest times, the longest first.
+    longest: [Duration; LONGEST],
     count: u32,
     /// Whether a response was still being passed on when the deadline of its request had passed.
     outlasts_deadlines: bool,
@@ -39,10 +48,20 @@
 
 impl Period {
     fn record(&mut self, took: Duration, allowed: Duration) {
-        self.longest = self.longest.max(took);
+        let position = self.longest.partition_point(|longer| *longer >= took);
+        if position < LONGEST {
+            self.longest[position..].rotate_right(1);
+            self.longest[position] = took;
+        }
         self.count = self.count.saturating_add(1);
         self.outlasts_deadlines |= took > allowed + RESPONSE_MARGIN;
     }
+
+    /// Returns the time that almost all requests did not exceed.
+    fn usual_longest(&self) -> Duration {
+        let outliers = usize::try_from(self.count / REQUESTS_PER_OUTLIER).unwrap_or(LONGEST);
+        self.longest[outliers.min(LONGEST - 1)]
+    }
 }
 
 /// Response times of one kind of requests.
@@ -72,10 +91,11 @@
     /// Returns when one more request with this deadline ends at the latest, if it is sent at `now` and
     /// queues for about `wait`.
     fn end(&self, deadline: Instant, wait: Duration, now: Instant) -> Instant {
-        let longest = self.current.longest.max(self.previous.longest);
+        let longest = self.current.longest[0].max(self.previous.longest[0]);
+        let usual = self.current.usual_longest().max(self.previous.usual_longest());
         let count = f64::from(self.current.count.saturating_add(self.previous.count).max(1));
-        let longest = longest.mul_f64(EXCESS + EXCESS_OF_ONE / count);
-        let expected = now + longest + wait.mul_f64(QUEUE_EXCESS);
+        let usual = usual.mul_f64(EXCESS + EXCESS_OF_ONE / count);
+        let expected = now + longest.max(usual) + wait.mul_f64(QUEUE_EXCESS);
         match self.current.outlasts_deadlines || self.previous.outlasts_deadlines {
             true => expected,
             false => expected.min(deadline),
