--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -23,7 +23,7 @@
 
 use model::id;
 use model::routing;
-use steer::common::response_times::ResponseTimes;
+use steer::common::response_times::{self, ResponseTimes};
 use steer::dispatch::connectivity::report;
 use steer::dispatch::fleet::{repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
@@ -157,7 +157,7 @@
             dispatcher: cell::RefCell::new(dispatcher),
             quotas: cell::RefCell::new(quotas),
             times_left: cell::RefCell::default(),
-            response_times: cell::RefCell::default(),
+            response_times: cell::RefCell::new(ResponseTimes::new(response_times::GATEWAY_EXCESS)),
             exit: cell::Cell::new(None),
             quarantine: cell::RefCell::new(Quarantine::new(Instant::now())),
             routing: cell::RefCell::new(None),
--- a/crates/node/src/owner/stopping.rs
+++ b/crates/node/src/owner/stopping.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use model::id;
-use steer::common::response_times::ResponseTimes;
+use steer::common::response_times::{self, ResponseTimes};
 
 use crate::owner::runner;
 
@@ -31,7 +31,7 @@
 }
 
 /// State of a node's planned stop, and what it needs to know by then.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Stopping {
     /// When the node exits at the latest; not set unless it is stopping.
     exit: sync::OnceLock<Instant>,
@@ -40,6 +40,16 @@
     open_responses: atomic::AtomicUsize,
 }
 
+impl Default for Stopping {
+    fn default() -> Self {
+        Self {
+            exit: sync::OnceLock::new(),
+            response_times: sync::Mutex::new(ResponseTimes::new(response_times::OWNER_EXCESS)),
+            open_responses: atomic::AtomicUsize::new(0),
+        }
+    }
+}
+
 impl Stopping {
     /// Begins the stop of a node that exits at `exit` at the latest.
     pub fn begin(&self, exit: Instant) {
--- a/crates/steer/src/common/response_times.rs
+++ b/crates/steer/src/common/response_times.rs
@@ -11,9 +11,12 @@
 /// Length of a period. The longest times of the current and the previous period count.
 const PERIOD: Duration = Duration::from_secs(300);
 
-/// Factor by which a request may exceed what almost all of many took, because queues grow while several
-/// processes stop.
-const EXCESS: f64 = 4.0;
+/// Factor by which a request of a gateway may exceed what almost all of many took, because queues at
+/// upstreams grow unseen while several gateways stop.
+pub const GATEWAY_EXCESS: f64 = 4.0;
+
+/// The same for a node that owns upstreams, which grants their slots itself.
+pub const OWNER_EXCESS: f64 = 1.5;
 
 /// Number of requests of which the longest one is not multiplied: a single slow request says little of
 /// the next one.
@@ -90,11 +93,11 @@
 
     /// Returns when one more request with this deadline ends at the latest, if it is sent at `now` and
     /// queues for about `wait`.
-    fn end(&self, deadline: Instant, wait: Duration, now: Instant) -> Instant {
+    fn end(&self, excess: f64, deadline: Instant, wait: Duration, now: Instant) -> Instant {
         let longest = self.current.longest[0].max(self.previous.longest[0]);
         let usual = self.current.usual_longest().max(self.previous.usual_longest());
         let count = f64::from(self.current.count.saturating_add(self.previous.count).max(1));
-        let usual = usual.mul_f64(EXCESS + EXCESS_OF_ONE / count);
+        let usual = usual.mul_f64(excess + EXCESS_OF_ONE / count);
         let expected = now + longest.max(usual) + wait.mul_f64(QUEUE_EXCESS);
         match self.current.outlasts_deadlines || self.previous.outlasts_deadlines {
             true => expected,
@@ -106,16 +109,18 @@
 /// The longest of the latest response times, by kind of requests.
 #[derive(Clone, Debug)]
 pub struct ResponseTimes<K> {
+    excess: f64,
     by_kind: collections::BTreeMap<K, Times>,
 }
 
-impl<K> Default for ResponseTimes<K> {
-    fn default() -> Self {
-        Self { by_kind: collections::BTreeMap::new() }
+impl<K: Ord + Clone> ResponseTimes<K> {
+    /// Creates response times without requests; one may exceed what almost all others took by the factor
+    /// `excess`.
+    #[must_use]
+    pub fn new(excess: f64) -> Self {
+        Self { excess, by_kind: collections::BTreeMap::new() }
     }
-}
 
-impl<K: Ord + Clone> ResponseTimes<K> {
     /// Records how long a request took until its response was complete or its deadline passed; `allowed`
     /// is the time until its deadline.
     pub fn record(&mut self, kind: &K, took: Duration, allowed: Duration, now: Instant) {
@@ -144,7 +149,8 @@
         wait: Duration,
         now: Instant,
     ) -> bool {
-        let end = self.by_kind.get(kind).map_or(deadline, |times| times.end(deadline, wait, now));
+        let known = self.by_kind.get(kind);
+        let end = known.map_or(deadline, |times| times.end(self.excess, deadline, wait, now));
         end + RESPONSE_MARGIN <= exit
     }
 }
