A gateway believes its copy of the store by the age of its news

What callers saw: all gateways are killed while a hall is evacuated, and start together from a stale read in which nothing is evacuated and all upstreams are warm.

Cause: a gateway acts on its copy without asking how old it is. A stale read counted as contact with the store, the first watch came 1 to 2.4 s later, and slow start asked neither. Each gateway that starts also took itself for the owner of every cold upstream. Ruled out: entries that lack the cold time (they are rewritten with it 1.25 s before the hall is taken back), and the batch in which an evacuation comes and goes.

Change: fleet::freshness, a pure rule with the age of the latest news as input, says what the copy is worth: current, unconfirmed (since a start or a standstill) or cut off. Without it, an upstream is asked by its health check whether it is warm before a request goes there, and one that does not say so gets this gateway's share of what its owner leaves.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -233,6 +233,7 @@
         leavings: repair::Digest::default(),
         fleet: None,
         connectivity: report::Report::default(),
+        copy: None,
     }
 }
 
--- a/crates/model/src/bounds.rs
+++ b/crates/model/src/bounds.rs
@@ -35,6 +35,11 @@
     pub expose_share: f64,
     /// Requests that such a version may get beyond that share.
     pub expose_slack: f64,
+    /// Requests that a cold upstream may get within one second from the whole fleet, as a multiple of
+    /// its cold rate.
+    pub cold_overage: f64,
+    /// Requests that it may get within that second beyond those.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -51,6 +56,8 @@
             quota_slack: 0.0,
             expose_share: 0.1,
             expose_slack: 0.0,
+            cold_overage: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
--- a/crates/model/src/head.rs
+++ b/crates/model/src/head.rs
@@ -35,3 +35,25 @@
     /// State that the upstream reports: load, limit, leaving and rest.
     pub statement: statement::Statement,
 }
+
+/// The decoded head of an upstream's response to a health check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Health<'a> {
+    /// HTTP status code.
+    pub status: u16,
+    /// Name of the upstream that responds, if the response contains it.
+    pub upstream: Option<&'a str>,
+    /// What the upstream says of its cold start.
+    pub cold: Cold,
+}
+
+/// What an upstream says of its cold start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cold {
+    /// The upstream is warm.
+    No,
+    /// The upstream is cold for so much longer.
+    For(Duration),
+    /// The response does not tell, or the time is malformed.
+    Unknown,
+}
--- a/crates/node/src/gateway/catch_up.rs
+++ b/crates/node/src/gateway/catch_up.rs
@@ -83,7 +83,7 @@
 fn standing(state: &state::State) -> catch_up::Standing {
     catch_up::Standing {
         is_complete: state.replica.borrow().is_complete(),
-        is_store_reached: state.is_store_reached(),
+        is_store_reached: state.is_store_reached() && state.is_watching(),
     }
 }
 
--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -3,11 +3,12 @@
 //! Owns the conversion only; [`heartbeat`] has the message.
 
 use std::num;
+use std::time::Duration;
 
 use model::id;
 use prost::Message as _;
 use steer::dispatch::connectivity::report;
-use steer::dispatch::fleet::repair;
+use steer::dispatch::fleet::{freshness, repair};
 use wire::gateway::heartbeat;
 
 use crate::gateway::member;
@@ -34,6 +35,8 @@
         fleet: member.fleet.map_or(0, |fleet| fleet.0.get()),
         is_cut_off: member.connectivity.is_cut_off,
         unreached: member.connectivity.unreached.iter().map(|key| key.0).collect(),
+        copy_age_ms: member.copy.map(|copy| copy.age.map_or(heartbeat::NOT_CURRENT, millis)),
+        hears_far: member.copy.is_some_and(|copy| copy.hears_far),
     };
     let mut datagram = vec![heartbeat::MARK];
     datagram.extend(message.encode_to_vec());
@@ -69,5 +72,14 @@
             is_cut_off: message.is_cut_off,
             unreached: message.unreached.into_iter().map(report::Key).collect(),
         },
+        copy: message.copy_age_ms.map(|age| freshness::Report {
+            age: (age != heartbeat::NOT_CURRENT).then(|| Duration::from_millis(age.into())),
+            hears_far: message.hears_far,
+        }),
     })
 }
+
+/// Returns an age as a heartbeat contains it.
+fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(heartbeat::NOT_CURRENT).min(heartbeat::NOT_CURRENT - 1)
+}
--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -5,7 +5,7 @@
 use std::collections;
 use std::rc;
 use std::sync;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use model::discovery;
 use model::drain;
@@ -42,6 +42,7 @@
         match value {
             Ok(value) => {
                 state.store_reached(None);
+                state.confirm(Instant::now());
                 if let Some(standing) = value.and_then(|value| read(&state, value)) {
                     put_in_force(&state, &standing.snapshot);
                     latest = Some(standing);
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -110,6 +110,18 @@
         }
     }
 
+    /// Reads the head of an answer to a health check.
+    #[must_use]
+    pub fn health(self, headers: &HeaderMap, status: StatusCode) -> head::Health<'_> {
+        match self {
+            Self::Platform => platform::answer::read_health(headers, status),
+            // Yokespoke's own declarations name no cold rate.
+            Self::Own => {
+                head::Health { status: status.as_u16(), upstream: None, cold: head::Cold::Unknown }
+            }
+        }
+    }
+
     /// Returns the headers of an answer that bear the mark of these headers, and that are not read.
     pub fn unknown(self, headers: &HeaderMap) -> Vec<&str> {
         match self {
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -157,10 +157,12 @@
     }
     facts::answer(state, socket, &member);
     let name = member.node.clone();
-    if member.position() > state.replica.borrow().at() {
-        state.behind.notify_one();
+    let now = Instant::now();
+    match member.position() > state.replica.borrow().at() {
+        true => state.behind.notify_one(),
+        false => state.hear_copy(&member, now),
     }
-    let is_new = state.members.borrow_mut().record(member, Instant::now());
+    let is_new = state.members.borrow_mut().record(member, now);
     if is_new {
         log::info!(peer = name.as_str(); "peer-alive");
         // The next tick updates the dispatcher: when a fleet starts, hundreds of nodes become known together.
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -8,7 +8,7 @@
 use platform::store::position;
 use serde::{Deserialize, Serialize};
 use steer::dispatch::connectivity::report;
-use steer::dispatch::fleet::{active_set, repair};
+use steer::dispatch::fleet::{active_set, freshness, repair};
 
 /// What a node reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +54,9 @@
     /// The services that it cannot connect to. The store's entry does not hold them.
     #[serde(skip)]
     pub connectivity: report::Report,
+    /// How old its copy of the store is; `None` in heartbeats of the version before. The store's entry does not hold it.
+    #[serde(skip)]
+    pub copy: Option<freshness::Report>,
 }
 
 /// Returns whether an era is that of a store that was never restored from a copy.
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use model::id;
+use platform::store::position;
 use steer::dispatch::fleet::active_set;
+use steer::dispatch::fleet::freshness;
 use steer::dispatch::fleet::gossip;
 use steer::dispatch::fleet::representatives;
 
@@ -140,6 +142,37 @@
         self.known.values().filter(move |known| self.is_alive(known, now)).map(|k| &k.member)
     }
 
+    /// Returns whether a live node of another region is known.
+    #[must_use]
+    pub fn hears_far(&self, now: Instant) -> bool {
+        self.alive(now).any(|member| member.region != self.region)
+    }
+
+    /// Returns whether this node hears the rest of the fleet, itself or through a node of its region.
+    ///
+    /// A node of the version before does not report whom it hears, and counts as one that hears other regions.
+    #[must_use]
+    pub fn contact(&self, now: Instant) -> freshness::Contact {
+        let near_hears = |m: &member::Member| m.copy.is_none_or(|copy| copy.hears_far);
+        let hears_far = self.hears_far(now) || self.near(now).any(near_hears);
+        let has_far = self.listed_names.keys().any(|region| *region != self.region);
+        freshness::Contact::new(hears_far, has_far, self.near(now).count(), self.near_count)
+    }
+
+    /// Returns until when a copy at `position` is known to be complete, by the heartbeats of the live nodes.
+    #[must_use]
+    pub fn complete_until(&self, position: position::Position, now: Instant) -> Option<Instant> {
+        let known = self.known.values().filter(|known| self.is_alive(known, now));
+        let covered = known.filter(|known| known.member.position() <= position);
+        covered.filter_map(|known| known.received.checked_sub(known.member.copy?.age?)).max()
+    }
+
+    /// Iterates over the registered nodes of this region that have sent no heartbeat yet.
+    pub fn unheard(&self) -> impl Iterator<Item = &id::Node> {
+        let near = self.listed_names.get(&self.region).into_iter().flatten();
+        near.filter(|node| !self.known.contains_key(*node))
+    }
+
     /// Iterates over the live nodes of this node's region.
     pub fn near(&self, now: Instant) -> impl Iterator<Item = &member::Member> {
         self.alive(now).filter(|member| member.region == self.region)
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -184,6 +184,8 @@
     pub connections_failed: Counter,
     /// Checks whether a group of upstreams can be connected to.
     pub connectivity_checks: Counter,
+    /// Health checks by which upstreams were asked whether they are warm.
+    pub warmth_checks: Counter,
     /// Look-ups.
     pub lookups: Counter,
     /// Heartbeats sent.
@@ -256,7 +258,7 @@
 
 impl Metrics {
     /// Returns every counter with its name, in the order in which they are written.
-    fn counters(&self) -> [(&'static str, &Counter); 50] {
+    fn counters(&self) -> [(&'static str, &Counter); 51] {
         [
             ("requests", &self.requests),
             ("answered", &self.answered),
@@ -281,6 +283,7 @@
             ("connections", &self.connections),
             ("connections_failed", &self.connections_failed),
             ("connectivity_checks", &self.connectivity_checks),
+            ("warmth_checks", &self.warmth_checks),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
             ("control_bytes", &self.control_bytes),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -46,3 +46,4 @@
 pub mod sync;
 pub mod thread;
 pub mod unknown_headers;
+pub mod warmth;
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -1,12 +1,14 @@
 //! Tries: sends a request to upstreams until one responds or the request fails.
 //!
-//! Owns the progress of one request. `choice` selects the upstream of each try, `slot` waits for a slot
-//! of the upstream where one is needed, and `sending` sends the request there.
+//! Owns the progress of one request. `choice` selects the upstream of each try, `warmth` asks it whether it is
+//! warm where that is not known, `slot` waits for a slot of the upstream where one is needed, and `sending` sends
+//! the request there.
 //! [`steer::dispatch::retry`] makes every decision. The handler calls it and enforces the request's deadline.
 
 mod choice;
 mod sending;
 mod slot;
+mod warmth;
 
 use std::time::Instant;
 
@@ -116,7 +118,7 @@
     /// Returns the reason why the request fails.
     pub async fn run(&mut self) -> Result<Response<body::Body>, give_up::Reason> {
         loop {
-            let choice = self.choose()?;
+            let choice = self.choose_warm().await?;
             let slot = self.hold_slot(&choice).await?;
             let deadline = self.request.deadline;
             let began = Instant::now();
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -217,6 +217,10 @@
     expose_share: Option<f64>,
     /// Requests that it may get beyond that share, over the fleet.
     expose_slack: Option<f64>,
+    /// Requests that a cold upstream may get within one second, as a multiple of its cold rate.
+    cold_overage: Option<f64>,
+    /// Requests that it may get within that second beyond those.
+    cold_slack: Option<f64>,
 }
 
 /// The one field by which settings of a gateway are recognised.
@@ -268,6 +272,8 @@
             quota_slack: given.quota_slack.unwrap_or(default.quota_slack),
             expose_share: given.expose_share.unwrap_or(default.expose_share),
             expose_slack: given.expose_slack.unwrap_or(default.expose_slack),
+            cold_overage: given.cold_overage.unwrap_or(default.cold_overage),
+            cold_slack: given.cold_slack.unwrap_or(default.cold_slack),
         }
     }
 
@@ -336,6 +342,8 @@
         ("bounds.quota_slack", bounds.quota_slack, f64::INFINITY),
         ("bounds.expose_share", bounds.expose_share, 1.0),
         ("bounds.expose_slack", bounds.expose_slack, f64::INFINITY),
+        ("bounds.cold_overage", bounds.cold_overage, f64::INFINITY),
+        ("bounds.cold_slack", bounds.cold_slack, f64::INFINITY),
     ];
     for (field, value, most) in shares {
         if !(0.0..=most).contains(&value) {
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -7,6 +7,7 @@
 mod era;
 mod fleet;
 mod gauges;
+mod news;
 mod nodes;
 mod quarantine;
 mod rollouts;
@@ -25,7 +26,7 @@
 use model::routing;
 use steer::common::response_times::{self, ResponseTimes};
 use steer::dispatch::connectivity::report;
-use steer::dispatch::fleet::{repair, request_rate, store_call};
+use steer::dispatch::fleet::{freshness, repair, request_rate, store_call};
 use steer::dispatch::quarantine::Quarantine;
 use steer::dispatch::{dispatcher, position, quota, reservation};
 use tokio::sync::Notify;
@@ -81,6 +82,16 @@
     store_era: cell::Cell<u64>,
     /// Era whose content may still be incomplete, and the time of its start.
     doubt: cell::Cell<Option<(u64, Instant)>>,
+    /// How old this node's copy of the store is.
+    freshness: cell::Cell<freshness::Freshness>,
+    /// When this process started.
+    started: Instant,
+    /// When the copy of the store became complete; `None` before.
+    completed: cell::Cell<Option<Instant>>,
+    /// Wakes requests that wait for the first news of the store.
+    news: Notify,
+    /// Wakes requests that wait until an upstream has said whether it is warm.
+    pub warmth_checked: Notify,
     /// Whether this node watches the store.
     is_watching: cell::Cell<bool>,
     /// Whether nodes became known since the last [`State::update_nodes`].
@@ -140,9 +151,12 @@
             leavings: repair::Digest::default(),
             fleet: None,
             connectivity: report::Report::default(),
+            copy: None,
         };
         let bounds = settings.bounds();
+        let started = Instant::now();
         let mut dispatcher = dispatcher::Dispatcher::new(position, bounds);
+        dispatcher.set_belief(freshness::Belief::Unconfirmed);
         dispatcher.set_demand_mode(settings.demand_split.into());
         dispatcher.set_slots(settings.slots.mode());
         let mut quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
@@ -170,6 +184,11 @@
             store_era: cell::Cell::new(0),
             doubt: cell::Cell::new(None),
             era_changed: Notify::new(),
+            freshness: cell::Cell::new(freshness::Freshness::new(started)),
+            started,
+            completed: cell::Cell::new(None),
+            news: Notify::new(),
+            warmth_checked: Notify::new(),
             is_watching: cell::Cell::new(false),
             has_new_nodes: cell::Cell::new(false),
             foreign: foreign::Addresses::default(),
@@ -249,6 +268,7 @@
         if is_complete {
             self.adopt(update);
         }
+        self.hear_members(Instant::now());
     }
 
     /// Applies an update; the parts that are already in force are ignored.
@@ -291,13 +311,14 @@
             dispatcher.set_evacuated(halls, now);
         }
         drop(dispatcher);
-        self.is_complete.set(true);
+        self.complete(now);
         self.update_ready();
     }
 
     /// Applies time-based changes and logs the lapsed upstreams that were dropped.
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
+        self.update_belief(now);
         if self.has_new_nodes.take() {
             self.update_nodes();
         }
@@ -332,6 +353,7 @@
         let mut me = self.me.borrow_mut();
         me.leavings = leavings;
         me.connectivity = connectivity;
+        me.copy = Some(self.copy_report(now));
         me.requests = requests;
         me.sequence += 1;
     }
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -65,6 +65,26 @@
         watchers::read_delay(&self.me.borrow().node, others)
     }
 
+    /// Returns whether the copy of the store lists this node among the first watchers of its region.
+    ///
+    /// Such a node restarts in a fleet whose names it knows, and need not wait for heartbeats before it watches.
+    #[must_use]
+    pub fn is_first_listed(&self) -> bool {
+        let (members, me) = (self.members.borrow(), self.me.borrow());
+        let listed = members.listed_names().get(&me.region).into_iter().flatten();
+        let is_listed = self.replica.borrow().nodes().any(|listed| listed.name == me.node);
+        is_listed && watchers::place(&me.node, listed).is_some()
+    }
+
+    /// Returns the delay before this node asks the store for the changes since it read its copy.
+    #[must_use]
+    pub fn first_news_turn(&self) -> Duration {
+        let members = self.members.borrow();
+        let me = self.me.borrow();
+        let listed = members.listed_names().get(&me.region).into_iter().flatten();
+        watchers::first_news_delay(&me.node, listed)
+    }
+
     /// Returns the other live nodes of the region that report that they reach the store.
     pub(super) fn reaching(&self) -> Vec<id::Node> {
         let members = self.members.borrow();
@@ -83,10 +103,14 @@
         let active = members.active(&me, now);
         let reaching = active.iter().filter(|m| m.connectivity.reaches_all());
         let reaching: Vec<id::Node> = reaching.map(|m| m.node.clone()).collect();
-        let near = match reaching.is_empty() {
+        let mut near = match reaching.is_empty() {
             true => active.iter().map(|m| m.node.clone()).collect(),
             false => reaching,
         };
+        // Otherwise each of several nodes that start together considers itself the only owner.
+        if self.is_starting(now) {
+            near.extend(members.unheard().cloned());
+        }
         let owners =
             slow_start_owner::Owners { near, listed: sync::Arc::clone(members.listed_names()) };
         let others = members.count();
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use platform::store::error;
-use steer::dispatch::fleet::store_call;
+use steer::dispatch::fleet::{freshness, store_call};
 
 use crate::gateway::state::State;
 use crate::gateway::store_calls;
@@ -36,15 +36,24 @@
         store_call::bound(&self.settings.borrow().bounds())
     }
 
-    /// Returns whether this node watches the store, and the store answered it last time.
+    /// Returns whether this node watches the store.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.is_watching.get()
+    }
+
+    /// Returns whether the store answered this node last time, and this node watches it or has just started.
     #[must_use]
     pub fn is_store_reached(&self) -> bool {
         self.me.borrow().is_store_reached
     }
 
-    /// Returns whether this node or another living one reaches the store, so that its copy is not old.
+    /// Returns whether this node or another living one reaches the store, and its copy is current.
     #[must_use]
     pub fn is_store_known(&self) -> bool {
+        if self.belief() != freshness::Belief::Current {
+            return false;
+        }
         let members = self.members.borrow();
         self.is_store_reached() || members.alive(Instant::now()).any(|m| m.is_store_reached)
     }
@@ -68,14 +77,14 @@
     ///
     /// A node that does not watch does not report that it reaches the store, since it would not notice otherwise.
     pub fn set_watching(&self, watching: bool) {
+        if !watching {
+            self.set_store_reached(false);
+        }
         if self.is_watching.replace(watching) == watching {
             return;
         }
         let reaching = self.reaching().len();
         log::info!(watching, reaching; "watching-changed");
-        if !watching {
-            self.set_store_reached(false);
-        }
     }
 
     /// Sets what this node reports about the store; returns whether that has changed.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -10,7 +10,7 @@
 use platform::store::error;
 use platform::store::position;
 use rand::RngExt as _;
-use steer::dispatch::fleet::{store_call, watchers};
+use steer::dispatch::fleet::{freshness, store_call, watchers};
 
 use crate::gateway::state;
 use crate::gateway::state::update;
@@ -30,6 +30,19 @@
     Nothing,
 }
 
+/// Next call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Read the whole store, because this node has no copy.
+    Read,
+    /// Ask for the changes since the copy, because the copy may be old.
+    FirstNews,
+    /// Watch the store.
+    Watch(watchers::Place),
+    /// None: other nodes watch the store.
+    Idle,
+}
+
 /// Follows the store until the task ends.
 pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
     let mut backoff = store_call::Backoff::default();
@@ -38,26 +51,34 @@
     let draw = rand::rng().random_range(0.0..1.0);
     let settle = watchers::settle(state.store_bound(), state.has_seeds(), draw);
     loop {
-        let is_complete = state.replica.borrow().is_complete();
-        let place = state.watcher_place().filter(|_| began.elapsed() >= settle);
-        state.set_watching(place.is_some());
-        let outcome = match (is_complete, place) {
-            (true, None) => {
+        let has_settled = began.elapsed() >= settle || state.is_first_listed();
+        let step = next_step(&state, has_settled);
+        if has_settled {
+            state.set_watching(matches!(step, Step::Watch(_)));
+        }
+        let outcome = match step {
+            Step::Idle => {
                 backoff.reset();
                 brought = Brought::Changes;
                 tokio::time::sleep(store_call::CHECK_PERIOD).await;
                 continue;
             }
-            (true, Some(place)) => {
+            Step::Watch(place) => {
                 let wait = wait(&state, place, brought, &backoff);
                 watch_or_read(&state, &client, place, wait).await
             }
-            // A stale read is sufficient, since the watch or other nodes deliver later changes. It costs a tenth of
-            // a linearizable one, and a starting fleet makes many.
-            (false, _) => read(&state, &client, client::Freshness::Stale).await,
+            // A stale read is sufficient, since the first news and the watch deliver later changes. It costs a
+            // tenth of a linearizable one, and a starting fleet makes many.
+            Step::Read => read(&state, &client, client::Freshness::Stale).await,
+            Step::FirstNews => first_news(&state, &client).await,
         };
         state.hear_store(&client);
-        state.store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error));
+        match &outcome {
+            // A stale read does not show that the store can be reached.
+            Ok(_) if step == Step::Read => {}
+            outcome => state
+                .store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error)),
+        }
         let before =
             std::mem::replace(&mut brought, outcome.as_ref().copied().unwrap_or(Brought::Changes));
         match outcome {
@@ -71,6 +92,28 @@
     }
 }
 
+/// Returns the next call to the store; `has_settled` is whether this node may already watch it.
+fn next_step(state: &state::State, has_settled: bool) -> Step {
+    match state.watcher_place() {
+        _ if !state.replica.borrow().is_complete() => Step::Read,
+        _ if state.belief() == freshness::Belief::Unconfirmed => Step::FirstNews,
+        Some(place) if has_settled => Step::Watch(place),
+        _ => Step::Idle,
+    }
+}
+
+/// Asks for the changes since the copy was read, unless another node reports first that it is current.
+async fn first_news(
+    state: &state::State,
+    client: &client::Client,
+) -> Result<Brought, error::Error> {
+    tokio::time::sleep(state.first_news_turn()).await;
+    if state.belief() != freshness::Belief::Unconfirmed {
+        return Ok(Brought::Nothing);
+    }
+    ask(state, client, Duration::ZERO).await
+}
+
 async fn pause(state: &state::State, backoff: &mut store_call::Backoff) {
     let draw = rand::rng().random_range(0.0..1.0);
     let pause = backoff.pause(state.store_bound(), state.turn(), draw);
@@ -100,16 +143,28 @@
     client: &client::Client,
     place: watchers::Place,
     wait: Duration,
+) -> Result<Brought, error::Error> {
+    let brought = ask(state, client, wait).await?;
+    if brought != Brought::Nothing {
+        tokio::time::sleep(place.batch_delay()).await;
+    }
+    Ok(brought)
+}
+
+/// Asks for changes and waits for one for up to `wait`; reads the whole store if a watch cannot tell them.
+async fn ask(
+    state: &state::State,
+    client: &client::Client,
+    wait: Duration,
 ) -> Result<Brought, error::Error> {
     let outcome = match is_followed(state, client) {
-        true => watch(state, client, place, wait).await,
+        true => watch(state, client, wait).await,
         false => Err(error::Error::Compacted),
     };
     match outcome {
         Err(error::Error::Compacted) => {
             log::info!(after = state.replica.borrow().at().revision; "history-compacted");
             read_once(state, client).await?;
-            tokio::time::sleep(place.batch_delay()).await;
             Ok(Brought::Everything)
         }
         outcome => outcome,
@@ -137,10 +192,14 @@
     client: &client::Client,
     freshness: client::Freshness,
 ) -> Result<Brought, error::Error> {
+    let began = Instant::now();
     let call = client.range(ALL_KEYS, freshness, store_call::read_timeout(state.store_bound()));
     let page = state.call_store(store_calls::Kind::Read, call).await?;
     is_current(state, page.position())?;
     state.apply(update::Source::Store, |replica| replica.replace(page));
+    if freshness == client::Freshness::Latest {
+        state.confirm(began);
+    }
     Ok(Brought::Changes)
 }
 
@@ -157,9 +216,9 @@
 async fn watch(
     state: &state::State,
     client: &client::Client,
-    place: watchers::Place,
     wait: Duration,
 ) -> Result<Brought, error::Error> {
+    let began = Instant::now();
     let after = state.replica.borrow().at().revision;
     let bound = state.store_bound();
     let answer = match wait.is_zero() {
@@ -174,9 +233,10 @@
     }
     let has_changes = !page.items.is_empty();
     state.apply(update::Source::Store, |replica| replica.merge(page));
-    if !has_changes {
-        return Ok(Brought::Nothing);
+    // The store answers a watch when there is a change, or when its time is over.
+    state.confirm(if wait.is_zero() { began } else { Instant::now() });
+    match has_changes {
+        true => Ok(Brought::Changes),
+        false => Ok(Brought::Nothing),
     }
-    tokio::time::sleep(place.batch_delay()).await;
-    Ok(Brought::Changes)
 }
--- /dev/null
+++ b/crates/node/src/gateway/warmth.rs
@@ -0,0 +1,96 @@
+//! Asks upstreams whether they are warm, while this node cannot believe its copy of the store.
+//!
+//! Owns the exchanges. [`steer::dispatch::warmth`] decides when an upstream is asked and what its answer means.
+
+use std::rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use model::id;
+use steer::dispatch::warmth;
+use tokio::net::TcpStream;
+use tokio::task;
+
+use crate::common::socket;
+use crate::gateway::state;
+
+/// Starts to ask an upstream; the dispatcher records the result.
+pub fn spawn_check(state: &rc::Rc<state::State>, target: warmth::Target) {
+    task::spawn_local(check(rc::Rc::clone(state), target, Instant::now()));
+}
+
+/// Waits for the result of the check of an upstream that is in progress.
+pub async fn wait(state: &state::State, upstream: &id::Upstream) -> warmth::Verdict {
+    let ended = async {
+        loop {
+            let checked = state.warmth_checked.notified();
+            match state.dispatcher.borrow().warmth(upstream, Instant::now()) {
+                warmth::Standing::Checked(verdict) => return verdict,
+                warmth::Standing::InProgress => {}
+                warmth::Standing::Unknown => return warmth::Verdict::NotWarm,
+            }
+            checked.await;
+        }
+    };
+    let ended = tokio::time::timeout(warmth::CHECK_TIMEOUT, ended).await;
+    ended.unwrap_or(warmth::Verdict::NotWarm)
+}
+
+/// Asks an upstream, and again while slow answers would keep requests waiting.
+async fn check(state: rc::Rc<state::State>, target: warmth::Target, asked_at: Instant) {
+    let mut asked_at = asked_at;
+    loop {
+        let verdict = verdict(&state, &target).await;
+        let now = Instant::now();
+        let repeat_at = state.dispatcher.borrow_mut().end_warmth_check(
+            &target.upstream,
+            verdict,
+            asked_at,
+            now,
+        );
+        state.warmth_checked.notify_waiters();
+        let Some(repeat_at) = repeat_at else { return };
+        tokio::time::sleep_until(repeat_at.into()).await;
+        asked_at = Instant::now();
+        if !state.dispatcher.borrow_mut().repeat_warmth_check(&target.upstream, asked_at) {
+            return;
+        }
+    }
+}
+
+/// Asks an upstream once.
+async fn verdict(state: &state::State, target: &warmth::Target) -> warmth::Verdict {
+    state.metrics.warmth_checks.add(1);
+    match tokio::time::timeout(warmth::CHECK_TIMEOUT, ask(state, target)).await {
+        Ok(Ok(verdict)) => verdict,
+        // A failure, or the lack of an answer in time, does not show that the upstream is warm.
+        Ok(Err(_)) | Err(_) => warmth::Verdict::NotWarm,
+    }
+}
+
+/// Requests the health check of an upstream on a connection of its own.
+async fn ask(state: &state::State, target: &warmth::Target) -> anyhow::Result<warmth::Verdict> {
+    let stream = TcpStream::connect(target.address).await?;
+    stream.set_nodelay(true)?;
+    // With a reset, the upstream releases the connection immediately.
+    socket::reset_when_closed(&stream)?;
+    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
+    let request = Request::get(target.path.as_str())
+        .header(header::HOST, target.address.to_string())
+        .header(header::CONNECTION, "close")
+        .body(Empty::<Bytes>::new())?;
+    let exchange = sender.send_request(request);
+    tokio::pin!(connection);
+    tokio::pin!(exchange);
+    let answer = tokio::select! {
+        biased;
+        answer = &mut exchange => answer?,
+        _ = &mut connection => exchange.await?,
+    };
+    let health = state.dialect.health(answer.headers(), answer.status());
+    Ok(warmth::Verdict::of(&target.upstream, &health))
+}
--- a/crates/node/tests/forms/datagrams.rs
+++ b/crates/node/tests/forms/datagrams.rs
@@ -43,6 +43,7 @@
         leavings: repair::Digest::default(),
         fleet: None,
         connectivity: report::Report::default(),
+        copy: None,
     }
 }
 
--- a/crates/node/tests/forms/stored.rs
+++ b/crates/node/tests/forms/stored.rs
@@ -200,6 +200,7 @@
         leavings: repair::Digest::default(),
         fleet: None,
         connectivity: report::Report::default(),
+        copy: None,
     }
 }
 
--- a/crates/node/tests/forms_settings.rs
+++ b/crates/node/tests/forms_settings.rs
@@ -102,6 +102,8 @@
         quota_slack: 25.0,
         expose_share: 0.05,
         expose_slack: 40.0,
+        cold_overage: 1.2,
+        cold_slack: 3.0,
     };
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.processor, gateway_settings::Processor { cores: 1.5, share: 0.5 });
@@ -130,6 +132,8 @@
         quota_slack: 0.0,
         expose_share: 0.1,
         expose_slack: 0.0,
+        cold_overage: 1.5,
+        cold_slack: 5.0,
     };
     assert_eq!(settings.bounds(), expected);
     assert_eq!(settings.demand_split, gateway_settings::DemandSplit::Off);
@@ -222,7 +226,7 @@
 const TEMPLATE: &str = "../../platform/settings.yaml.template";
 
 /// Sample values of the placeholders of the platform's template.
-const VALUES: [(&str, &str); 24] = [
+const VALUES: [(&str, &str); 26] = [
     ("{{#zones}}  {{@}}: {{.}}\n{{/zones}}", "  dakar-1: dakar\n  thies-1: thies\n"),
     ("{{node}}", "gateway-01"),
     ("{{region}}", "dakar"),
@@ -246,6 +250,8 @@
     ("{{bounds.quota_slack}}", "25"),
     ("{{bounds.expose_share}}", "0.05"),
     ("{{bounds.expose_slack}}", "40"),
+    ("{{bounds.cold_overage}}", "1.2"),
+    ("{{bounds.cold_slack}}", "3"),
     ("{{", "a placeholder without a sample value"),
 ];
 
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod foreign;
 mod full_upstreams;
 mod limits;
+mod old_copy;
 mod organisations;
 mod path;
 mod requests;
--- a/crates/node/tests/gateway/silence.rs
+++ b/crates/node/tests/gateway/silence.rs
@@ -217,6 +217,7 @@
         leavings: repair::Digest::default(),
         fleet: None,
         connectivity: report::Report::default(),
+        copy: None,
     };
     loop {
         member.sequence += 1;
--- a/crates/node/tests/gateway/slots.rs
+++ b/crates/node/tests/gateway/slots.rs
@@ -496,6 +496,7 @@
             leavings: repair::Digest::default(),
             fleet: None,
             connectivity: report::Report::default(),
+            copy: None,
         };
         self.send(&datagram::write(&member)).await;
     }
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -8,7 +8,7 @@
 use node::gateway::{datagram, member, members};
 use quickcheck::quickcheck;
 use steer::dispatch::connectivity::report;
-use steer::dispatch::fleet::{repair, representatives};
+use steer::dispatch::fleet::{freshness, repair, representatives};
 use wire::gateway::heartbeat;
 
 fn member(node: &str, incarnation: u64, sequence: u64) -> member::Member {
@@ -30,6 +30,7 @@
         leavings: repair::Digest::default(),
         fleet: None,
         connectivity: report::Report::default(),
+        copy: None,
     }
 }
 
@@ -41,6 +42,21 @@
     assert!(written.len() < 100, "{}", written.len());
 }
 
+/// The version before sends no report, and one that does not believe its copy sends no age.
+#[test]
+fn a_heartbeat_reports_the_age_of_the_copy() {
+    let ages = [None, Some(Duration::ZERO), Some(Duration::from_millis(1_250))];
+    let reports = ages.iter().flat_map(|age| {
+        [false, true].map(|hears_far| Some(freshness::Report { age: *age, hears_far }))
+    });
+    for copy in reports.chain([None]) {
+        let sent = member::Member { copy, ..member("entry-north-1", 1_790_000_000_000, 40) };
+        let written = datagram::write(&sent);
+        assert_eq!(datagram::read(&written), Some(sent));
+        assert!(written.len() < 110, "{}", written.len());
+    }
+}
+
 #[test]
 fn silence_ends_a_life_and_an_older_heartbeat_does_not_renew_it() {
     let now = Instant::now();
--- a/crates/standin/src/platform/listener.rs
+++ b/crates/standin/src/platform/listener.rs
@@ -23,6 +23,8 @@
     Silent = 3,
     /// It does what is asked, and does not answer writes.
     LosesWrites = 4,
+    /// It answers stale reads, and is silent to all other calls.
+    StaleReads = 5,
 }
 
 /// One listener of the store.
@@ -59,6 +61,7 @@
             2 => Mode::Many,
             3 => Mode::Silent,
             4 => Mode::LosesWrites,
+            5 => Mode::StaleReads,
             _ => Mode::Open,
         }
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -187,12 +187,18 @@
 impl Context {
     /// Returns the answer of a listener whose mode refuses the call.
     async fn refusal(&self) -> Option<Response> {
+        self.refusal_of(false).await
+    }
+
+    /// Returns the answer of a listener whose mode refuses a read; `is_stale` is whether an old answer is enough.
+    async fn refusal_of(&self, is_stale: bool) -> Option<Response> {
         self.listener.count();
         match self.listener.mode() {
             listener::Mode::Open | listener::Mode::LosesWrites => None,
+            listener::Mode::StaleReads if is_stale => None,
             listener::Mode::Busy => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             listener::Mode::Many => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
-            listener::Mode::Silent => {
+            listener::Mode::Silent | listener::Mode::StaleReads => {
                 tokio::time::sleep(SILENCE).await;
                 Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
             }
@@ -234,12 +240,12 @@
 }
 
 async fn range(State(context): State<Context>, Query(query): Queries) -> Response {
-    if let Some(response) = context.refusal().await {
+    let is_stale = query.get("stale").is_some_and(|stale| stale == "1");
+    if let Some(response) = context.refusal_of(is_stale).await {
         return response;
     }
     let items = lock(&context.shared.items);
     let prefix = query.get("path_prefix").map_or("", String::as_str);
-    let is_stale = query.get("stale").is_some_and(|stale| stale == "1");
     let mut calls = lock(&context.shared.calls);
     let old = match is_stale {
         true => {
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -87,6 +87,8 @@
     slots: sync::Mutex<Option<sync::Arc<Slots>>>,
     /// Whether it resets new connections, as it does beyond those that it accepts.
     resets_connections: sync::atomic::AtomicBool,
+    /// When its cold start ends; `None` if it was never cold.
+    warm_at: sync::Mutex<Option<Instant>>,
     crashed: Notify,
     is_down: watch::Sender<bool>,
     record: sync::Mutex<Record>,
@@ -214,6 +216,7 @@
             rests: sync::Mutex::default(),
             slots: sync::Mutex::default(),
             resets_connections: sync::atomic::AtomicBool::new(false),
+            warm_at: sync::Mutex::default(),
             crashed: Notify::new(),
             is_down: watch::Sender::new(false),
             record: sync::Mutex::default(),
@@ -227,6 +230,11 @@
         *lock(&self.shared.behavior) = behavior;
     }
 
+    /// Lets it be cold for `time` from now on, as its health checks say; its answers stay as they are.
+    pub fn go_cold(&self, time: Duration) {
+        *lock(&self.shared.warm_at) = Some(Instant::now() + time);
+    }
+
     /// Lets it run `count` requests at once from now on, each for `work`; `queue` more wait in their
     /// order, and it refuses the rest.
     pub fn run_at_once(&self, count: u32, queue: u32, work: Duration) {
@@ -336,7 +344,8 @@
         if request.head.split(' ').nth(1) == Some(HEALTH_CHECK_PATH) {
             lock(&shared.record).health_checks += 1;
             let Some(status) = health(&mut stream, shared).await else { return Ok(()) };
-            stream.write_all(&plain(status, &request.id, "", "")).await?;
+            let says = health_statement(shared);
+            stream.write_all(&plain(status, &request.id, &says, "")).await?;
             continue;
         }
         let slots = lock(&shared.slots).clone();
@@ -493,6 +502,16 @@
     lines.collect()
 }
 
+/// Returns the headers by which a health check names the upstream and the rest of its cold start.
+fn health_statement(shared: &Shared) -> String {
+    let id = format!("{}: {}\r\n", headers::INSTANCE_ID, shared.id);
+    let left = lock(&shared.warm_at).map(|at| at.saturating_duration_since(Instant::now()));
+    match left.filter(|left| !left.is_zero()) {
+        Some(left) => format!("{id}{}: {}\r\n", headers::COLD_REMAINING, left.as_millis()),
+        None => id,
+    }
+}
+
 fn plain(status: u16, id: &str, extra: &str, body: &str) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} X\r\n{}: {id}\r\n{extra}", headers::REQUEST_ID);
     // Writing into a string does not fail.
--- a/crates/steer/src/dispatch/dispatcher/choice.rs
+++ b/crates/steer/src/dispatch/dispatcher/choice.rs
@@ -70,6 +70,7 @@
                 self.demand.record(request.service, now);
             }
         }
+        self.assign_slow_start_shares();
         let chosen = self.choose_version(request, now);
         // Where the request needs a slot, `record_slot_outcome` records what its owner decided.
         let is_decided = chosen.as_ref().map_or(true, |chosen| chosen.slot.is_none());
@@ -277,7 +278,7 @@
             evacuated: &self.evacuated,
             connectivity: &self.connectivity,
             versions,
-            routing: &self.routing,
+            slow_start: self.slow_start_rules(),
             now,
         }
     }
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 pub mod statements;
 mod tries;
 mod upstreams;
+mod warmth;
 
 use std::collections;
 use std::sync;
@@ -28,7 +29,7 @@
 use crate::common::split;
 use crate::dispatch::connectivity::Connectivity;
 use crate::dispatch::expected_processing_time;
-use crate::dispatch::fleet::repair;
+use crate::dispatch::fleet::{freshness, repair};
 use crate::dispatch::index;
 use crate::dispatch::lapsed;
 use crate::dispatch::leaving;
@@ -83,6 +84,10 @@
     overflow: overflow::Bucket,
     source: lapsed::Source,
     owners: slow_start_owner::Owners,
+    /// What this node may believe of its copy of the store.
+    belief: freshness::Belief,
+    /// Whether the upstreams' slow start shares are those of the current nodes and entries.
+    has_shares: bool,
     priorities: priority::Priorities,
     limits: upstream_limit::Limits,
     leavings: leaving::LeavingProcesses,
@@ -125,6 +130,8 @@
             overflow: overflow::Bucket::default(),
             source: lapsed::Source::default(),
             owners: slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() },
+            belief: freshness::Belief::Current,
+            has_shares: false,
             priorities: priority::Priorities::default(),
             limits,
             leavings: leaving::LeavingProcesses::default(),
@@ -152,6 +159,7 @@
         self.max_nodes = self.max_nodes.max(owners.near.len()).max(known);
         if self.owners != owners {
             self.owners = owners;
+            self.has_shares = false;
             self.assign_slow_start_owners(now);
         }
     }
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -38,10 +38,10 @@
         self.busy.insert(upstream.entry.id.clone());
         self.rollouts.record_sent(&upstream.entry, is_first);
         let service = &upstream.entry.service;
-        if let Some(rate) = slow_start::rate(&self.routing, service)
-            && upstream.slow_start.is_cold(now)
-        {
-            upstream.slow_start.take(rate, now);
+        let (routing, bounds, belief) = (&*self.routing, &self.bounds, self.belief);
+        let rules = slow_start::Rules { routing, bounds, belief };
+        if let slow_start::Limit::Rate(allowance) = rules.limit(upstream, now) {
+            upstream.slow_start.take(allowance, now);
         }
         if is_first {
             self.budgets.entry(service.clone()).or_default().record_first_attempt(allowance, now);
--- a/crates/steer/src/dispatch/dispatcher/upstreams.rs
+++ b/crates/steer/src/dispatch/dispatcher/upstreams.rs
@@ -98,6 +98,7 @@
     }
 
     fn insert_upstream(&mut self, upstream: upstream::Upstream) {
+        self.has_shares = false;
         if upstream.announced_leaving {
             self.leaving_digest.toggle(incarnation::Incarnation::of(&upstream.entry).hash());
         }
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -10,7 +10,6 @@
 use std::time::Instant;
 
 use model::id;
-use model::routing;
 
 use crate::dispatch::connectivity::{Connectivity, group};
 use crate::dispatch::refusal;
@@ -37,7 +36,7 @@
     Version,
     /// The upstream was already chosen for the request.
     Tried,
-    /// The upstream is cold and slow start does not allow this node another request now.
+    /// The upstream is or may be cold, and slow start does not allow this node another request now.
     Cold,
 }
 
@@ -50,8 +49,8 @@
     pub connectivity: &'a Connectivity,
     /// Versions that may take the request.
     pub versions: &'a rollout::Versions,
-    /// Current configuration.
-    pub routing: &'a routing::Routing,
+    /// What this node may send to upstreams that are or may be cold.
+    pub slow_start: slow_start::Rules<'a>,
     /// Current time.
     pub now: Instant,
 }
@@ -77,7 +76,7 @@
             () if upstream.is_resting(self.now) => Some(Exclusion::Resting),
             () if !self.versions.contains(&upstream.entry) => Some(Exclusion::Version),
             () if request.tried.contains(&upstream.entry.id) => Some(Exclusion::Tried),
-            () if !self.slow_start_allows(upstream) => Some(Exclusion::Cold),
+            () if !self.slow_start.allows(upstream, self.now) => Some(Exclusion::Cold),
             () => None,
         }
     }
@@ -105,19 +104,6 @@
         }
         counts
     }
-
-    /// Returns whether slow start allows this node to send another request to `upstream`.
-    fn slow_start_allows(&self, upstream: &upstream::Upstream) -> bool {
-        if !upstream.slow_start.is_cold(self.now) {
-            return true;
-        }
-        match slow_start::rate(self.routing, &upstream.entry.service) {
-            None => true,
-            Some(rate) => {
-                upstream.is_slow_start_owner && upstream.slow_start.has_room(rate, self.now)
-            }
-        }
-    }
 }
 
 /// Returns whether an upstream currently accepts new requests from this node, whatever the request.
--- a/crates/steer/src/dispatch/fleet/mod.rs
+++ b/crates/steer/src/dispatch/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod active_set;
 pub mod announcement;
 pub mod catch_up;
+pub mod freshness;
 pub mod gossip;
 pub mod lookup;
 pub mod membership;
--- a/crates/steer/src/dispatch/retry.rs
+++ b/crates/steer/src/dispatch/retry.rs
@@ -199,6 +199,12 @@
         }
     }
 
+    /// Takes back the latest selection, whose upstream is not used for the attempt after all.
+    pub fn withdraw_choice(&mut self) {
+        self.chosen.pop();
+        self.stage = Stage::Idle;
+    }
+
     /// Returns the failure reason of a request that its last upstream refused.
     ///
     /// This is `Resting` if all upstreams have meanwhile asked for a rest period.
--- a/crates/steer/src/dispatch/slow_start_owner.rs
+++ b/crates/steer/src/dispatch/slow_start_owner.rs
@@ -43,6 +43,25 @@
     upstream: &id::Upstream,
     nodes: impl Iterator<Item = &'a id::Node>,
 ) -> Option<&'a id::Node> {
-    let seed = xxh3::xxh3_64(upstream.as_str().as_bytes());
-    nodes.max_by_key(|node| xxh3::xxh3_64_with_seed(node.as_str().as_bytes(), seed))
+    let seed = seed(upstream);
+    nodes.max_by_key(|node| weight(node, seed))
+}
+
+/// Returns how many of `nodes` precede `node` in the order in which they would own `upstream`.
+pub fn predecessors<'a>(
+    upstream: &id::Upstream,
+    node: &id::Node,
+    nodes: impl Iterator<Item = &'a id::Node>,
+) -> usize {
+    let seed = seed(upstream);
+    let own = weight(node, seed);
+    nodes.filter(|other| weight(other, seed) > own).count()
+}
+
+fn seed(upstream: &id::Upstream) -> u64 {
+    xxh3::xxh3_64(upstream.as_str().as_bytes())
+}
+
+fn weight(node: &id::Node, seed: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(node.as_str().as_bytes(), seed)
 }
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -17,6 +17,8 @@
 use crate::dispatch::seen_objects;
 use crate::dispatch::slots::holder;
 use crate::dispatch::slow_start;
+use crate::dispatch::slow_start_share;
+use crate::dispatch::warmth;
 
 /// An upstream and this node's state for it.
 #[derive(Clone, Debug)]
@@ -42,6 +44,11 @@
     /// Whether this node is the only one allowed to send to the upstream while the upstream is cold;
     /// only updated during that time.
     pub is_slow_start_owner: bool,
+    /// This node's part of the requests that the upstream gets from nodes that do not know whether it is cold;
+    /// only updated while this node is one of them.
+    pub slow_start_share: slow_start_share::Share,
+    /// What the upstream said itself of its warmth.
+    pub warmth: warmth::Warmth,
     /// Whether another upstream answered at this upstream's address.
     pub is_replaced: bool,
     /// Whether the upstream announced that it is leaving.
@@ -71,6 +78,8 @@
             objects: seen_objects::Objects::default(),
             slow_start,
             is_slow_start_owner: false,
+            slow_start_share: slow_start_share::Share::default(),
+            warmth: warmth::Warmth::default(),
             is_replaced: false,
             announced_leaving: false,
             rests_until: None,
