--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -408,6 +408,7 @@
                 ["desk", upstream::HEALTH_CHECK_PATH, 100, "1s", 50.0],
                 ["shelf", null, 100, "1s", 50.0],
                 ["vault", upstream::HEALTH_CHECK_PATH, 100, "1s", 50.0],
+                ["attic", upstream::HEALTH_CHECK_PATH, 1000, "3s", 4.0],
             ],
         },
     })
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod link;
 mod long_work;
+mod old_copy;
 mod oracle;
 mod organisations;
 mod record;
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -16,6 +16,7 @@
 use crate::limits;
 use crate::link;
 use crate::long_work;
+use crate::old_copy;
 use crate::oracle;
 use crate::organisations;
 use crate::record;
@@ -149,7 +150,11 @@
         true => world.stop_during_long_work(seed).await,
         false => long_work::Report::default(),
     };
+    let has_old_copy = seed % old_copy::EVERY == old_copy::AT;
     let mut broken = world.broken_in_calm(&calm, before);
+    if has_old_copy {
+        broken.extend(world.go_by_old_copy(old_copy::Draw::new(seed)).await);
+    }
     broken.extend(limits.iter().flat_map(|limits| limits.broken(&world.standins())));
     broken.extend(statements.iter().flat_map(|said| said.broken(&world.standins())));
     if let Some(deadly) = deadly {
@@ -428,6 +433,8 @@
         routes[0].service = SERVICES[self.reads];
         let (prefix, service) = (long_work::PREFIX, long_work::SERVICE);
         routes.push(rig::Route { prefix, service, is_public: true, ..routes[1].clone() });
+        let (prefix, service) = (old_copy::PREFIX, old_copy::SERVICE);
+        routes.push(rig::Route { prefix, service, is_public: true, ..routes[0].clone() });
         self.rig.configure_organisations(&routes, &organisations::all(self.is_revoked));
     }
 
@@ -592,6 +599,47 @@
         report
     }
 
+    /// Lets gateways go by an old copy of the store while upstreams become cold; returns what was broken.
+    async fn go_by_old_copy(&mut self, draw: old_copy::Draw) -> Vec<String> {
+        self.start_all().await;
+        let mut old_copy = old_copy::OldCopy::start(&self.rig, &self.addresses).await;
+        tokio::time::sleep(old_copy::IN_FORCE).await;
+        self.rig.store.age();
+        if draw.strike == old_copy::Strike::PauseOne {
+            self.signal(0, rustix::process::Signal::STOP);
+        }
+        old_copy::OldCopy::evacuate(&self.rig, true);
+        tokio::time::sleep(old_copy::IN_FORCE).await;
+        old_copy.go_cold(&self.rig);
+        self.set_doors(draw.mode());
+        if draw.store == old_copy::Store::Compacted {
+            self.rig.store.forget();
+        }
+        self.strike(draw.strike).await;
+        old_copy::OldCopy::evacuate(&self.rig, false);
+        tokio::time::sleep(old_copy::ASKED).await;
+        self.set_doors(listener::Mode::Open);
+        self.others.extend(old_copy.upstreams().map(str::to_owned));
+        old_copy.finish(draw).await
+    }
+
+    async fn strike(&mut self, strike: old_copy::Strike) {
+        let every = match strike {
+            old_copy::Strike::PauseOne => {
+                self.signal(0, rustix::process::Signal::CONT);
+                return;
+            }
+            old_copy::Strike::KillHalf => 2,
+            old_copy::Strike::KillAll | old_copy::Strike::KillAllTwice => 1,
+        };
+        let times = if strike == old_copy::Strike::KillAllTwice { 2 } else { 1 };
+        for _ in 0..times {
+            (0..self.nodes.len()).step_by(every).for_each(|node| self.kill(node));
+            self.start_all().await;
+            tokio::time::sleep(old_copy::AGAIN).await;
+        }
+    }
+
     /// Returns what was broken in the calm part.
     fn broken_in_calm(&self, calm: &[callers::Outcome], arrivals_before: u32) -> Vec<String> {
         let records = self.upstreams.iter().map(|upstream| upstream.standin.record());
