First news: what fails first is logged, and nothing is claimed without a call

A gateway that got the news from another one before its own turn claimed to reach the store without a call; it claims nothing now. At most three upstreams are asked for one attempt, so that a request that cannot be served is refused sooner. What the two tests of old copies did alike stands once, in the stand-in and the rig.

--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -92,6 +92,8 @@
     news: Notify,
     /// Wakes requests that wait until an upstream has said whether it is warm.
     pub warmth_checked: Notify,
+    /// Whether the store answered the latest call, while this node watches it or has just started.
+    is_store_answering: cell::Cell<bool>,
     /// Whether this node watches the store.
     is_watching: cell::Cell<bool>,
     /// Whether nodes became known since the last [`State::update_nodes`].
@@ -189,6 +191,7 @@
             completed: cell::Cell::new(None),
             news: Notify::new(),
             warmth_checked: Notify::new(),
+            is_store_answering: cell::Cell::new(false),
             is_watching: cell::Cell::new(false),
             has_new_nodes: cell::Cell::new(false),
             foreign: foreign::Addresses::default(),
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -58,9 +58,17 @@
         self.is_store_reached() || members.alive(Instant::now()).any(|m| m.is_store_reached)
     }
 
+    /// Records that the store answered a stale read, which does not show that this node reaches it.
+    pub fn store_answered(&self) {
+        self.is_store_answering.set(true);
+    }
+
     /// Records whether the store answers, and logs and announces a change.
     pub fn store_reached(&self, failure: Option<&dyn std::error::Error>) {
-        if !self.set_store_reached(failure.is_none()) {
+        let is_reached = failure.is_none();
+        let was_answering = self.is_store_answering.replace(is_reached);
+        let was_reached = self.set_store_reached(is_reached);
+        if was_answering == is_reached && was_reached == is_reached {
             return;
         }
         match failure {
@@ -78,6 +86,7 @@
     /// A node that does not watch does not report that it reaches the store, since it would not notice otherwise.
     pub fn set_watching(&self, watching: bool) {
         if !watching {
+            self.is_store_answering.set(false);
             self.set_store_reached(false);
         }
         if self.is_watching.replace(watching) == watching {
@@ -87,8 +96,8 @@
         log::info!(watching, reaching; "watching-changed");
     }
 
-    /// Sets what this node reports about the store; returns whether that has changed.
+    /// Sets what this node reports about the store; returns what it reported before.
     fn set_store_reached(&self, is_reached: bool) -> bool {
-        std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached) != is_reached
+        std::mem::replace(&mut self.me.borrow_mut().is_store_reached, is_reached)
     }
 }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -53,8 +53,10 @@
     loop {
         let has_settled = began.elapsed() >= settle || state.is_first_listed();
         let step = next_step(&state, has_settled);
-        if has_settled {
-            state.set_watching(matches!(step, Step::Watch(_)));
+        match step {
+            Step::Watch(_) => state.set_watching(true),
+            Step::Idle if has_settled => state.set_watching(false),
+            Step::Read | Step::FirstNews | Step::Idle => {}
         }
         let outcome = match step {
             Step::Idle => {
@@ -70,12 +72,18 @@
             // A stale read is sufficient, since the first news and the watch deliver later changes. It costs a
             // tenth of a linearizable one, and a starting fleet makes many.
             Step::Read => read(&state, &client, client::Freshness::Stale).await,
-            Step::FirstNews => first_news(&state, &client).await,
+            Step::FirstNews => {
+                tokio::time::sleep(state.first_news_turn()).await;
+                // Another node may have reported meanwhile that the copy is current.
+                if state.belief() != freshness::Belief::Unconfirmed {
+                    continue;
+                }
+                ask(&state, &client, Duration::ZERO).await
+            }
         };
         state.hear_store(&client);
         match &outcome {
-            // A stale read does not show that the store can be reached.
-            Ok(_) if step == Step::Read => {}
+            Ok(_) if step == Step::Read => state.store_answered(),
             outcome => state
                 .store_reached(outcome.as_ref().err().map(|error| error as &dyn std::error::Error)),
         }
@@ -102,18 +110,6 @@
     }
 }
 
-/// Asks for the changes since the copy was read, unless another node reports first that it is current.
-async fn first_news(
-    state: &state::State,
-    client: &client::Client,
-) -> Result<Brought, error::Error> {
-    tokio::time::sleep(state.first_news_turn()).await;
-    if state.belief() != freshness::Belief::Unconfirmed {
-        return Ok(Brought::Nothing);
-    }
-    ask(state, client, Duration::ZERO).await
-}
-
 async fn pause(state: &state::State, backoff: &mut store_call::Backoff) {
     let draw = rand::rng().random_range(0.0..1.0);
     let pause = backoff.pause(state.store_bound(), state.turn(), draw);
--- a/crates/node/tests/gateway/old_copy.rs
+++ b/crates/node/tests/gateway/old_copy.rs
@@ -41,6 +41,9 @@
 /// Time in which a gateway notices that an upstream has become cold.
 const NOTICED: Duration = Duration::from_millis(500);
 
+/// Time in which requests of a cold upstream are counted.
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Longest time until a caller is served that tries again.
 const SERVED: Duration = Duration::from_secs(1);
 
@@ -75,19 +78,7 @@
     /// Lets all upstreams become cold, and their entries say so.
     fn go_cold(&self) {
         for upstream in &self.upstreams {
-            upstream.go_cold(COLD);
-            let entry = serde_json::json!({
-                "service": "desk",
-                "address": upstream.address.to_string(),
-                "zone": HALLS[0],
-                "version": "v1",
-                "slots": 4,
-                "state": "ready",
-                "cold_left": format!("{}ms", COLD.as_millis()),
-                "call_seq": 2,
-            });
-            let key = format!("{}{}", fact::UPSTREAMS, upstream.id);
-            self.rig.store.put(&key, entry.to_string().as_bytes());
+            self.rig.go_cold(upstream, "desk", HALLS[0], COLD);
         }
     }
 
@@ -106,15 +97,7 @@
 
     /// Returns the most requests that an upstream got within a second, of those that arrived from `since` on.
     fn most_within_a_second(&self, since: Instant) -> usize {
-        let most = |upstream: &Upstream| {
-            let arrived = upstream.record().arrived_at;
-            let arrived: Vec<Instant> = arrived.into_iter().filter(|at| *at >= since).collect();
-            let within = |from: &Instant| {
-                let end = *from + Duration::from_secs(1);
-                arrived.iter().filter(|at| (*from..end).contains(*at)).count()
-            };
-            arrived.iter().map(within).max().unwrap_or_default()
-        };
+        let most = |upstream: &Upstream| upstream.record().most_within(SECOND, since);
         self.upstreams.iter().map(most).max().unwrap_or_default()
     }
 }
--- a/crates/node/tests/gateway/rig.rs
+++ b/crates/node/tests/gateway/rig.rs
@@ -219,6 +219,29 @@
         self.store.put(&key, entry.to_string().as_bytes());
     }
 
+    /// Lets an upstream be cold for `time`, and its entry say so.
+    pub fn go_cold(
+        &self,
+        upstream: &upstream::Upstream,
+        service: &str,
+        hall: &str,
+        time: Duration,
+    ) {
+        upstream.go_cold(time);
+        let entry = serde_json::json!({
+            "service": service,
+            "address": upstream.address.to_string(),
+            "zone": hall,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_left": format!("{}ms", time.as_millis()),
+            "call_seq": self.written.fetch_add(1, sync::atomic::Ordering::Relaxed),
+        });
+        let key = format!("{}{}", fact::UPSTREAMS, upstream.id);
+        self.store.put(&key, entry.to_string().as_bytes());
+    }
+
     /// Starts a gateway in `hall` that calls the store at `door`, and waits until it is ready.
     pub async fn gateway(&self, name: &str, hall: &str, door: &listener::Listener) -> Gateway {
         let gateway = self.gateway_at(name, hall, door.address, &[]).await;
--- a/crates/node/tests/soak/old_copy.rs
+++ b/crates/node/tests/soak/old_copy.rs
@@ -39,6 +39,9 @@
 /// Most requests that a cold upstream may get within a second, by the defaults of the settings.
 const MOST: usize = 11;
 
+/// Time in which requests of a cold upstream are counted.
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Time for which upstreams are cold; longer than callers ask afterwards.
 const COLD: Duration = Duration::from_secs(8);
 
@@ -142,19 +145,7 @@
     /// Lets the upstreams become cold, and their entries say so.
     pub fn go_cold(&mut self, rig: &rig::Rig) {
         for upstream in &self.upstreams {
-            upstream.go_cold(COLD);
-            let entry = serde_json::json!({
-                "service": SERVICE,
-                "address": upstream.address.to_string(),
-                "zone": HALL,
-                "version": "v1",
-                "slots": 4,
-                "state": "ready",
-                "cold_left": format!("{}ms", COLD.as_millis()),
-                "call_seq": 2,
-            });
-            let key = format!("{}{}", fact::UPSTREAMS, upstream.id);
-            rig.store.put(&key, entry.to_string().as_bytes());
+            rig.go_cold(upstream, SERVICE, HALL, COLD);
         }
         self.cold_since = Some(Instant::now());
     }
@@ -166,15 +157,7 @@
             caller.await.expect("a caller does not panic");
         }
         let since = self.cold_since.expect("the upstreams became cold");
-        let most = |upstream: &upstream::Upstream| {
-            let arrived = upstream.record().arrived_at;
-            let arrived: Vec<Instant> = arrived.into_iter().filter(|at| *at >= since).collect();
-            let within = |from: &Instant| {
-                let second = *from..*from + Duration::from_secs(1);
-                arrived.iter().filter(|at| second.contains(*at)).count()
-            };
-            arrived.iter().map(within).max().unwrap_or_default()
-        };
+        let most = |upstream: &upstream::Upstream| upstream.record().most_within(SECOND, since);
         let over = self.upstreams.iter().map(|u| (&u.id, most(u))).filter(|(_, most)| *most > MOST);
         let broken = over.map(|(id, most)| {
             format!("FAILBACK: cold {id} got {most} requests in a second of {MOST}, {draw:?}")
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -172,6 +172,18 @@
     pub runs: collections::BTreeMap<String, Run>,
 }
 
+impl Record {
+    /// Returns the most requests that arrived within `time`, of those from `since` on.
+    #[must_use]
+    pub fn most_within(&self, time: Duration, since: Instant) -> usize {
+        let arrived: Vec<&Instant> = self.arrived_at.iter().filter(|at| **at >= since).collect();
+        let count = |from: &&Instant| {
+            arrived.iter().filter(|at| (**from..**from + time).contains(at)).count()
+        };
+        arrived.iter().map(count).max().unwrap_or_default()
+    }
+}
+
 /// When a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Run {
--- a/crates/steer/src/dispatch/warmth.rs
+++ b/crates/steer/src/dispatch/warmth.rs
@@ -32,7 +32,7 @@
 const KEPT_IN_USE: Duration = Duration::from_secs(1);
 
 /// Maximum number of upstreams that are asked for one attempt of a request.
-pub const MAX_CHECKS: usize = 4;
+pub const MAX_CHECKS: usize = 3;
 
 /// An upstream that is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
