--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -113,7 +113,7 @@
         "me": *state.me.borrow(),
         "store_reached": state.is_store_reached(),
         "store_calls": store_calls(state, now),
-        "copy_belief": state.belief().as_str(),
+        "copy_status": state.copy_status().as_str(),
         "copy_age_ms": state.copy_age(now).map(field::whole_millis),
         "revision": replica.at().revision,
         "store_era": replica.at().era,
--- a/crates/node/src/gateway/datagram.rs
+++ b/crates/node/src/gateway/datagram.rs
@@ -36,7 +36,7 @@
         is_cut_off: member.connectivity.is_cut_off,
         unreached: member.connectivity.unreached.iter().map(|key| key.0).collect(),
         copy_age_ms: member.copy.map(|copy| copy.age.map_or(heartbeat::NOT_CURRENT, millis)),
-        hears_far: member.copy.is_some_and(|copy| copy.hears_far),
+        has_far_contact: member.copy.is_some_and(|copy| copy.has_far_contact),
     };
     let mut datagram = vec![heartbeat::MARK];
     datagram.extend(message.encode_to_vec());
@@ -74,7 +74,7 @@
         },
         copy: message.copy_age_ms.map(|age| freshness::Report {
             age: (age != heartbeat::NOT_CURRENT).then(|| Duration::from_millis(age.into())),
-            hears_far: message.hears_far,
+            has_far_contact: message.has_far_contact,
         }),
     })
 }
--- a/crates/node/src/gateway/heartbeat.rs
+++ b/crates/node/src/gateway/heartbeat.rs
@@ -160,7 +160,7 @@
     let now = Instant::now();
     match member.position() > state.replica.borrow().at() {
         true => state.behind.notify_one(),
-        false => state.hear_copy(&member, now),
+        false => state.record_peer_copy(&member, now),
     }
     let is_new = state.members.borrow_mut().record(member, now);
     if is_new {
--- a/crates/node/src/gateway/member.rs
+++ b/crates/node/src/gateway/member.rs
@@ -54,7 +54,7 @@
     /// The services that it cannot connect to. The store's entry does not hold them.
     #[serde(skip)]
     pub connectivity: report::Report,
-    /// How old its copy of the store is; `None` in heartbeats of the version before. The store's entry does not hold it.
+    /// Age of its copy of the store; `None` in heartbeats of the previous version. Not part of the store's entry.
     #[serde(skip)]
     pub copy: Option<freshness::Report>,
 }
--- a/crates/node/src/gateway/members.rs
+++ b/crates/node/src/gateway/members.rs
@@ -144,19 +144,19 @@
 
     /// Returns whether a live node of another region is known.
     #[must_use]
-    pub fn hears_far(&self, now: Instant) -> bool {
+    pub fn has_far_contact(&self, now: Instant) -> bool {
         self.alive(now).any(|member| member.region != self.region)
     }
 
-    /// Returns whether this node hears the rest of the fleet, itself or through a node of its region.
+    /// Returns whether this node receives heartbeats from the rest of the fleet, itself or through a node of its region.
     ///
-    /// A node of the version before does not report whom it hears, and counts as one that hears other regions.
+    /// A node of the previous version does not report this, and counts as one with far contact.
     #[must_use]
     pub fn contact(&self, now: Instant) -> freshness::Contact {
-        let near_hears = |m: &member::Member| m.copy.is_none_or(|copy| copy.hears_far);
-        let hears_far = self.hears_far(now) || self.near(now).any(near_hears);
+        let near_contact = |m: &member::Member| m.copy.is_none_or(|copy| copy.has_far_contact);
+        let has_far_contact = self.has_far_contact(now) || self.near(now).any(near_contact);
         let has_far = self.listed_names.keys().any(|region| *region != self.region);
-        freshness::Contact::new(hears_far, has_far, self.near(now).count(), self.near_count)
+        freshness::Contact::new(has_far_contact, has_far, self.near(now).count(), self.near_count)
     }
 
     /// Returns until when a copy at `position` is known to be complete, by the heartbeats of the live nodes.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -184,7 +184,7 @@
     pub connections_failed: Counter,
     /// Checks whether a group of upstreams can be connected to.
     pub connectivity_checks: Counter,
-    /// Health checks by which upstreams were asked whether they are warm.
+    /// Checks whether upstreams are warm.
     pub warmth_checks: Counter,
     /// Look-ups.
     pub lookups: Counter,
--- a/crates/node/src/gateway/process.rs
+++ b/crates/node/src/gateway/process.rs
@@ -182,7 +182,7 @@
         if gap > STANDSTILL {
             let gap = humantime::format_duration(gap).to_string();
             log::warn!(gap = gap.as_str(); "stood-still");
-            state.forget_news(now);
+            state.reset_freshness(now);
         }
         state.tick(now);
         pool.sweep();
--- a/crates/node/src/gateway/proxy/handler.rs
+++ b/crates/node/src/gateway/proxy/handler.rs
@@ -81,7 +81,7 @@
     let timeout = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = head.arrived + timeout;
     let body = read_body(server, &head, incoming, routing.limits.body_bytes, deadline).await?;
-    server.state.wait_for_news().await;
+    server.state.wait_for_confirmation().await;
     let caller = returning_caller(server, &head, &route, organisation);
     admit(server, organisation, caller.as_ref(), trace).map_err(answer::Reason::GivenUp)?;
     let service = server.state.dispatcher.borrow_mut().pick_service(&route);
--- a/crates/node/src/gateway/proxy/tries/warmth.rs
+++ b/crates/node/src/gateway/proxy/tries/warmth.rs
@@ -1,4 +1,4 @@
-//! Warmth of the selected upstream, which is asked for before a request is sent to an upstream that may be cold.
+//! Check of the selected upstream before a request is sent, if the upstream may be cold.
 
 use std::time::Instant;
 
@@ -11,7 +11,7 @@
 use crate::gateway::warmth as checks;
 
 impl Tries<'_> {
-    /// Selects the upstream of the next try, which is warm as far as this node knows or can ask.
+    /// Selects the upstream of the next try, and checks that it is warm if this node cannot tell.
     ///
     /// # Errors
     ///
@@ -22,25 +22,25 @@
             if self.is_usable(&choice).await {
                 return Ok(choice);
             }
-            // Its slow start share decides from now on whether the upstream is selected.
+            // The next selection applies the slow start share to this upstream.
             self.progress.withdraw_choice();
         }
         let exclusions = refusal::Exclusions::default();
         Err(self.progress.refuse(refusal::Refusal::NoUpstream(exclusions)))
     }
 
-    /// Returns whether the request may be sent to the selected upstream, which is asked first if necessary.
+    /// Returns whether the request may be sent to the selected upstream, after a check if necessary.
     async fn is_usable(&self, choice: &retry::Choice) -> bool {
         let state = &self.server.state;
         let upstream = &choice.upstream;
         let step = state.dispatcher.borrow_mut().begin_warmth_check(upstream, Instant::now());
         match step {
             warmth::Step::Send => return true,
-            warmth::Step::SendAndAsk(target) => {
+            warmth::Step::SendAndCheck(target) => {
                 checks::spawn_check(state, target);
                 return true;
             }
-            warmth::Step::Ask(target) => checks::spawn_check(state, target),
+            warmth::Step::Check(target) => checks::spawn_check(state, target),
             warmth::Step::Await => {}
         }
         checks::wait(state, &upstream.id).await == warmth::Verdict::Warm
--- a/crates/node/src/gateway/state/news.rs
+++ b/crates/node/src/gateway/state/copy_status.rs
@@ -1,6 +1,7 @@
-//! News of the store: the answers and heartbeats that show how old this node's copy is.
+//! Status of this node's copy of the store.
 //!
-//! [`freshness`] decides what the node may believe of its copy; the dispatcher acts on it.
+//! Collects what confirms the copy: responses of the store and heartbeats of other nodes. [`freshness`] determines
+//! the status, and the dispatcher acts on it.
 
 use std::time::{Duration, Instant};
 
@@ -11,13 +12,13 @@
 use crate::gateway::state::State;
 
 impl State {
-    /// Returns what this node may believe of its copy of the store.
+    /// Returns whether this node's copy of the store is up to date.
     #[must_use]
-    pub fn belief(&self) -> freshness::Belief {
-        self.dispatcher.borrow().belief()
+    pub fn copy_status(&self) -> freshness::Status {
+        self.dispatcher.borrow().copy_status()
     }
 
-    /// Returns the age of the latest news; `None` if there is none.
+    /// Returns the age of the latest confirmation; `None` if there is none.
     #[must_use]
     pub fn copy_age(&self, now: Instant) -> Option<Duration> {
         self.freshness.get().age(now)
@@ -29,14 +30,14 @@
         let mut freshness = self.freshness.get();
         freshness.confirm(until, now);
         self.freshness.set(freshness);
-        self.update_belief(now);
+        self.update_copy_status(now);
     }
 
-    /// Records the news in a heartbeat.
+    /// Records a confirmation by a heartbeat.
     ///
-    /// A node of the version before reports no age, only whether it reaches the store; its news is as old as the
-    /// longest watch.
-    pub(in crate::gateway) fn hear_copy(&self, member: &member::Member, now: Instant) {
+    /// A node of the previous version reports only whether it reaches the store; its copy is assumed to be as old as
+    /// the longest watch.
+    pub(in crate::gateway) fn record_peer_copy(&self, member: &member::Member, now: Instant) {
         if member.position() > self.replica.borrow().at() {
             return;
         }
@@ -49,8 +50,8 @@
         }
     }
 
-    /// Records the news in the latest heartbeats, after the copy has reached a later position.
-    pub(super) fn hear_members(&self, now: Instant) {
+    /// Records confirmations by the latest heartbeats, after the copy has reached a later position.
+    pub(super) fn record_peer_copies(&self, now: Instant) {
         let at = self.replica.borrow().at();
         let until = self.members.borrow().complete_until(at, now);
         if let Some(until) = until {
@@ -58,41 +59,41 @@
         }
     }
 
-    /// Forgets all news, because the process stood still until `now`.
-    pub fn forget_news(&self, now: Instant) {
+    /// Forgets all confirmations, because the process was paused until `now`.
+    pub fn reset_freshness(&self, now: Instant) {
         let mut freshness = self.freshness.get();
         freshness.reset(now);
         self.freshness.set(freshness);
-        self.update_belief(now);
+        self.update_copy_status(now);
     }
 
-    /// Updates what this node believes of its copy, and logs a change.
-    pub(super) fn update_belief(&self, now: Instant) {
+    /// Updates the status of the copy, and logs a change.
+    pub(super) fn update_copy_status(&self, now: Instant) {
         let contact = || self.members.borrow().contact(now);
         let mut freshness = self.freshness.get();
-        let belief = freshness.update(contact, self.store_bound(), now);
+        let status = freshness.update(contact, self.store_bound(), now);
         self.freshness.set(freshness);
-        let before = self.belief();
-        if belief == before {
+        let before = self.copy_status();
+        if status == before {
             return;
         }
-        self.dispatcher.borrow_mut().set_belief(belief);
+        self.dispatcher.borrow_mut().set_copy_status(status);
         let age_ms = freshness.age(now).map(field::whole_millis);
         let revision = self.replica.borrow().at().revision;
-        let (belief_name, before_name) = (belief.as_str(), before.as_str());
-        log::info!(belief = belief_name, before = before_name, age_ms, revision; "copy-belief-changed");
-        if belief == freshness::Belief::Current {
-            self.news.notify_waiters();
+        let (status_name, before_name) = (status.as_str(), before.as_str());
+        log::info!(status = status_name, before = before_name, age_ms, revision; "copy-status-changed");
+        if status == freshness::Status::Current {
+            self.confirmed.notify_waiters();
             self.beat.notify_one();
         }
     }
 
     /// Returns what this node reports of its copy to other nodes.
     pub(super) fn copy_report(&self, now: Instant) -> freshness::Report {
-        let is_current = self.belief() == freshness::Belief::Current;
+        let is_current = self.copy_status() == freshness::Status::Current;
         freshness::Report {
             age: self.copy_age(now).filter(|_| is_current),
-            hears_far: self.members.borrow().hears_far(now),
+            has_far_contact: self.members.borrow().has_far_contact(now),
         }
     }
 
@@ -104,17 +105,17 @@
         }
     }
 
-    /// Waits for the first news after the start, for [`freshness::FIRST_NEWS_WAIT`] at most.
+    /// Waits until the copy is confirmed after the start, for [`freshness::CONFIRMATION_WAIT`] at most.
     ///
-    /// Until then this node does not know which upstreams are cold, and could send them few requests only.
-    pub async fn wait_for_news(&self) {
-        if self.belief() != freshness::Belief::Unconfirmed {
+    /// Until then this node cannot tell which upstreams are cold.
+    pub async fn wait_for_confirmation(&self) {
+        if self.copy_status() != freshness::Status::Unconfirmed {
             return;
         }
         let Some(completed) = self.completed.get() else { return };
-        let until = completed + freshness::FIRST_NEWS_WAIT;
-        // Without news in time, upstreams are asked whether they are warm.
-        let _ = tokio::time::timeout_at(until.into(), self.news.notified()).await;
+        let until = completed + freshness::CONFIRMATION_WAIT;
+        // Without a confirmation in time, upstreams are checked before requests are sent to them.
+        let _ = tokio::time::timeout_at(until.into(), self.confirmed.notified()).await;
     }
 
     /// Returns whether registered nodes count as alive before their first heartbeat.
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -4,10 +4,10 @@
 //! applies each change to them. Relies on [`steer::dispatch`] for every decision. No borrow is held
 //! across an `await`.
 
+mod copy_status;
 mod era;
 mod fleet;
 mod gauges;
-mod news;
 mod nodes;
 mod quarantine;
 mod rollouts;
@@ -82,15 +82,15 @@
     store_era: cell::Cell<u64>,
     /// Era whose content may still be incomplete, and the time of its start.
     doubt: cell::Cell<Option<(u64, Instant)>>,
-    /// How old this node's copy of the store is.
+    /// Up to when this node's copy of the store is complete.
     freshness: cell::Cell<freshness::Freshness>,
     /// When this process started.
     started: Instant,
     /// When the copy of the store became complete; `None` before.
     completed: cell::Cell<Option<Instant>>,
-    /// Wakes requests that wait for the first news of the store.
-    news: Notify,
-    /// Wakes requests that wait until an upstream has said whether it is warm.
+    /// Wakes requests that wait until the copy of the store is confirmed.
+    confirmed: Notify,
+    /// Wakes requests that wait for the check whether an upstream is warm.
     pub warmth_checked: Notify,
     /// Whether the store answered the latest call, while this node watches it or has just started.
     is_store_answering: cell::Cell<bool>,
@@ -158,7 +158,7 @@
         let bounds = settings.bounds();
         let started = Instant::now();
         let mut dispatcher = dispatcher::Dispatcher::new(position, bounds);
-        dispatcher.set_belief(freshness::Belief::Unconfirmed);
+        dispatcher.set_copy_status(freshness::Status::Unconfirmed);
         dispatcher.set_demand_mode(settings.demand_split.into());
         dispatcher.set_slots(settings.slots.mode());
         let mut quotas = quota::Quotas::new(&me.node, bounds.quota_slack, Instant::now());
@@ -189,7 +189,7 @@
             freshness: cell::Cell::new(freshness::Freshness::new(started)),
             started,
             completed: cell::Cell::new(None),
-            news: Notify::new(),
+            confirmed: Notify::new(),
             warmth_checked: Notify::new(),
             is_store_answering: cell::Cell::new(false),
             is_watching: cell::Cell::new(false),
@@ -271,7 +271,7 @@
         if is_complete {
             self.adopt(update);
         }
-        self.hear_members(Instant::now());
+        self.record_peer_copies(Instant::now());
     }
 
     /// Applies an update; the parts that are already in force are ignored.
@@ -321,7 +321,7 @@
     /// Applies time-based changes and logs the lapsed upstreams that were dropped.
     pub fn tick(&self, now: Instant) {
         self.end_doubt(now);
-        self.update_belief(now);
+        self.update_copy_status(now);
         if self.has_new_nodes.take() {
             self.update_nodes();
         }
--- a/crates/node/src/gateway/state/nodes.rs
+++ b/crates/node/src/gateway/state/nodes.rs
@@ -78,11 +78,11 @@
 
     /// Returns the delay before this node asks the store for the changes since it read its copy.
     #[must_use]
-    pub fn first_news_turn(&self) -> Duration {
+    pub fn confirmation_turn(&self) -> Duration {
         let members = self.members.borrow();
         let me = self.me.borrow();
         let listed = members.listed_names().get(&me.region).into_iter().flatten();
-        watchers::first_news_delay(&me.node, listed)
+        watchers::confirmation_delay(&me.node, listed)
     }
 
     /// Returns the other live nodes of the region that report that they reach the store.
--- a/crates/node/src/gateway/state/store.rs
+++ b/crates/node/src/gateway/state/store.rs
@@ -51,7 +51,7 @@
     /// Returns whether this node or another living one reaches the store, and its copy is current.
     #[must_use]
     pub fn is_store_known(&self) -> bool {
-        if self.belief() != freshness::Belief::Current {
+        if self.copy_status() != freshness::Status::Current {
             return false;
         }
         let members = self.members.borrow();
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -35,8 +35,8 @@
 enum Step {
     /// Read the whole store, because this node has no copy.
     Read,
-    /// Ask for the changes since the copy, because the copy may be old.
-    FirstNews,
+    /// Request the changes since the copy was read, because the copy may be outdated.
+    Confirm,
     /// Watch the store.
     Watch(watchers::Place),
     /// None: other nodes watch the store.
@@ -56,7 +56,7 @@
         match step {
             Step::Watch(_) => state.set_watching(true),
             Step::Idle if has_settled => state.set_watching(false),
-            Step::Read | Step::FirstNews | Step::Idle => {}
+            Step::Read | Step::Confirm | Step::Idle => {}
         }
         let outcome = match step {
             Step::Idle => {
@@ -69,13 +69,13 @@
                 let wait = wait(&state, place, brought, &backoff);
                 watch_or_read(&state, &client, place, wait).await
             }
-            // A stale read is sufficient, since the first news and the watch deliver later changes. It costs a
+            // A stale read is sufficient, since the next call and the watch deliver later changes. It costs a
             // tenth of a linearizable one, and a starting fleet makes many.
             Step::Read => read(&state, &client, client::Freshness::Stale).await,
-            Step::FirstNews => {
-                tokio::time::sleep(state.first_news_turn()).await;
-                // Another node may have reported meanwhile that the copy is current.
-                if state.belief() != freshness::Belief::Unconfirmed {
+            Step::Confirm => {
+                tokio::time::sleep(state.confirmation_turn()).await;
+                // A heartbeat may have confirmed the copy meanwhile.
+                if state.copy_status() != freshness::Status::Unconfirmed {
                     continue;
                 }
                 ask(&state, &client, Duration::ZERO).await
@@ -104,7 +104,7 @@
 fn next_step(state: &state::State, has_settled: bool) -> Step {
     match state.watcher_place() {
         _ if !state.replica.borrow().is_complete() => Step::Read,
-        _ if state.belief() == freshness::Belief::Unconfirmed => Step::FirstNews,
+        _ if state.copy_status() == freshness::Status::Unconfirmed => Step::Confirm,
         Some(place) if has_settled => Step::Watch(place),
         _ => Step::Idle,
     }
--- a/crates/node/src/gateway/warmth.rs
+++ b/crates/node/src/gateway/warmth.rs
@@ -1,6 +1,6 @@
-//! Asks upstreams whether they are warm, while this node cannot believe its copy of the store.
+//! Checks whether upstreams are warm, while this node's copy of the store may be outdated.
 //!
-//! Owns the exchanges. [`steer::dispatch::warmth`] decides when an upstream is asked and what its answer means.
+//! Owns the exchanges. [`steer::dispatch::warmth`] decides when a check is made and what its response means.
 
 use std::rc;
 use std::time::Instant;
@@ -18,7 +18,7 @@
 use crate::common::socket;
 use crate::gateway::state;
 
-/// Starts to ask an upstream; the dispatcher records the result.
+/// Starts a check; the dispatcher records the result.
 pub fn spawn_check(state: &rc::Rc<state::State>, target: warmth::Target) {
     task::spawn_local(check(rc::Rc::clone(state), target, Instant::now()));
 }
@@ -40,7 +40,7 @@
     ended.unwrap_or(warmth::Verdict::NotWarm)
 }
 
-/// Asks an upstream, and again while slow answers would keep requests waiting.
+/// Makes a check, and repeats it while slow responses would delay requests.
 async fn check(state: rc::Rc<state::State>, target: warmth::Target, asked_at: Instant) {
     let mut asked_at = asked_at;
     loop {
@@ -62,12 +62,12 @@
     }
 }
 
-/// Asks an upstream once.
+/// Makes one check.
 async fn verdict(state: &state::State, target: &warmth::Target) -> warmth::Verdict {
     state.metrics.warmth_checks.add(1);
     match tokio::time::timeout(warmth::CHECK_TIMEOUT, ask(state, target)).await {
         Ok(Ok(verdict)) => verdict,
-        // A failure, or the lack of an answer in time, does not show that the upstream is warm.
+        // A failure or a missing response does not show that the upstream is warm.
         Ok(Err(_)) | Err(_) => warmth::Verdict::NotWarm,
     }
 }
--- a/crates/node/tests/heartbeats.rs
+++ b/crates/node/tests/heartbeats.rs
@@ -47,7 +47,7 @@
 fn a_heartbeat_reports_the_age_of_the_copy() {
     let ages = [None, Some(Duration::ZERO), Some(Duration::from_millis(1_250))];
     let reports = ages.iter().flat_map(|age| {
-        [false, true].map(|hears_far| Some(freshness::Report { age: *age, hears_far }))
+        [false, true].map(|has_far_contact| Some(freshness::Report { age: *age, has_far_contact }))
     });
     for copy in reports.chain([None]) {
         let sent = member::Member { copy, ..member("entry-north-1", 1_790_000_000_000, 40) };
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -84,8 +84,8 @@
     overflow: overflow::Bucket,
     source: lapsed::Source,
     owners: slow_start_owner::Owners,
-    /// What this node may believe of its copy of the store.
-    belief: freshness::Belief,
+    /// Whether this node's copy of the store is up to date.
+    copy_status: freshness::Status,
     /// Whether the upstreams' slow start shares are those of the current nodes and entries.
     has_shares: bool,
     priorities: priority::Priorities,
@@ -130,7 +130,7 @@
             overflow: overflow::Bucket::default(),
             source: lapsed::Source::default(),
             owners: slow_start_owner::Owners { near, ..slow_start_owner::Owners::default() },
-            belief: freshness::Belief::Current,
+            copy_status: freshness::Status::Current,
             has_shares: false,
             priorities: priority::Priorities::default(),
             limits,
--- a/crates/steer/src/dispatch/dispatcher/tries.rs
+++ b/crates/steer/src/dispatch/dispatcher/tries.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::retry_budget;
 use crate::dispatch::seconds;
 use crate::dispatch::seen_objects;
-use crate::dispatch::slow_start;
+use crate::dispatch::slow_start_limit;
 use crate::dispatch::upstream;
 
 impl Dispatcher {
@@ -38,9 +38,9 @@
         self.busy.insert(upstream.entry.id.clone());
         self.rollouts.record_sent(&upstream.entry, is_first);
         let service = &upstream.entry.service;
-        let (routing, bounds, belief) = (&*self.routing, &self.bounds, self.belief);
-        let rules = slow_start::Rules { routing, bounds, belief };
-        if let slow_start::Limit::Rate(allowance) = rules.limit(upstream, now) {
+        let (routing, bounds, copy_status) = (&*self.routing, &self.bounds, self.copy_status);
+        let rules = slow_start_limit::Rules { routing, bounds, copy_status };
+        if let slow_start_limit::Limit::Rate(allowance) = rules.limit(upstream, now) {
             upstream.slow_start.take(allowance, now);
         }
         if is_first {
--- a/crates/steer/src/dispatch/dispatcher/warmth.rs
+++ b/crates/steer/src/dispatch/dispatcher/warmth.rs
@@ -1,4 +1,4 @@
-//! Belief in the copy of the store, and the upstreams that may be cold without this node's knowledge.
+//! Status in the copy of the store, and the upstreams that may be cold without this node's knowledge.
 
 use std::collections;
 use std::time::Instant;
@@ -8,25 +8,25 @@
 
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::fleet::freshness;
-use crate::dispatch::slow_start;
+use crate::dispatch::slow_start_limit;
 use crate::dispatch::slow_start_share;
 use crate::dispatch::warmth;
 
 impl Dispatcher {
-    /// Sets what this node may believe of its copy of the store.
-    pub fn set_belief(&mut self, belief: freshness::Belief) {
-        self.belief = belief;
+    /// Sets whether this node's copy of the store is up to date.
+    pub fn set_copy_status(&mut self, status: freshness::Status) {
+        self.copy_status = status;
     }
 
-    /// Returns what this node may believe of its copy of the store.
+    /// Returns whether this node's copy of the store is up to date.
     #[must_use]
-    pub fn belief(&self) -> freshness::Belief {
-        self.belief
+    pub fn copy_status(&self) -> freshness::Status {
+        self.copy_status
     }
 
-    /// Returns what is done before a request is sent to the chosen upstream, and records a check that begins.
+    /// Returns the step before a request is sent to the chosen upstream, and records the start of a check.
     pub fn begin_warmth_check(&mut self, chosen: &discovery::Entry, now: Instant) -> warmth::Step {
-        if self.belief == freshness::Belief::Current {
+        if self.copy_status == freshness::Status::Current {
             return warmth::Step::Send;
         }
         let rules = self.routing.services.get(&chosen.service);
@@ -39,16 +39,16 @@
         known.warmth.record_use(now);
         let is_due = known.warmth.is_due(now);
         let step = match known.warmth.standing(now) {
-            warmth::Standing::Checked(_) if is_due => warmth::Step::SendAndAsk(target),
+            warmth::Standing::Checked(_) if is_due => warmth::Step::SendAndCheck(target),
             warmth::Standing::Checked(_) => return warmth::Step::Send,
             warmth::Standing::InProgress => return warmth::Step::Await,
-            warmth::Standing::Unknown => warmth::Step::Ask(target),
+            warmth::Standing::Unknown => warmth::Step::Check(target),
         };
         known.warmth.begin(now);
         step
     }
 
-    /// Records what an upstream says that was asked at `asked_at`; returns when it is asked again.
+    /// Records the result of a check that was sent at `asked_at`; returns when it is repeated.
     pub fn end_warmth_check(
         &mut self,
         upstream: &id::Upstream,
@@ -59,14 +59,14 @@
         let warmth = &mut self.upstreams.get_mut(upstream)?.warmth;
         warmth.end(verdict, now);
         let repeat_at = warmth.repeat_at(verdict, asked_at, now);
-        repeat_at.filter(|_| self.belief != freshness::Belief::Current)
+        repeat_at.filter(|_| self.copy_status != freshness::Status::Current)
     }
 
-    /// Records that an upstream is asked again; returns false if no request needs it any more.
+    /// Records that a check is repeated; returns false if it is no longer needed.
     pub fn repeat_warmth_check(&mut self, upstream: &id::Upstream, now: Instant) -> bool {
-        let is_doubted = self.belief != freshness::Belief::Current;
+        let is_unconfirmed = self.copy_status != freshness::Status::Current;
         let known = self.upstreams.get_mut(upstream);
-        let Some(known) = known.filter(|u| is_doubted && u.warmth.is_due(now)) else {
+        let Some(known) = known.filter(|u| is_unconfirmed && u.warmth.is_due(now)) else {
             return false;
         };
         known.warmth.begin(now);
@@ -82,7 +82,7 @@
 
     /// Determines this node's slow start shares of all upstreams, if they are needed and not up to date.
     pub(super) fn assign_slow_start_shares(&mut self) {
-        if self.belief == freshness::Belief::Current || self.has_shares {
+        if self.copy_status == freshness::Status::Current || self.has_shares {
             return;
         }
         let nodes = slow_start_share::Nodes { own: &self.position, listed: &self.owners.listed };
@@ -99,7 +99,11 @@
     }
 
     /// Returns the inputs that decide what this node may send to upstreams that are or may be cold.
-    pub(super) fn slow_start_rules(&self) -> slow_start::Rules<'_> {
-        slow_start::Rules { routing: &self.routing, bounds: &self.bounds, belief: self.belief }
+    pub(super) fn slow_start_rules(&self) -> slow_start_limit::Rules<'_> {
+        slow_start_limit::Rules {
+            routing: &self.routing,
+            bounds: &self.bounds,
+            copy_status: self.copy_status,
+        }
     }
 }
--- a/crates/steer/src/dispatch/eligibility.rs
+++ b/crates/steer/src/dispatch/eligibility.rs
@@ -1,7 +1,7 @@
 //! Eligibility: whether an upstream may take a request, and the reason if it may not.
 //!
 //! Stateless; depends on the upstream's state, the evacuated halls, the request's [`homes`] and
-//! [`slow_start`]. [`selection`] then chooses among the eligible upstreams of a region.
+//! [`slow_start_limit`]. [`selection`] then chooses among the eligible upstreams of a region.
 //!
 //! [`homes`]: crate::dispatch::homes
 //! [`selection`]: crate::dispatch::selection
@@ -15,7 +15,7 @@
 use crate::dispatch::refusal;
 use crate::dispatch::request;
 use crate::dispatch::rollout;
-use crate::dispatch::slow_start;
+use crate::dispatch::slow_start_limit;
 use crate::dispatch::upstream;
 
 /// Reason why an upstream may not take a request, in evaluation order.
@@ -50,7 +50,7 @@
     /// Versions that may take the request.
     pub versions: &'a rollout::Versions,
     /// What this node may send to upstreams that are or may be cold.
-    pub slow_start: slow_start::Rules<'a>,
+    pub slow_start: slow_start_limit::Rules<'a>,
     /// Current time.
     pub now: Instant,
 }
--- a/crates/steer/src/dispatch/fleet/freshness.rs
+++ b/crates/steer/src/dispatch/fleet/freshness.rs
@@ -1,66 +1,64 @@
-//! Freshness: how old this node's copy of the store is, and what the node may believe of it.
+//! Freshness: whether this node's copy of the store is up to date.
 //!
 //! A node reads its copy once, at its start, and that read may be seconds old. Watches of the store and
-//! reports of other nodes keep the copy up to date from then on. [`Freshness`] holds the time up to
-//! which the copy is known to contain every change, and [`Belief`] follows from the age of that time.
-//! A decision that reads the copy takes the belief as an input. Reads no clock; the current time is
-//! passed in.
+//! heartbeats of other nodes confirm later that the copy is complete up to a certain time. [`Freshness`]
+//! holds that time, and [`Status`] follows from its age. A decision that reads the copy takes the status as an
+//! input. Reads no clock; the current time is passed in.
 
 use std::time::{Duration, Instant};
 
-/// Time after a standstill during which reports of other nodes do not count, because they may have
+/// Time after a pause of the process during which confirmations are ignored, because heartbeats may have
 /// waited in the socket's buffer.
 const BUFFERED_REPORTS: Duration = Duration::from_millis(100);
 
-/// Longest time for which a request waits for the first news after the copy was read.
+/// Maximum time for which a request waits for the first confirmation after the copy was read.
 ///
-/// A watch of a store in another region answers within it.
-pub const FIRST_NEWS_WAIT: Duration = Duration::from_millis(150);
+/// A store in another region responds within it.
+pub const CONFIRMATION_WAIT: Duration = Duration::from_millis(150);
 
-/// What a node may believe of its copy of the store.
+/// Whether a node's copy of the store is up to date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Belief {
-    /// The copy contains every change up to a moment ago, or no node of the fleet can learn of newer
-    /// ones.
+pub enum Status {
+    /// The copy was confirmed recently, or the store is unavailable to the whole fleet.
     Current,
-    /// The node has started or stood still, and has no news since.
+    /// The copy was not confirmed since the start of the node, or since its process was paused.
     Unconfirmed,
-    /// The node neither reaches the store nor hears the rest of the fleet, and its news is old.
-    CutOff,
+    /// The latest confirmation is old, and the node reaches neither the store nor the rest of the fleet.
+    Isolated,
 }
 
-impl Belief {
+impl Status {
     /// Returns the name that logs and the state dump use.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Current => "current",
             Self::Unconfirmed => "unconfirmed",
-            Self::CutOff => "cut-off",
+            Self::Isolated => "isolated",
         }
     }
 }
 
-/// Whether a node hears the rest of the fleet.
+/// Whether a node receives heartbeats from the rest of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contact {
-    /// The node hears other regions, or most nodes of the only region.
-    InTouch,
-    /// The node hears neither.
-    Apart,
+    /// Heartbeats arrive from other regions, or from most nodes of the only region.
+    Connected,
+    /// Neither is the case.
+    Isolated,
 }
 
 impl Contact {
-    /// Derives the contact of a node that hears `near_heard` of `near_known` other nodes of its region.
+    /// Derives the contact of a node with `near_alive` live nodes of `near_known` other ones in its region.
     ///
-    /// `hears_far` is whether this node or one that it hears hears a node of another region, and
+    /// `has_far_contact` is whether this node or a live one of its region receives heartbeats from another region, and
     /// `has_far` whether other regions have nodes.
     #[must_use]
-    pub fn new(hears_far: bool, has_far: bool, near_heard: usize, near_known: usize) -> Self {
+    pub fn new(has_far_contact: bool, has_far: bool, near_alive: usize, near_known: usize) -> Self {
         match has_far {
-            true if hears_far => Self::InTouch,
-            false if near_heard * 2 >= near_known => Self::InTouch,
-            _ => Self::Apart,
+            true if has_far_contact => Self::Connected,
+            false if near_alive * 2 >= near_known => Self::Connected,
+            _ => Self::Isolated,
         }
     }
 }
@@ -70,57 +68,57 @@
 pub struct Report {
     /// Age of the time up to which the copy is complete; `None` if the copy is not current.
     pub age: Option<Duration>,
-    /// Whether the node hears a node of another region.
-    pub hears_far: bool,
+    /// Whether the node receives heartbeats from another region.
+    pub has_far_contact: bool,
 }
 
 /// The time up to which a copy is known to contain every change.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
-    /// `None` until there is news.
+    /// `None` before the first confirmation.
     complete_until: Option<Instant>,
-    /// Time before which no news counts.
+    /// Time before which confirmations are ignored.
     counts_from: Instant,
-    /// Whether the node was cut off and has no news since.
-    is_cut_off: bool,
+    /// Whether the node was isolated, and its copy was not confirmed since.
+    is_isolated: bool,
 }
 
 impl Freshness {
     /// Creates the freshness of a node that has just started.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { complete_until: None, counts_from: now, is_cut_off: false }
+        Self { complete_until: None, counts_from: now, is_isolated: false }
     }
 
-    /// Records news at `now`: the copy contains every change up to `until`.
+    /// Records a confirmation at `now`: the copy contains every change up to `until`.
     ///
-    /// News is an answer of the store that is not stale, or a report of a node that believes its copy and is
-    /// not ahead of this one.
+    /// A copy is confirmed by a response of the store that is not stale, or by a node whose own copy is current
+    /// and not ahead of this one.
     pub fn confirm(&mut self, until: Instant, now: Instant) {
         if now >= self.counts_from {
             self.complete_until = self.complete_until.max(Some(until));
-            self.is_cut_off = false;
+            self.is_isolated = false;
         }
     }
 
-    /// Forgets all news, because the process stood still until `now`.
+    /// Forgets all confirmations, because the process was paused until `now`.
     pub fn reset(&mut self, now: Instant) {
         *self = Self::new(now + BUFFERED_REPORTS);
     }
 
-    /// Returns the age of the time up to which the copy is complete; `None` without news.
+    /// Returns the age of the time up to which the copy is complete; `None` before the first confirmation.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.complete_until.map(|until| now.saturating_duration_since(until))
     }
 
-    /// Updates and returns what the node may believe of its copy.
+    /// Updates and returns the status of the copy.
     ///
-    /// `bound` is [`store_call::bound`], which is longer than the time between two news of a node that
-    /// reaches the store. During an outage of the store, a node in touch with the fleet believes its copy:
-    /// no change is accepted, or another node would have reported it. A node that was cut off has missed
-    /// such reports, and needs news even if it is in touch again. `contact` is only asked for if the age exceeds
-    /// the bound.
+    /// `bound` is [`store_call::bound`], which is longer than the interval between two confirmations of a node that
+    /// reaches the store. During an outage of the store, the copy of a node that is connected to the fleet stays
+    /// current: the store accepts no change, or another node would have reported it. A node that was isolated has
+    /// missed such reports, and needs a confirmation after its contact is restored. `contact` is only computed if
+    /// the age exceeds the bound.
     ///
     /// [`store_call::bound`]: crate::dispatch::fleet::store_call::bound
     pub fn update(
@@ -128,12 +126,12 @@
         contact: impl FnOnce() -> Contact,
         bound: Duration,
         now: Instant,
-    ) -> Belief {
-        let Some(age) = self.age(now) else { return Belief::Unconfirmed };
-        self.is_cut_off |= age > bound && contact() == Contact::Apart;
-        match self.is_cut_off {
-            true => Belief::CutOff,
-            false => Belief::Current,
+    ) -> Status {
+        let Some(age) = self.age(now) else { return Status::Unconfirmed };
+        self.is_isolated |= age > bound && contact() == Contact::Isolated;
+        match self.is_isolated {
+            true => Status::Isolated,
+            false => Status::Current,
         }
     }
 }
--- a/crates/steer/src/dispatch/fleet/watchers.rs
+++ b/crates/steer/src/dispatch/fleet/watchers.rs
@@ -72,23 +72,27 @@
 /// it.
 const MAX_READ_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Number of nodes of a region that ask together for the first news after a start.
+/// Number of nodes of a region that ask the store at the same time whether their copies are up to date.
 ///
-/// The nodes of a small region do not wait for each other; in a large one most get the news from others.
-const FIRST_NEWS_GROUP: usize = 4;
+/// The nodes of a small region do not wait for each other; in a large one most are confirmed by others.
+const CONFIRMATION_GROUP: usize = 4;
 
 /// Additional delay of each further group.
-const FIRST_NEWS_STEP: Duration = Duration::from_millis(50);
+const CONFIRMATION_STEP: Duration = Duration::from_millis(50);
 
 /// Maximum of that delay, so that a node soon asks by itself if the nodes before it are gone.
-const MAX_FIRST_NEWS_DELAY: Duration = Duration::from_millis(1_000);
+const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Returns how long `me` waits after it has read its copy before it asks the store for later changes.
+/// Returns how long `me` waits after it has read its copy before it asks the store for later changes,
+/// which confirm the copy.
 ///
 /// `others` are the other nodes of its region that the copy lists.
-pub fn first_news_delay<'a>(me: &id::Node, others: impl Iterator<Item = &'a id::Node>) -> Duration {
-    let groups = u32::try_from(count_before(me, others) / FIRST_NEWS_GROUP).unwrap_or(u32::MAX);
-    FIRST_NEWS_STEP.saturating_mul(groups).min(MAX_FIRST_NEWS_DELAY)
+pub fn confirmation_delay<'a>(
+    me: &id::Node,
+    others: impl Iterator<Item = &'a id::Node>,
+) -> Duration {
+    let groups = u32::try_from(count_before(me, others) / CONFIRMATION_GROUP).unwrap_or(u32::MAX);
+    CONFIRMATION_STEP.saturating_mul(groups).min(MAX_CONFIRMATION_DELAY)
 }
 
 /// Position of a watcher among the watchers of its region.
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 //! [`retry_budget`] (whether it is retried), [`give_up`] (the error response to its caller).
 //!
 //! State per upstream: [`pace`], [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
-//! (combined in [`health`]), [`slow_start`], [`slow_start_owner`], [`slow_start_share`] and [`warmth`], [`reported_load`],
+//! (combined in [`health`]), [`slow_start`], [`slow_start_limit`], [`slow_start_owner`], [`slow_start_share`] and [`warmth`], [`reported_load`],
 //! [`peer_load`], [`lapsed`] entries, and the upstream's own statements: [`upstream_limit`],
 //! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`]. State per service and
 //! region: whether this node can connect to the upstreams there ([`connectivity`]).
@@ -67,6 +67,7 @@
 pub mod skipped;
 pub mod slots;
 pub mod slow_start;
+pub mod slow_start_limit;
 pub mod slow_start_owner;
 pub mod slow_start_share;
 pub mod stop;
--- a/crates/steer/src/dispatch/slow_start.rs
+++ b/crates/steer/src/dispatch/slow_start.rs
@@ -1,26 +1,15 @@
-//! Slow start: limits the request rate to an upstream that is cold, or that may be cold.
+//! Slow start: limits the request rate to a cold upstream.
 //!
-//! Each upstream of a service with a `cold_rate` has a token bucket. While the upstream is cold, for
-//! the remaining cold time that service discovery lists, only the node that [`slow_start_owner`]
-//! determines may send to it. While the node cannot believe its copy of the store, it does not know
-//! which upstreams are cold, and an upstream gets only this node's [`slow_start_share`] unless it says
-//! itself that it is warm ([`warmth`]).
+//! Each upstream of a service with a `cold_rate` has a token bucket. [`slow_start_limit`] determines what a node may
+//! send to an upstream.
 //!
-//! [`slow_start_owner`]: crate::dispatch::slow_start_owner
-//! [`slow_start_share`]: crate::dispatch::slow_start_share
-//! [`warmth`]: crate::dispatch::warmth
+//! [`slow_start_limit`]: crate::dispatch::slow_start_limit
 
 use std::time::{Duration, Instant};
 
-use model::bounds;
 use model::id;
 use model::routing;
 
-use crate::dispatch::fleet::freshness;
-use crate::dispatch::slow_start_share;
-use crate::dispatch::upstream;
-use crate::dispatch::warmth;
-
 /// Share of the service's cold rate that is used.
 ///
 /// The margin covers short periods in which two nodes both consider themselves the owner.
@@ -58,79 +47,6 @@
     }
 }
 
-/// What a node may send to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Limit {
-    /// Any number of requests.
-    None,
-    /// Requests at a limited rate.
-    Rate(Allowance),
-    /// Nothing: other nodes send to the upstream.
-    Excluded,
-}
-
-/// Inputs that decide the limits of all upstreams.
-#[derive(Clone, Copy, Debug)]
-pub struct Rules<'a> {
-    /// Current configuration.
-    pub routing: &'a routing::Routing,
-    /// Limits of the deployment.
-    pub bounds: &'a bounds::Bounds,
-    /// What the node believes of its copy of the store.
-    pub belief: freshness::Belief,
-}
-
-impl Rules<'_> {
-    /// Returns what this node may send to an upstream.
-    #[must_use]
-    pub fn limit(&self, upstream: &upstream::Upstream, now: Instant) -> Limit {
-        let Some(cold_rate) = rate(self.routing, &upstream.entry.service) else {
-            return Limit::None;
-        };
-        match self.belief {
-            freshness::Belief::Current if !upstream.slow_start.is_cold(now) => Limit::None,
-            freshness::Belief::Current if upstream.is_slow_start_owner => {
-                Limit::Rate(Allowance::of_owner(cold_rate))
-            }
-            freshness::Belief::Current => Limit::Excluded,
-            freshness::Belief::Unconfirmed | freshness::Belief::CutOff => {
-                self.limit_if_doubted(upstream, cold_rate, now)
-            }
-        }
-    }
-
-    /// Returns what this node may send to an upstream that it cannot know to be warm.
-    ///
-    /// An upstream that was not asked recently has no limit, because it is asked before a request is sent there.
-    fn limit_if_doubted(
-        &self,
-        upstream: &upstream::Upstream,
-        cold_rate: f64,
-        now: Instant,
-    ) -> Limit {
-        let service = self.routing.services.get(&upstream.entry.service);
-        let can_be_asked = service.is_some_and(|rules| rules.health_check_path.is_some());
-        match upstream.warmth.standing(now) {
-            warmth::Standing::Checked(warmth::Verdict::Warm) => Limit::None,
-            warmth::Standing::InProgress | warmth::Standing::Unknown if can_be_asked => Limit::None,
-            _ => {
-                let room = slow_start_share::room(cold_rate, self.bounds);
-                upstream.slow_start_share.allowance(room).map_or(Limit::Excluded, Limit::Rate)
-            }
-        }
-    }
-
-    /// Returns whether this node may send one more request to an upstream now.
-    #[must_use]
-    pub fn allows(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
-        match self.limit(upstream, now) {
-            Limit::None => true,
-            Limit::Rate(allowance) => upstream.slow_start.has_room(allowance, now),
-            Limit::Excluded => false,
-        }
-    }
-}
-
 /// Returns the maximum requests per second of a cold upstream of `service`, or `None` if unlimited.
 #[must_use]
 pub fn rate(routing: &routing::Routing, service: &id::Service) -> Option<f64> {
--- a/crates/steer/src/dispatch/slow_start_share.rs
+++ b/crates/steer/src/dispatch/slow_start_share.rs
@@ -1,9 +1,9 @@
-//! Slow start share: what a node sends to an upstream that it cannot know to be warm.
+//! Slow start share: rate limit for an upstream that may be cold without this node's knowledge.
 //!
-//! A node whose copy of the store is not current does not know which upstreams are cold. The [`room`] of
+//! A node whose copy of the store may be outdated cannot tell which upstreams are cold. The [`room`] of
 //! each upstream is divided among a few nodes of its region and a few of the other regions, by
-//! rendezvous hashing over the nodes that the copy lists. The upstream's limit then holds whichever
-//! nodes lack news, without messages between them.
+//! rendezvous hashing over the nodes that the copy lists. The upstream's limit then holds for any set of
+//! such nodes, without messages between them.
 
 use std::collections;
 
@@ -28,7 +28,7 @@
 /// Minimum share, in requests per second; with a smaller one the node could send nothing at times.
 const MIN_SHARE: f64 = 1.5;
 
-/// Returns the requests per second that nodes without news may send together to one upstream.
+/// Returns the requests per second that all nodes with outdated copies may send to one upstream.
 ///
 /// `cold_rate` is the rate of the upstream's service, in requests per second. The rest of the upstream's limit
 /// is for its owner, which sends what it may while the upstream is cold.
--- a/crates/steer/src/dispatch/warmth.rs
+++ b/crates/steer/src/dispatch/warmth.rs
@@ -1,8 +1,8 @@
-//! Warmth: what upstreams themselves say of their cold start.
+//! Warmth: checks whether an upstream is warm, for nodes whose copy of the store may be outdated.
 //!
-//! A node that believes its copy of the store knows from it which upstreams are cold. Any other node asks an
-//! upstream, by its health check, before it sends a request there. An upstream that says that it is warm is used
-//! as usual for a short time; one that does not gets this node's [`slow_start_share`] only.
+//! A node with an up-to-date copy knows from it which upstreams are cold. Any other node sends a health check to
+//! an upstream before it sends a request there. A response that reports no remaining cold time allows normal use
+//! for a short time; otherwise the upstream gets this node's [`slow_start_share`] only.
 //!
 //! [`slow_start_share`]: crate::dispatch::slow_start_share
 
@@ -12,29 +12,29 @@
 use model::head;
 use model::id;
 
-/// Time after a check was sent from which it is repeated if the upstream is used.
+/// Interval after which a check is repeated while the upstream is in use.
 const REFRESH_AFTER: Duration = Duration::from_millis(75);
 
-/// Time after the answer to a check for which its result counts.
+/// Time after the response to a check for which its result is valid.
 ///
-/// Together with the time that the answer takes it bounds what an upstream that becomes cold unnoticed gets. A check
-/// of an upstream in another region is repeated within it.
+/// Together with the response time it bounds the requests to an upstream that becomes cold between two checks. A
+/// check of an upstream in another region is repeated within it.
 const VALIDITY: Duration = Duration::from_millis(150);
 
 /// Timeout of a check, and longest time for which a request waits for one.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Duration of a check from which it is repeated before a request has to wait for it; a request notices
-/// shorter ones little.
+/// Duration from which a check is repeated ahead of requests, so that no request waits for it; shorter ones
+/// delay a request little.
 const SLOW_CHECK: Duration = Duration::from_millis(30);
 
 /// Time since the latest request for an upstream for which slow checks of it are repeated.
 const KEPT_IN_USE: Duration = Duration::from_secs(1);
 
-/// Maximum number of upstreams that are asked for one attempt of a request.
+/// Maximum number of upstreams that are checked for one attempt of a request.
 pub const MAX_CHECKS: usize = 3;
 
-/// An upstream that is asked.
+/// An upstream to check.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
     /// Its name.
@@ -45,19 +45,19 @@
     pub path: String,
 }
 
-/// What a check shows.
+/// Result of a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The upstream is warm.
     Warm,
-    /// The upstream is cold, refuses the check, or does not tell.
+    /// The upstream is cold, refuses the check, or does not report its warmth.
     NotWarm,
 }
 
 impl Verdict {
     /// Derives the verdict on `upstream` from the response to its health check.
     ///
-    /// Another upstream may have taken over the address, and its response says nothing.
+    /// A response of another upstream, which may have taken over the address, is ignored.
     #[must_use]
     pub fn of(upstream: &id::Upstream, health: &head::Health<'_>) -> Self {
         let is_success = (200..300).contains(&health.status);
@@ -69,26 +69,26 @@
     }
 }
 
-/// What is known of an upstream's warmth.
+/// Knowledge of an upstream's warmth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// A recent check had this result.
     Checked(Verdict),
     /// A check is in progress, and no recent one has ended.
     InProgress,
-    /// The upstream was not asked recently.
+    /// There is no recent check.
     Unknown,
 }
 
-/// What is done before a request is sent to an upstream.
+/// Step before a request is sent to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     /// The request is sent.
     Send,
-    /// The request is sent, and the upstream is asked again meanwhile.
-    SendAndAsk(Target),
-    /// The upstream is asked first.
-    Ask(Target),
+    /// The request is sent, and the check is repeated in the background.
+    SendAndCheck(Target),
+    /// A check is made first.
+    Check(Target),
     /// The result of the check in progress is awaited first.
     Await,
 }
@@ -98,7 +98,7 @@
 pub struct Warmth {
     /// When the latest check was sent; `None` if there was none.
     asked_at: Option<Instant>,
-    /// When the latest check was answered, and its result.
+    /// Time and result of the latest check that has ended.
     checked: Option<(Instant, Verdict)>,
     /// When the upstream was last selected for a request.
     used_at: Option<Instant>,
@@ -110,8 +110,8 @@
         self.used_at = Some(now);
     }
 
-    /// Returns when to repeat a check that was sent at `asked_at` and ends now; `None` if a request may wait
-    /// for the next one.
+    /// Returns when to repeat a check that was sent at `asked_at` and ends now; `None` if the next request makes
+    /// the next check.
     #[must_use]
     pub fn repeat_at(&self, verdict: Verdict, asked_at: Instant, now: Instant) -> Option<Instant> {
         let is_slow = now.saturating_duration_since(asked_at) >= SLOW_CHECK;
--- a/crates/steer/tests/dispatch/freshness.rs
+++ b/crates/steer/tests/dispatch/freshness.rs
@@ -2,16 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use steer::dispatch::fleet::freshness::{Belief, Contact, Freshness};
+use steer::dispatch::fleet::freshness::{Contact, Freshness, Status};
 
 const BOUND: Duration = Duration::from_secs(3);
 
 fn apart() -> Contact {
-    Contact::Apart
+    Contact::Isolated
 }
 
 fn in_touch() -> Contact {
-    Contact::InTouch
+    Contact::Connected
 }
 
 /// Guards against a start that takes whatever it read for the present state of the store.
@@ -20,9 +20,9 @@
     let began = Instant::now();
     let mut freshness = Freshness::new(began);
     let later = began + Duration::from_secs(60);
-    assert_eq!(freshness.update(in_touch, BOUND, later), Belief::Unconfirmed);
+    assert_eq!(freshness.update(in_touch, BOUND, later), Status::Unconfirmed);
     freshness.confirm(later, later);
-    assert_eq!(freshness.update(apart, BOUND, later), Belief::Current);
+    assert_eq!(freshness.update(apart, BOUND, later), Status::Current);
     assert_eq!(freshness.age(later), Some(Duration::ZERO));
 }
 
@@ -33,10 +33,10 @@
     let mut freshness = Freshness::new(began);
     freshness.confirm(began, began);
     let bound = began + BOUND;
-    assert_eq!(freshness.update(apart, BOUND, bound), Belief::Current);
+    assert_eq!(freshness.update(apart, BOUND, bound), Status::Current);
     let later = bound + Duration::from_millis(1);
-    assert_eq!(freshness.update(in_touch, BOUND, later), Belief::Current);
-    assert_eq!(freshness.update(apart, BOUND, later), Belief::CutOff);
+    assert_eq!(freshness.update(in_touch, BOUND, later), Status::Current);
+    assert_eq!(freshness.update(apart, BOUND, later), Status::Isolated);
 }
 
 /// Guards against a node that meets others again and believes what it knew before.
@@ -46,12 +46,12 @@
     let mut freshness = Freshness::new(began);
     freshness.confirm(began, began);
     let later = began + BOUND * 2;
-    assert_eq!(freshness.update(apart, BOUND, later), Belief::CutOff);
-    assert_eq!(freshness.update(in_touch, BOUND, later), Belief::CutOff);
+    assert_eq!(freshness.update(apart, BOUND, later), Status::Isolated);
+    assert_eq!(freshness.update(in_touch, BOUND, later), Status::Isolated);
     // The report of a node that believes its copy during an outage of the store.
     freshness.confirm(began, later);
-    assert_eq!(freshness.update(in_touch, BOUND, later), Belief::Current);
-    assert_eq!(freshness.update(apart, BOUND, later), Belief::CutOff);
+    assert_eq!(freshness.update(in_touch, BOUND, later), Status::Current);
+    assert_eq!(freshness.update(apart, BOUND, later), Status::Isolated);
 }
 
 /// Guards against reports that waited in the socket while the process stood still.
@@ -63,18 +63,19 @@
     let woken = began + Duration::from_secs(10);
     freshness.reset(woken);
     freshness.confirm(woken, woken);
-    assert_eq!(freshness.update(in_touch, BOUND, woken), Belief::Unconfirmed);
+    assert_eq!(freshness.update(in_touch, BOUND, woken), Status::Unconfirmed);
     let later = woken + Duration::from_secs(1);
     freshness.confirm(later, later);
-    assert_eq!(freshness.update(apart, BOUND, later), Belief::Current);
+    assert_eq!(freshness.update(apart, BOUND, later), Status::Current);
 }
 
 #[test]
 fn contact_is_with_other_regions_or_most_of_the_only_one() {
-    let contact = |hears_far, has_far, heard| Contact::new(hears_far, has_far, heard, 5);
-    assert_eq!(contact(true, true, 0), Contact::InTouch);
-    assert_eq!(contact(false, true, 5), Contact::Apart, "the region is cut off");
-    assert_eq!(contact(false, false, 3), Contact::InTouch);
-    assert_eq!(contact(false, false, 2), Contact::Apart);
-    assert_eq!(Contact::new(false, false, 0, 0), Contact::InTouch, "there is no other node");
+    let contact =
+        |has_far_contact, has_far, heard| Contact::new(has_far_contact, has_far, heard, 5);
+    assert_eq!(contact(true, true, 0), Contact::Connected);
+    assert_eq!(contact(false, true, 5), Contact::Isolated, "the region is cut off");
+    assert_eq!(contact(false, false, 3), Contact::Connected);
+    assert_eq!(contact(false, false, 2), Contact::Isolated);
+    assert_eq!(Contact::new(false, false, 0, 0), Contact::Connected, "there is no other node");
 }
--- a/crates/steer/tests/dispatch/doubt.rs
+++ b/crates/steer/tests/dispatch/unconfirmed.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::{head, id, routing};
-use steer::dispatch::fleet::freshness::Belief;
+use steer::dispatch::fleet::freshness::Status;
 use steer::dispatch::{dispatcher, slow_start_owner, warmth};
 
 use crate::setup;
@@ -49,7 +49,7 @@
     dispatcher.set_nodes(owners, 9, now);
     let entries: Vec<_> = (0..3).map(|n| setup::entry(&format!("i-{n}"), "n-1")).collect();
     setup::set(&mut dispatcher, &entries, now);
-    dispatcher.set_belief(Belief::Unconfirmed);
+    dispatcher.set_copy_status(Status::Unconfirmed);
     dispatcher
 }
 
@@ -97,17 +97,17 @@
     let mut dispatcher = doubting(&node, Some("/health"), now);
     let chosen = setup::choose(&mut dispatcher, &setup::route(&[]), 7, now).expect("it is asked");
     let step = dispatcher.begin_warmth_check(&chosen, now);
-    let warmth::Step::Ask(target) = step else { panic!("{step:?}") };
+    let warmth::Step::Check(target) = step else { panic!("{step:?}") };
     assert_eq!((target.upstream.clone(), target.path.as_str()), (chosen.id.clone(), "/health"));
     assert_eq!(dispatcher.begin_warmth_check(&chosen, now), warmth::Step::Await);
     dispatcher.end_warmth_check(&chosen.id, warmth::Verdict::Warm, now, now);
     assert_eq!(dispatcher.begin_warmth_check(&chosen, now), warmth::Step::Send);
     let later = now + Duration::from_millis(100);
     let step = dispatcher.begin_warmth_check(&chosen, later);
-    assert!(matches!(step, warmth::Step::SendAndAsk(_)), "{step:?}");
+    assert!(matches!(step, warmth::Step::SendAndCheck(_)), "{step:?}");
     let stale = later + Duration::from_millis(300);
     let step = dispatcher.begin_warmth_check(&chosen, stale);
-    assert!(matches!(step, warmth::Step::Ask(_)), "{step:?}");
+    assert!(matches!(step, warmth::Step::Check(_)), "{step:?}");
 }
 
 /// Guards against an upstream that says that it is cold and gets more than its share.
--- a/crates/wire/src/gateway/heartbeat.rs
+++ b/crates/wire/src/gateway/heartbeat.rs
@@ -3,7 +3,7 @@
 /// First byte of a heartbeat datagram.
 pub const MARK: u8 = 2;
 
-/// Value of [`Heartbeat::copy_age_ms`] of a sender that does not believe its copy of the store.
+/// Value of [`Heartbeat::copy_age_ms`] of a sender whose copy of the store may be outdated.
 pub const NOT_CURRENT: u32 = u32::MAX;
 
 /// A heartbeat; fields with a zero, false or empty value are omitted on the wire.
@@ -63,11 +63,11 @@
     /// Hashes of the names of services whose upstreams the sender cannot connect to.
     #[prost(fixed32, repeated, tag = "18")]
     pub unreached: Vec<u32>,
-    /// Time since the sender's copy was known to be complete, in milliseconds; [`NOT_CURRENT`] if the sender
-    /// does not believe its copy. Absent in the version before.
+    /// Time since the sender's copy was known to be complete, in milliseconds; [`NOT_CURRENT`] if the copy may be
+    /// outdated. Absent in the previous version.
     #[prost(uint32, optional, tag = "19")]
     pub copy_age_ms: Option<u32>,
-    /// Whether the sender hears a gateway of another region.
+    /// Whether the sender receives heartbeats from another region.
     #[prost(bool, tag = "20")]
-    pub hears_far: bool,
+    pub has_far_contact: bool,
 }
