--- a/crates/node/src/gateway/warmth.rs
+++ b/crates/node/src/gateway/cold_check.rs
@@ -1,6 +1,6 @@
 //! Checks whether upstreams are warm, while this node's copy of the store may be outdated.
 //!
-//! Owns the exchanges. [`steer::dispatch::warmth`] decides when a check is made and what its response means.
+//! Owns the exchanges. [`steer::dispatch::cold_check`] decides when a check is made and what its response means.
 
 use std::rc;
 use std::time::Instant;
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use model::id;
-use steer::dispatch::warmth;
+use steer::dispatch::cold_check;
 use tokio::net::TcpStream;
 use tokio::task;
 
@@ -19,61 +19,60 @@
 use crate::gateway::state;
 
 /// Starts a check; the dispatcher records the result.
-pub fn spawn_check(state: &rc::Rc<state::State>, target: warmth::Target) {
+pub fn spawn_check(state: &rc::Rc<state::State>, target: cold_check::Target) {
     task::spawn_local(check(rc::Rc::clone(state), target, Instant::now()));
 }
 
 /// Waits for the result of the check of an upstream that is in progress.
-pub async fn wait(state: &state::State, upstream: &id::Upstream) -> warmth::Verdict {
+pub async fn wait(state: &state::State, upstream: &id::Upstream) -> cold_check::Verdict {
     let ended = async {
         loop {
-            let checked = state.warmth_checked.notified();
-            match state.dispatcher.borrow().warmth(upstream, Instant::now()) {
-                warmth::Standing::Checked(verdict) => return verdict,
-                warmth::Standing::InProgress => {}
-                warmth::Standing::Unknown => return warmth::Verdict::NotWarm,
+            let checked = state.cold_checked.notified();
+            match state.dispatcher.borrow().cold_standing(upstream, Instant::now()) {
+                cold_check::Standing::Checked(verdict) => return verdict,
+                cold_check::Standing::InProgress => {}
+                cold_check::Standing::Unknown => return cold_check::Verdict::NotWarm,
             }
             checked.await;
         }
     };
-    let ended = tokio::time::timeout(warmth::CHECK_TIMEOUT, ended).await;
-    ended.unwrap_or(warmth::Verdict::NotWarm)
+    let ended = tokio::time::timeout(cold_check::CHECK_TIMEOUT, ended).await;
+    ended.unwrap_or(cold_check::Verdict::NotWarm)
 }
 
 /// Makes a check, and repeats it while slow responses would delay requests.
-async fn check(state: rc::Rc<state::State>, target: warmth::Target, asked_at: Instant) {
+async fn check(state: rc::Rc<state::State>, target: cold_check::Target, asked_at: Instant) {
     let mut asked_at = asked_at;
     loop {
         let verdict = verdict(&state, &target).await;
         let now = Instant::now();
-        let repeat_at = state.dispatcher.borrow_mut().end_warmth_check(
-            &target.upstream,
-            verdict,
-            asked_at,
-            now,
-        );
-        state.warmth_checked.notify_waiters();
+        let repeat_at =
+            state.dispatcher.borrow_mut().end_cold_check(&target.upstream, verdict, asked_at, now);
+        state.cold_checked.notify_waiters();
         let Some(repeat_at) = repeat_at else { return };
         tokio::time::sleep_until(repeat_at.into()).await;
         asked_at = Instant::now();
-        if !state.dispatcher.borrow_mut().repeat_warmth_check(&target.upstream, asked_at) {
+        if !state.dispatcher.borrow_mut().repeat_cold_check(&target.upstream, asked_at) {
             return;
         }
     }
 }
 
 /// Makes one check.
-async fn verdict(state: &state::State, target: &warmth::Target) -> warmth::Verdict {
-    state.metrics.warmth_checks.add(1);
-    match tokio::time::timeout(warmth::CHECK_TIMEOUT, ask(state, target)).await {
+async fn verdict(state: &state::State, target: &cold_check::Target) -> cold_check::Verdict {
+    state.metrics.cold_checks.add(1);
+    match tokio::time::timeout(cold_check::CHECK_TIMEOUT, ask(state, target)).await {
         Ok(Ok(verdict)) => verdict,
         // A failure or a missing response does not show that the upstream is warm.
-        Ok(Err(_)) | Err(_) => warmth::Verdict::NotWarm,
+        Ok(Err(_)) | Err(_) => cold_check::Verdict::NotWarm,
     }
 }
 
 /// Requests the health check of an upstream on a connection of its own.
-async fn ask(state: &state::State, target: &warmth::Target) -> anyhow::Result<warmth::Verdict> {
+async fn ask(
+    state: &state::State,
+    target: &cold_check::Target,
+) -> anyhow::Result<cold_check::Verdict> {
     let stream = TcpStream::connect(target.address).await?;
     stream.set_nodelay(true)?;
     // With a reset, the upstream releases the connection immediately.
@@ -92,5 +91,5 @@
         _ = &mut connection => exchange.await?,
     };
     let health = state.dialect.health(answer.headers(), answer.status());
-    Ok(warmth::Verdict::of(&target.upstream, &health))
+    Ok(cold_check::Verdict::of(&target.upstream, &health))
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -185,7 +185,7 @@
     /// Checks whether a group of upstreams can be connected to.
     pub connectivity_checks: Counter,
     /// Checks whether upstreams are warm.
-    pub warmth_checks: Counter,
+    pub cold_checks: Counter,
     /// Look-ups.
     pub lookups: Counter,
     /// Heartbeats sent.
@@ -283,7 +283,7 @@
             ("connections", &self.connections),
             ("connections_failed", &self.connections_failed),
             ("connectivity_checks", &self.connectivity_checks),
-            ("warmth_checks", &self.warmth_checks),
+            ("cold_checks", &self.cold_checks),
             ("lookups", &self.lookups),
             ("heartbeats", &self.heartbeats),
             ("control_bytes", &self.control_bytes),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! the node away, from other nodes; the decisions are those of [`steer::dispatch`].
 
 pub mod catch_up;
+pub mod cold_check;
 pub mod connection_check;
 pub mod connectivity;
 pub mod control;
@@ -46,4 +47,3 @@
 pub mod sync;
 pub mod thread;
 pub mod unknown_headers;
-pub mod warmth;
--- a/crates/node/src/gateway/proxy/tries/warmth.rs
+++ b/crates/node/src/gateway/proxy/tries/cold_check.rs
@@ -2,13 +2,13 @@
 
 use std::time::Instant;
 
+use steer::dispatch::cold_check;
 use steer::dispatch::give_up;
 use steer::dispatch::refusal;
 use steer::dispatch::retry;
-use steer::dispatch::warmth;
 
+use crate::gateway::cold_check as checks;
 use crate::gateway::proxy::tries::Tries;
-use crate::gateway::warmth as checks;
 
 impl Tries<'_> {
     /// Selects the upstream of the next try, and checks that it is warm if this node cannot tell.
@@ -17,7 +17,7 @@
     ///
     /// Returns the reason why the request fails.
     pub(super) async fn choose_warm(&mut self) -> Result<retry::Choice, give_up::Reason> {
-        for _ in 0..warmth::MAX_CHECKS {
+        for _ in 0..cold_check::MAX_CHECKS {
             let choice = self.choose()?;
             if self.is_usable(&choice).await {
                 return Ok(choice);
@@ -33,16 +33,16 @@
     async fn is_usable(&self, choice: &retry::Choice) -> bool {
         let state = &self.server.state;
         let upstream = &choice.upstream;
-        let step = state.dispatcher.borrow_mut().begin_warmth_check(upstream, Instant::now());
+        let step = state.dispatcher.borrow_mut().begin_cold_check(upstream, Instant::now());
         match step {
-            warmth::Step::Send => return true,
-            warmth::Step::SendAndCheck(target) => {
+            cold_check::Step::Send => return true,
+            cold_check::Step::SendAndCheck(target) => {
                 checks::spawn_check(state, target);
                 return true;
             }
-            warmth::Step::Check(target) => checks::spawn_check(state, target),
-            warmth::Step::Await => {}
+            cold_check::Step::Check(target) => checks::spawn_check(state, target),
+            cold_check::Step::Await => {}
         }
-        checks::wait(state, &upstream.id).await == warmth::Verdict::Warm
+        checks::wait(state, &upstream.id).await == cold_check::Verdict::Warm
     }
 }
--- a/crates/node/src/gateway/proxy/tries/mod.rs
+++ b/crates/node/src/gateway/proxy/tries/mod.rs
@@ -1,14 +1,14 @@
 //! Tries: sends a request to upstreams until one responds or the request fails.
 //!
-//! Owns the progress of one request. `choice` selects the upstream of each try, `warmth` checks that it is warm
+//! Owns the progress of one request. `choice` selects the upstream of each try, `cold_check` checks that it is warm
 //! if this node cannot tell, `slot` waits for a slot of the upstream if one is needed, and `sending` sends the
 //! request there.
 //! [`steer::dispatch::retry`] makes every decision. The handler calls it and enforces the request's deadline.
 
 mod choice;
+mod cold_check;
 mod sending;
 mod slot;
-mod warmth;
 
 use std::time::Instant;
 
--- a/crates/node/src/gateway/state/mod.rs
+++ b/crates/node/src/gateway/state/mod.rs
@@ -91,7 +91,7 @@
     /// Wakes requests that wait until the copy of the store is confirmed.
     confirmed: Notify,
     /// Wakes requests that wait for the check whether an upstream is warm.
-    pub warmth_checked: Notify,
+    pub cold_checked: Notify,
     /// Whether the store answered the latest call, while this node watches it or has just started.
     is_store_answering: cell::Cell<bool>,
     /// Whether this node watches the store.
@@ -190,7 +190,7 @@
             started,
             completed: cell::Cell::new(None),
             confirmed: Notify::new(),
-            warmth_checked: Notify::new(),
+            cold_checked: Notify::new(),
             is_store_answering: cell::Cell::new(false),
             is_watching: cell::Cell::new(false),
             has_new_nodes: cell::Cell::new(false),
--- a/crates/steer/src/dispatch/warmth.rs
+++ b/crates/steer/src/dispatch/cold_check.rs
@@ -1,4 +1,4 @@
-//! Warmth: checks whether an upstream is warm, for nodes whose copy of the store may be outdated.
+//! Cold check: health check that shows whether an upstream is cold, for nodes whose copy of the store may be outdated.
 //!
 //! A node with an up-to-date copy knows from it which upstreams are cold. Any other node sends a health check to
 //! an upstream before it sends a request there. A response that reports no remaining cold time allows normal use
@@ -50,7 +50,7 @@
 pub enum Verdict {
     /// The upstream is warm.
     Warm,
-    /// The upstream is cold, refuses the check, or does not report its warmth.
+    /// The upstream is cold, refuses the check, or does not report whether it is cold.
     NotWarm,
 }
 
@@ -69,7 +69,7 @@
     }
 }
 
-/// Knowledge of an upstream's warmth.
+/// What the checks of an upstream show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// A recent check had this result.
@@ -95,7 +95,7 @@
 
 /// The checks of an upstream.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Warmth {
+pub struct Checks {
     /// When the latest check was sent; `None` if there was none.
     asked_at: Option<Instant>,
     /// Time and result of the latest check that has ended.
@@ -104,7 +104,7 @@
     used_at: Option<Instant>,
 }
 
-impl Warmth {
+impl Checks {
     /// Records that the upstream is selected for a request.
     pub fn record_use(&mut self, now: Instant) {
         self.used_at = Some(now);
--- a/crates/steer/src/dispatch/dispatcher/warmth.rs
+++ b/crates/steer/src/dispatch/dispatcher/cold_checks.rs
@@ -6,11 +6,11 @@
 use model::discovery;
 use model::id;
 
+use crate::dispatch::cold_check;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::fleet::freshness;
 use crate::dispatch::slow_start_limit;
 use crate::dispatch::slow_start_share;
-use crate::dispatch::warmth;
 
 impl Dispatcher {
     /// Sets whether this node's copy of the store is up to date.
@@ -25,59 +25,63 @@
     }
 
     /// Returns the step before a request is sent to the chosen upstream, and records the start of a check.
-    pub fn begin_warmth_check(&mut self, chosen: &discovery::Entry, now: Instant) -> warmth::Step {
+    pub fn begin_cold_check(
+        &mut self,
+        chosen: &discovery::Entry,
+        now: Instant,
+    ) -> cold_check::Step {
         if self.copy_status == freshness::Status::Current {
-            return warmth::Step::Send;
+            return cold_check::Step::Send;
         }
         let rules = self.routing.services.get(&chosen.service);
         let limited = rules.filter(|rules| rules.cold_rate.is_some());
         let path = limited.and_then(|rules| rules.health_check_path.clone());
         let known = self.upstreams.get_mut(&chosen.id);
-        let (Some(path), Some(known)) = (path, known) else { return warmth::Step::Send };
+        let (Some(path), Some(known)) = (path, known) else { return cold_check::Step::Send };
         let upstream = chosen.id.clone();
-        let target = warmth::Target { upstream, address: chosen.address, path };
-        known.warmth.record_use(now);
-        let is_due = known.warmth.is_due(now);
-        let step = match known.warmth.standing(now) {
-            warmth::Standing::Checked(_) if is_due => warmth::Step::SendAndCheck(target),
-            warmth::Standing::Checked(_) => return warmth::Step::Send,
-            warmth::Standing::InProgress => return warmth::Step::Await,
-            warmth::Standing::Unknown => warmth::Step::Check(target),
+        let target = cold_check::Target { upstream, address: chosen.address, path };
+        known.cold_checks.record_use(now);
+        let is_due = known.cold_checks.is_due(now);
+        let step = match known.cold_checks.standing(now) {
+            cold_check::Standing::Checked(_) if is_due => cold_check::Step::SendAndCheck(target),
+            cold_check::Standing::Checked(_) => return cold_check::Step::Send,
+            cold_check::Standing::InProgress => return cold_check::Step::Await,
+            cold_check::Standing::Unknown => cold_check::Step::Check(target),
         };
-        known.warmth.begin(now);
+        known.cold_checks.begin(now);
         step
     }
 
     /// Records the result of a check that was sent at `asked_at`; returns when it is repeated.
-    pub fn end_warmth_check(
+    pub fn end_cold_check(
         &mut self,
         upstream: &id::Upstream,
-        verdict: warmth::Verdict,
+        verdict: cold_check::Verdict,
         asked_at: Instant,
         now: Instant,
     ) -> Option<Instant> {
-        let warmth = &mut self.upstreams.get_mut(upstream)?.warmth;
-        warmth.end(verdict, now);
-        let repeat_at = warmth.repeat_at(verdict, asked_at, now);
+        let checks = &mut self.upstreams.get_mut(upstream)?.cold_checks;
+        checks.end(verdict, now);
+        let repeat_at = checks.repeat_at(verdict, asked_at, now);
         repeat_at.filter(|_| self.copy_status != freshness::Status::Current)
     }
 
     /// Records that a check is repeated; returns false if it is no longer needed.
-    pub fn repeat_warmth_check(&mut self, upstream: &id::Upstream, now: Instant) -> bool {
+    pub fn repeat_cold_check(&mut self, upstream: &id::Upstream, now: Instant) -> bool {
         let is_unconfirmed = self.copy_status != freshness::Status::Current;
         let known = self.upstreams.get_mut(upstream);
-        let Some(known) = known.filter(|u| is_unconfirmed && u.warmth.is_due(now)) else {
+        let Some(known) = known.filter(|u| is_unconfirmed && u.cold_checks.is_due(now)) else {
             return false;
         };
-        known.warmth.begin(now);
+        known.cold_checks.begin(now);
         true
     }
 
-    /// Returns what is known of an upstream's warmth.
+    /// Returns what the checks of an upstream show.
     #[must_use]
-    pub fn warmth(&self, upstream: &id::Upstream, now: Instant) -> warmth::Standing {
+    pub fn cold_standing(&self, upstream: &id::Upstream, now: Instant) -> cold_check::Standing {
         let known = self.upstreams.get(upstream);
-        known.map_or(warmth::Standing::Unknown, |known| known.warmth.standing(now))
+        known.map_or(cold_check::Standing::Unknown, |known| known.cold_checks.standing(now))
     }
 
     /// Determines this node's slow start shares of all upstreams, if they are needed and not up to date.
--- a/crates/steer/src/dispatch/dispatcher/mod.rs
+++ b/crates/steer/src/dispatch/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 //! current time is passed in.
 
 mod choice;
+mod cold_checks;
 pub mod connectivity;
 mod demand;
 mod peers;
@@ -16,7 +17,6 @@
 pub mod statements;
 mod tries;
 mod upstreams;
-mod warmth;
 
 use std::collections;
 use std::sync;
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 //! [`retry_budget`] (whether it is retried), [`give_up`] (the error response to its caller).
 //!
 //! State per upstream: [`pace`], [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
-//! (combined in [`health`]), [`slow_start`], [`slow_start_limit`], [`slow_start_owner`], [`slow_start_share`] and [`warmth`], [`reported_load`],
+//! (combined in [`health`]), [`slow_start`], [`slow_start_limit`], [`slow_start_owner`], [`slow_start_share`] and [`cold_check`], [`reported_load`],
 //! [`peer_load`], [`lapsed`] entries, and the upstream's own statements: [`upstream_limit`],
 //! [`leaving`] and [`rest`]. State per service: [`expected_processing_time`]. State per service and
 //! region: whether this node can connect to the upstreams there ([`connectivity`]).
@@ -25,6 +25,7 @@
 pub mod affinity;
 pub mod attempt;
 pub mod candidate;
+pub mod cold_check;
 pub mod connectivity;
 pub mod dispatcher;
 pub mod ejection;
@@ -74,4 +75,3 @@
 pub mod upstream;
 pub mod upstream_limit;
 pub mod urgency;
-pub mod warmth;
--- a/crates/steer/src/dispatch/slow_start_limit.rs
+++ b/crates/steer/src/dispatch/slow_start_limit.rs
@@ -3,7 +3,7 @@
 //! While an upstream is cold, for the remaining cold time that service discovery lists, only the node that
 //! [`slow_start_owner`] determines may send to it. While the node's copy of the store may be outdated, the
 //! node cannot tell which upstreams are cold, and an upstream gets only this node's [`slow_start_share`]
-//! unless its health check reports that it is warm ([`warmth`]).
+//! unless its health check reports that it is warm ([`cold_check`]).
 //!
 //! [`slow_start_owner`]: crate::dispatch::slow_start_owner
 
@@ -12,11 +12,11 @@
 use model::bounds;
 use model::routing;
 
+use crate::dispatch::cold_check;
 use crate::dispatch::fleet::freshness;
 use crate::dispatch::slow_start;
 use crate::dispatch::slow_start_share;
 use crate::dispatch::upstream;
-use crate::dispatch::warmth;
 
 /// What a node may send to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -70,9 +70,11 @@
     ) -> Limit {
         let service = self.routing.services.get(&upstream.entry.service);
         let has_health_check = service.is_some_and(|rules| rules.health_check_path.is_some());
-        match upstream.warmth.standing(now) {
-            warmth::Standing::Checked(warmth::Verdict::Warm) => Limit::None,
-            warmth::Standing::InProgress | warmth::Standing::Unknown if has_health_check => {
+        match upstream.cold_checks.standing(now) {
+            cold_check::Standing::Checked(cold_check::Verdict::Warm) => Limit::None,
+            cold_check::Standing::InProgress | cold_check::Standing::Unknown
+                if has_health_check =>
+            {
                 Limit::None
             }
             _ => {
--- a/crates/steer/src/dispatch/upstream.rs
+++ b/crates/steer/src/dispatch/upstream.rs
@@ -9,6 +9,7 @@
 use model::discovery;
 use model::id;
 
+use crate::dispatch::cold_check;
 use crate::dispatch::health;
 use crate::dispatch::pace;
 use crate::dispatch::peer_load;
@@ -18,7 +19,6 @@
 use crate::dispatch::slots::holder;
 use crate::dispatch::slow_start;
 use crate::dispatch::slow_start_share;
-use crate::dispatch::warmth;
 
 /// An upstream and this node's state for it.
 #[derive(Clone, Debug)]
@@ -47,8 +47,8 @@
     /// This node's part of the requests that the upstream gets from nodes that do not know whether it is cold;
     /// only updated while this node is one of them.
     pub slow_start_share: slow_start_share::Share,
-    /// What the upstream said itself of its warmth.
-    pub warmth: warmth::Warmth,
+    /// Checks whether the upstream is cold.
+    pub cold_checks: cold_check::Checks,
     /// Whether another upstream answered at this upstream's address.
     pub is_replaced: bool,
     /// Whether the upstream announced that it is leaving.
@@ -79,7 +79,7 @@
             slow_start,
             is_slow_start_owner: false,
             slow_start_share: slow_start_share::Share::default(),
-            warmth: warmth::Warmth::default(),
+            cold_checks: cold_check::Checks::default(),
             is_replaced: false,
             announced_leaving: false,
             rests_until: None,
--- a/crates/steer/tests/dispatch/unconfirmed.rs
+++ b/crates/steer/tests/dispatch/unconfirmed.rs
@@ -6,7 +6,7 @@
 
 use model::{head, id, routing};
 use steer::dispatch::fleet::freshness::Status;
-use steer::dispatch::{dispatcher, slow_start_owner, warmth};
+use steer::dispatch::{cold_check, dispatcher, slow_start_owner};
 
 use crate::setup;
 
@@ -96,18 +96,18 @@
     let node = id::Node::new("n-0");
     let mut dispatcher = doubting(&node, Some("/health"), now);
     let chosen = setup::choose(&mut dispatcher, &setup::route(&[]), 7, now).expect("it is asked");
-    let step = dispatcher.begin_warmth_check(&chosen, now);
-    let warmth::Step::Check(target) = step else { panic!("{step:?}") };
+    let step = dispatcher.begin_cold_check(&chosen, now);
+    let cold_check::Step::Check(target) = step else { panic!("{step:?}") };
     assert_eq!((target.upstream.clone(), target.path.as_str()), (chosen.id.clone(), "/health"));
-    assert_eq!(dispatcher.begin_warmth_check(&chosen, now), warmth::Step::Await);
-    dispatcher.end_warmth_check(&chosen.id, warmth::Verdict::Warm, now, now);
-    assert_eq!(dispatcher.begin_warmth_check(&chosen, now), warmth::Step::Send);
+    assert_eq!(dispatcher.begin_cold_check(&chosen, now), cold_check::Step::Await);
+    dispatcher.end_cold_check(&chosen.id, cold_check::Verdict::Warm, now, now);
+    assert_eq!(dispatcher.begin_cold_check(&chosen, now), cold_check::Step::Send);
     let later = now + Duration::from_millis(100);
-    let step = dispatcher.begin_warmth_check(&chosen, later);
-    assert!(matches!(step, warmth::Step::SendAndCheck(_)), "{step:?}");
+    let step = dispatcher.begin_cold_check(&chosen, later);
+    assert!(matches!(step, cold_check::Step::SendAndCheck(_)), "{step:?}");
     let stale = later + Duration::from_millis(300);
-    let step = dispatcher.begin_warmth_check(&chosen, stale);
-    assert!(matches!(step, warmth::Step::Check(_)), "{step:?}");
+    let step = dispatcher.begin_cold_check(&chosen, stale);
+    assert!(matches!(step, cold_check::Step::Check(_)), "{step:?}");
 }
 
 /// Guards against an upstream that says that it is cold and gets more than its share.
@@ -117,7 +117,7 @@
     let node = id::Node::new("n-0");
     let mut dispatcher = doubting(&node, Some("/health"), now);
     for upstream in ["i-0", "i-1", "i-2"].map(id::Upstream::new) {
-        dispatcher.end_warmth_check(&upstream, warmth::Verdict::NotWarm, now, now);
+        dispatcher.end_cold_check(&upstream, cold_check::Verdict::NotWarm, now, now);
     }
     let mut limited = doubting(&node, None, now);
     let told = (0..200).filter(|key| {
@@ -140,13 +140,13 @@
 fn only_the_upstream_itself_says_that_it_is_warm() {
     let upstream = id::Upstream::new("i-0");
     let verdict = |status, name, cold| {
-        warmth::Verdict::of(&upstream, &head::Health { status, upstream: name, cold })
+        cold_check::Verdict::of(&upstream, &head::Health { status, upstream: name, cold })
     };
     let cold = head::Cold::For(Duration::from_secs(1));
-    assert_eq!(verdict(200, Some("i-0"), head::Cold::No), warmth::Verdict::Warm);
-    assert_eq!(verdict(200, Some("i-0"), cold), warmth::Verdict::NotWarm);
-    assert_eq!(verdict(200, Some("i-0"), head::Cold::Unknown), warmth::Verdict::NotWarm);
-    assert_eq!(verdict(503, Some("i-0"), head::Cold::No), warmth::Verdict::NotWarm);
-    assert_eq!(verdict(200, Some("i-1"), head::Cold::No), warmth::Verdict::NotWarm);
-    assert_eq!(verdict(200, None, head::Cold::No), warmth::Verdict::NotWarm);
+    assert_eq!(verdict(200, Some("i-0"), head::Cold::No), cold_check::Verdict::Warm);
+    assert_eq!(verdict(200, Some("i-0"), cold), cold_check::Verdict::NotWarm);
+    assert_eq!(verdict(200, Some("i-0"), head::Cold::Unknown), cold_check::Verdict::NotWarm);
+    assert_eq!(verdict(503, Some("i-0"), head::Cold::No), cold_check::Verdict::NotWarm);
+    assert_eq!(verdict(200, Some("i-1"), head::Cold::No), cold_check::Verdict::NotWarm);
+    assert_eq!(verdict(200, None, head::Cold::No), cold_check::Verdict::NotWarm);
 }
