Tests: answers of upstreams byte by byte, for both roles

A stand-in writes any bytes as an answer (`standin::raw`), and one table of answers (`gateway/answers.rs`) is asked for through a real gateway and a real node that owns upstreams, by a request that may be repeated and by one that may not.

This commit has the rows that hold on the code as it is, 96 of them: unusual answers that the protocol allows (interim responses, no length, HTTP/1.0, a second answer after a whole one), and what the HTTP library refuses at once (status lines with 000, 099 or no three digits, lines that are no field, blanks and control bytes in names, lengths that are no number, broken chunks).

--- /dev/null
+++ b/crates/node/tests/gateway/broken_answers.rs
@@ -0,0 +1,128 @@
+//! Upstreams that send broken answers, and unusual ones that are right.
+
+use std::future;
+use std::time::{Duration, Instant};
+
+use futures_util::{StreamExt as _, stream};
+use platform::headers;
+use standin::raw;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+use crate::answers::{self, Case, Told};
+use crate::client;
+use crate::rig::{Gateway, Rig};
+
+/// Time after which the routes' requests end.
+const TIMEOUT: &str = "4s";
+
+/// Longest time for an answer that does not wait for a deadline, on a busy machine.
+const AT_ONCE: Duration = Duration::from_secs(2);
+
+/// Time after which a test gives a request up.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Requests at once.
+const CONCURRENCY: usize = 8;
+
+/// A request on a connection of its own; returns what its caller reads, and how long that takes.
+async fn ask(gateway: &Gateway, method: &str, path: &str, id: &str) -> (Vec<u8>, Duration) {
+    let asked = Instant::now();
+    let mut stream = TcpStream::connect(gateway.callers).await.expect("the gateway accepts");
+    let request = client::request(method, path, id, if method == "GET" { "" } else { "x" });
+    let request = request.replacen("Cookie:", "Connection: close\r\nCookie:", 1);
+    stream.write_all(request.as_bytes()).await.expect("the gateway reads");
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut bytes)).await;
+    read.expect("the answer ends").expect("the connection ends");
+    (bytes, asked.elapsed())
+}
+
+/// Returns the lines that prove whose answer it is.
+fn proof(request: &raw::Request) -> String {
+    let id = request.field(headers::REQUEST_ID.as_str());
+    format!("{}: {id}\r\n{}: seal-{id}\r\n", headers::REQUEST_ID, headers::SEAL)
+}
+
+/// Returns the number of the case that a path names, as in `/read/7/a`.
+fn number(target: &str) -> Option<usize> {
+    target.split('/').nth(2)?.parse().ok()
+}
+
+/// Returns a route to the service of a case.
+fn route(kind: &str, prefix: &str, number: usize, service: &str) -> serde_json::Value {
+    serde_json::json!([
+        format!("{prefix}-{number}"),
+        "site.example",
+        format!("/{prefix}/{number}/"),
+        kind,
+        TIMEOUT,
+        2,
+        service
+    ])
+}
+
+/// A deployment with two routes and a service of its own for each case, so that the failures of one have no
+/// effect on another.
+struct Place {
+    _rig: Rig,
+    gateway: Gateway,
+    server: raw::Server,
+}
+
+async fn place(cases: &'static [Case]) -> Place {
+    let mut rig = Rig::start(&[]).await;
+    let server = raw::Server::start(rig.store.ip(), move |request: &raw::Request| {
+        let case = number(request.target()).and_then(|number| cases.get(number));
+        case.expect("a path of a case").answer(&proof(request))
+    });
+    let server = server.await.expect("the server starts");
+    let services: Vec<String> = (0..cases.len()).map(|number| format!("s-{number}")).collect();
+    let routes = services.iter().enumerate().flat_map(|(number, service)| {
+        let read = route("idempotent", "read", number, service);
+        [read, route("non_idempotent", "write", number, service)]
+    });
+    let routes: Vec<serde_json::Value> = routes.collect();
+    let names: Vec<[&str; 1]> = services.iter().map(|service| [service.as_str()]).collect();
+    let columns = ["name", "host", "path_prefix", "kind", "timeout", "max_attempts", "service"];
+    rig.put(serde_json::json!({
+        "routes": { "columns": columns, "rows": routes },
+        "services": { "columns": ["name"], "rows": names },
+    }));
+    for (number, service) in services.iter().enumerate() {
+        rig.enter_at(&format!("i-{number}"), server.address, service, "north-1", "ready", 0);
+    }
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    Place { _rig: rig, gateway, server }
+}
+
+/// Asks for each of `cases` by a request that may be repeated and by one that may not; returns what is wrong with
+/// what their callers are told.
+async fn faults(cases: &'static [Case]) -> Vec<String> {
+    let place = place(cases).await;
+    let asks = cases
+        .iter()
+        .enumerate()
+        .flat_map(|(number, case)| ["GET", "POST"].map(|method| (number, case, method)));
+    let gateway = &place.gateway;
+    let faults = stream::iter(asks).map(async |(number, case, method)| {
+        let prefix = if method == "GET" { "read" } else { "write" };
+        let id = format!("{prefix}-{number}");
+        let (bytes, took) = ask(gateway, method, &format!("/{prefix}/{number}/a"), &id).await;
+        let fault = case.fault(&bytes, |told: &Told| told.status == 502);
+        let fault = fault.or_else(|| (took > AT_ONCE).then(|| format!("after {took:?}")));
+        fault.map(|fault| format!("{method} {case:?}: {fault}"))
+    });
+    let faults = faults.buffer_unordered(CONCURRENCY).filter_map(future::ready).collect().await;
+    assert!(place.server.requests() >= 2 * cases.len(), "each request reached the upstream");
+    faults
+}
+
+/// Guards against passing on an answer whose head is spoilt, or refusing one that the protocol allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_broken_answers_are_told_as_broken_and_right_ones_whole() {
+    let cases = answers::all().leak();
+    let faults = faults(cases).await;
+    assert!(faults.is_empty(), "{} of {}:\n{}", faults.len(), 2 * cases.len(), faults.join("\n"));
+}
--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each test is named after the rule of the deployment that it watches.
 
+mod answers;
+mod broken_answers;
 mod client;
 mod closing;
 mod configuration;
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -1,6 +1,9 @@
 //! The real `yokespoked` over loopback: requests, planned stops, kills, pauses, store outages.
 
+#[path = "../gateway/answers.rs"]
+mod answers;
 mod api;
+mod broken_answers;
 mod calls;
 mod changes;
 mod check;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod loopback;
 pub mod pattern;
 pub mod platform;
+pub mod raw;
 pub mod record;
 pub mod server;
 pub mod split;
--- /dev/null
+++ b/crates/standin/src/raw.rs
@@ -0,0 +1,160 @@
+//! A server that answers each request with bytes as a test gives them, right or broken.
+//!
+//! It owns its connections and counts its requests; a closure of the test chooses the answers. It
+//! stands in for any program that answers over HTTP/1.1: an upstream, a node, a store, a VM list.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task;
+
+/// A request, as far as an answer depends on it.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// The lines of the head, without their ends.
+    pub head: Vec<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns the method.
+    #[must_use]
+    pub fn method(&self) -> &str {
+        self.word(0)
+    }
+
+    /// Returns the target.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        self.word(1)
+    }
+
+    /// Returns the value of a header field, empty if there is none.
+    #[must_use]
+    pub fn field(&self, name: &str) -> &str {
+        let fields = self.head.iter().skip(1).filter_map(|line| line.split_once(':'));
+        let mut values = fields.filter(|(field, _)| field.eq_ignore_ascii_case(name));
+        values.next().map(|(_, value)| value.trim()).unwrap_or_default()
+    }
+
+    fn word(&self, index: usize) -> &str {
+        let line = self.head.first().map(String::as_str).unwrap_or_default();
+        line.split(' ').nth(index).unwrap_or_default()
+    }
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It is closed.
+    Close,
+    /// It stays open for the next request.
+    Open,
+}
+
+/// The bytes of an answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The bytes, written at once.
+    pub bytes: Vec<u8>,
+    /// What follows them.
+    pub end: End,
+}
+
+type Choice = dyn Fn(&Request) -> Answer + Send + Sync;
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    requests: sync::Arc<atomic::AtomicUsize>,
+    task: task::JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts a server that answers each request as `choose` says.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub async fn start(
+        ip: net::Ipv4Addr,
+        choose: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let address = listener.local_addr()?;
+        let requests = sync::Arc::<atomic::AtomicUsize>::default();
+        let choose: sync::Arc<Choice> = sync::Arc::new(choose);
+        let task = task::spawn(accept(listener, sync::Arc::clone(&requests), choose));
+        Ok(Self { address, requests, task })
+    }
+
+    /// Returns the number of requests so far.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.load(atomic::Ordering::SeqCst)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    requests: sync::Arc<atomic::AtomicUsize>,
+    choose: sync::Arc<Choice>,
+) {
+    let mut connections = task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (requests, choose) = (sync::Arc::clone(&requests), sync::Arc::clone(&choose));
+        // An error ends the connection, as its caller does.
+        connections.spawn(async move { serve(stream, &requests, &*choose).await.ok() });
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    requests: &atomic::AtomicUsize,
+    choose: &Choice,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read(&mut stream).await? {
+        requests.fetch_add(1, atomic::Ordering::SeqCst);
+        let answer = choose(&request);
+        stream.write_all(&answer.bytes).await?;
+        if answer.end == End::Close {
+            return stream.shutdown().await;
+        }
+    }
+    Ok(())
+}
+
+/// Reads one request; `None` when the connection ended before it.
+async fn read(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+    let mut request = Request::default();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await? == 0 {
+            return Ok(None);
+        }
+        match line.trim_end() {
+            "" => break,
+            line => request.head.push(line.to_owned()),
+        }
+    }
+    let length = request.field("content-length").parse().unwrap_or_default();
+    request.body = vec![0; length];
+    stream.read_exact(&mut request.body).await?;
+    Ok(Some(request))
+}
