Answers: a transfer coding other than `chunked` alone is broken, in both roles

Callers got 200, complete, with the framing of the chunks as the body, where an upstream's `Transfer-Encoding` was spoilt (letters lost or added, another coding after it, a parameter, quotes, nothing) and the connection was closed after it. On a connection that stayed open, or beside a length, they got 504 at the deadline, and nothing else was tried. With codings that no node decodes before `chunked` they got 200 and bytes that still had the coding.

Cause: the HTTP library takes a body whose last coding is not `chunked` to end with its connection, as the protocol says of a recipient that has to make sense of it (RFC 9112, section 6.3). Neither role looked at the head itself.

Where the body of a response ends is one pure rule now, `steer::common::framing`, asked through `platform::framing` before any byte of the body is used. `chunked` once and alone is allowed; a length beside it is an error, as RFC 9112 advises, since one of the two is wrong. At a gateway the try ends as broken: tried again where that is allowed, 502 at once otherwise, counted against the upstream, with `unknown transfer coding` in the line of the request. At a node that owns upstreams likewise, with `upstream-broke-off`.

--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -13,7 +13,7 @@
 use model::load;
 use model::routing;
 use model::statement;
-use platform::field;
+use platform::{field, framing};
 use steer::dispatch::execution;
 
 use crate::common::body;
@@ -99,6 +99,7 @@
         let meter = sync::Arc::clone(&meter);
         move |_| meter.record_interim()
     });
+    let method = request.method().clone();
     meter.await_head();
     let response = tokio::select! {
         biased;
@@ -115,6 +116,7 @@
             false => Failure::NotSent(cause),
         }
     })?;
+    framing::check(&method, &response).map_err(|fault| broken(fault.as_str()))?;
     let (parts, incoming) = response.into_parts();
     let said = dialect.answer(&parts.headers, parts.status, rules);
     let (load, execution) = (said.statement.load, execution::execution(&said));
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -20,6 +20,7 @@
 use model::service;
 use model::upstream;
 use model::verdict;
+use platform::framing;
 use steer::ownership::event;
 use steer::ownership::heartbeat;
 use steer::ownership::request;
@@ -172,26 +173,21 @@
         };
         let left = order.deadline.saturating_duration_since(self.handle.now());
         let answer = tokio::time::timeout(left, self.client.request(request)).await;
-        if let Ok(Ok(answer)) = &answer {
-            self.pass_on_statement(slot, order, answer);
-        }
-        match answer {
-            Ok(Ok(answer)) if order.service.shed.contains(&answer.status().as_u16()) => {
-                Err(End::not_run(Outcome::Shed, Reason::Shed))
-            }
-            Ok(Ok(answer)) => Ok(answer),
+        let answer = match answer {
+            Ok(Ok(answer)) => answer,
             Ok(Err(error)) if error.is_connect() => {
-                Err(End::not_run(Outcome::Unreachable, Reason::Unreachable))
+                return Err(End::not_run(Outcome::Unreachable, Reason::Unreachable));
             }
             Ok(Err(error)) => {
-                let error = format!("{:#}", anyhow::Error::new(error));
-                log::warn!(
-                    upstream = slot.upstream.as_str(), error = error.as_str();
-                    "upstream-broke-off"
-                );
-                Err(End::may_have_run(Outcome::Broken, Reason::Broken))
+                return Err(broken(slot, &format!("{:#}", anyhow::Error::new(error))));
             }
-            Err(_) => Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
+            Err(_) => return Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
+        };
+        framing::check(&order.method, &answer).map_err(|fault| broken(slot, fault.as_str()))?;
+        self.pass_on_statement(slot, order, &answer);
+        match order.service.shed.contains(&answer.status().as_u16()) {
+            true => Err(End::not_run(Outcome::Shed, Reason::Shed)),
+            false => Ok(answer),
         }
     }
 
@@ -227,6 +223,12 @@
     }
 }
 
+/// Logs that an upstream broke off or that its answer is invalid; the request may have run.
+fn broken(slot: &Slot, error: &str) -> End {
+    log::warn!(upstream = slot.upstream.as_str(), error; "upstream-broke-off");
+    End::may_have_run(request::Outcome::Broken, verdict::Reason::Broken)
+}
+
 /// How an exchange without an answer ended: for the upstream, and for the caller.
 struct End {
     outcome: request::Outcome,
--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -171,9 +171,15 @@
     }
 }
 
+/// An answer without anything unusual.
+pub const SOUND: Case = framing(LENGTH, BODY).whole();
+
+/// An answer whose head does not tell where its body ends, on a connection that stays open.
+pub const UNKNOWN_END: Case = framing("Transfer-Encoding: chunke\r\n", CHUNKS);
+
 /// Answers that the protocol allows, however unusual.
 const RIGHT: &[Case] = &[
-    framing(LENGTH, BODY).whole(),
+    SOUND,
     framing(LENGTH, BODY).closed().whole(),
     framing("content-length:20\r\n", BODY).whole(),
     framing("Content-Length: \t 20 \t\r\n", BODY).whole(),
@@ -304,6 +310,38 @@
     framing("Transfer-Encoding: chunked\r\n", BODY).closed().broken_body(),
 ];
 
+/// Answers whose transfer coding is not `chunked` alone, so that the end of the body is unknown.
+const CODINGS: &[Case] = &[
+    UNKNOWN_END,
+    framing("Transfer-Encoding: chunke\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: hunked\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chunkedx\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chunked, gzip\r\n", CHUNKS),
+    framing("Transfer-Encoding: chunked, gzip\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chunked, identity\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: identity\r\n", BODY).closed(),
+    framing("Transfer-Encoding: chunked;q=1\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: \"chunked\"\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding:\r\n", CHUNKS),
+    framing("Transfer-Encoding:\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chunked,\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chun ked\r\n", CHUNKS).closed(),
+    framing("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", CHUNKS).closed(),
+    // Codings that a gateway does not decode, and `chunked` twice.
+    framing("Transfer-Encoding: gzip, chunked\r\n", CHUNKS),
+    framing("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", CHUNKS),
+    framing("Transfer-Encoding: chunked, chunked\r\n", CHUNKS),
+    framing("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", CHUNKS),
+    // Beside a length, and in a version that has no transfer codings.
+    framing("Transfer-Encoding: chunke\r\nContent-Length: 20\r\n", CHUNKS),
+    framing("Transfer-Encoding: chunke\r\nContent-Length: 30\r\n", CHUNKS),
+    framing("Transfer-Encoding: chunked\r\nContent-Length: 20\r\n", CHUNKS),
+    framing("Content-Length: 20\r\nTransfer-Encoding: chunked\r\n", BODY),
+    case("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", CHUNKS).closed(),
+    case("HTTP/1.1 500 Failed", "Transfer-Encoding: chunke\r\n", CHUNKS).closed(),
+    case("HTTP/1.1 404 Not Found", "Transfer-Encoding: chunke\r\n", CHUNKS).closed(),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
@@ -319,6 +357,6 @@
 
 /// Returns the cases that their heads and bodies show to be right or broken.
 pub fn all() -> Vec<Case> {
-    let groups = [RIGHT, STATUS_LINES, LINES, LENGTHS, BROKEN_CHUNKS, SECOND_ANSWERS];
+    let groups = [RIGHT, STATUS_LINES, LINES, LENGTHS, BROKEN_CHUNKS, CODINGS, SECOND_ANSWERS];
     groups.concat()
 }
--- a/crates/node/tests/gateway/broken_answers.rs
+++ b/crates/node/tests/gateway/broken_answers.rs
@@ -1,6 +1,8 @@
 //! Upstreams that send broken answers, and unusual ones that are right.
 
 use std::future;
+use std::sync;
+use std::sync::atomic;
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt as _, stream};
@@ -9,9 +11,9 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::answers::{self, Case, Told};
+use crate::answers::{self, BODY, Case, Told};
 use crate::client;
-use crate::rig::{Gateway, Rig};
+use crate::rig::{self, Gateway, Rig};
 
 /// Time after which the routes' requests end.
 const TIMEOUT: &str = "4s";
@@ -22,6 +24,9 @@
 /// Time after which a test gives a request up.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Number of no upstream.
+const NONE: usize = usize::MAX;
+
 /// Requests at once.
 const CONCURRENCY: usize = 8;
 
@@ -97,6 +102,63 @@
     Place { _rig: rig, gateway, server }
 }
 
+/// Two upstreams of one service, each of which answers with `broken` while it is told to.
+struct Pair {
+    servers: Vec<raw::Server>,
+    /// Number of the upstream that sends broken answers; [`NONE`] if neither does.
+    broken: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Pair {
+    async fn start(rig: &Rig, broken: Case) -> Self {
+        let turn = sync::Arc::new(atomic::AtomicUsize::new(NONE));
+        let mut servers = Vec::new();
+        for index in 0..2 {
+            let turn = sync::Arc::clone(&turn);
+            let choose = move |request: &raw::Request| match turn.load(atomic::Ordering::SeqCst) {
+                turn if turn == index => broken.answer(&proof(request)),
+                _ => answers::SOUND.answer(&proof(request)),
+            };
+            let server = raw::Server::start(rig.store.ip(), choose).await;
+            let server = server.expect("the server starts");
+            rig.enter_at(&format!("i-{index}"), server.address, "desk", "north-1", "ready", 0);
+            servers.push(server);
+        }
+        Self { servers, broken: turn }
+    }
+
+    /// Lets the upstream send broken answers that has got all requests so far.
+    fn break_preferred(&self) {
+        let preferred = usize::from(self.servers[1].requests() > 0);
+        self.broken.store(preferred, atomic::Ordering::SeqCst);
+    }
+}
+
+/// Guards against holding a request to its deadline although the head of the answer is known to be broken, and
+/// against passing that on where another upstream would do.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_a_broken_head_is_followed_by_another_try_where_that_is_allowed() {
+    let rig = Rig::start(&rig::routes()).await;
+    let pair = Pair::start(&rig, answers::UNKNOWN_END).await;
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let mut caller = gateway.caller().await;
+    assert_eq!(caller.get("/read/a", "first").await.status, 200);
+    pair.break_preferred();
+    let asked = Instant::now();
+    let answer = caller.get("/read/a", "second").await;
+    assert_eq!((answer.status, answer.text().as_str()), (200, BODY));
+    assert!(asked.elapsed() < AT_ONCE, "{:?}", asked.elapsed());
+    let requests = || pair.servers.iter().map(raw::Server::requests).sum::<usize>();
+    assert_eq!(requests(), 3);
+    let words = ["event=request-retried", "request=second", "unknown transfer coding"];
+    rig::until("it is logged", async || gateway.has_logged(&words)).await;
+    // One that may not be repeated is sent once, to either of them.
+    let answer = caller.post("/write/a", "third", "x").await;
+    assert!([200, 502].contains(&answer.status), "{answer:?}");
+    assert_eq!(requests(), 4);
+}
+
 /// Asks for each of `cases` by a request that may be repeated and by one that may not; returns what is wrong with
 /// what their callers are told.
 async fn faults(cases: &'static [Case]) -> Vec<String> {
--- /dev/null
+++ b/crates/steer/src/common/framing.rs
@@ -0,0 +1,122 @@
+//! Framing of a response: where its body ends (RFC 9112, section 6.3), decided from its head.
+//!
+//! Applies to every response that a node or the operators' tool reads, before any byte of the body is passed on or
+//! believed. The HTTP library finds the end of a body by the same fields, but accepts some heads that this module
+//! refuses: a spoilt transfer coding, for example, makes it take the framing of chunks for the body.
+
+use std::fmt;
+
+/// 204 No Content, a response without a body.
+const NO_CONTENT: u16 = 204;
+
+/// 304 Not Modified, a response without a body; its length is that of the response that it confirms.
+const NOT_MODIFIED: u16 = 304;
+
+/// The transfer coding that marks the end of a body.
+const CHUNKED: &[u8] = b"chunked";
+
+/// What the framing of a response depends on beside the fields of its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Status of the response.
+    pub status: u16,
+    /// Whether the response answers a `HEAD` request, and so has no body.
+    pub is_to_head: bool,
+}
+
+/// Where the body of a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body. The length is that of the body that another request would get; `None` if none is stated.
+    NoBody(Option<u64>),
+    /// After so many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// At the end of the connection.
+    UntilClose,
+}
+
+/// What is wrong with the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Its transfer coding is not `chunked` alone.
+    Coding,
+    /// It has a length and a transfer coding.
+    CodingAndLength,
+    /// Its length is not a number, or it has different ones.
+    Length,
+}
+
+impl Fault {
+    /// Returns the text for log lines.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Coding => "unknown transfer coding",
+            Self::CodingAndLength => "length beside a transfer coding",
+            Self::Length => "invalid length",
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Returns where the body of `message` ends. `codings` and `lengths` are the values of the `Transfer-Encoding` and
+/// `Content-Length` fields, in order.
+///
+/// # Errors
+///
+/// Fails if the head contradicts itself or HTTP, so that the end of the body is unknown.
+pub fn framing<'a>(
+    message: Message,
+    codings: impl Iterator<Item = &'a [u8]>,
+    lengths: impl Iterator<Item = &'a [u8]>,
+) -> Result<Framing, Fault> {
+    let is_chunked = is_chunked(codings)?;
+    let length = length(lengths)?;
+    match (message.status, is_chunked, length) {
+        (_, true, Some(_)) => Err(Fault::CodingAndLength),
+        (NO_CONTENT | NOT_MODIFIED, _, length) => Ok(Framing::NoBody(length)),
+        (_, _, length) if message.is_to_head => Ok(Framing::NoBody(length)),
+        (_, true, None) => Ok(Framing::Chunked),
+        (_, false, Some(length)) => Ok(Framing::Length(length)),
+        (_, false, None) => Ok(Framing::UntilClose),
+    }
+}
+
+/// Returns whether the body is chunked: `codings` name `chunked` once and nothing else.
+///
+/// No request allows another coding, and none is decoded.
+fn is_chunked<'a>(codings: impl Iterator<Item = &'a [u8]>) -> Result<bool, Fault> {
+    let mut codings = codings;
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.trim_ascii().eq_ignore_ascii_case(CHUNKED) => Ok(true),
+        (Some(_), _) => Err(Fault::Coding),
+    }
+}
+
+/// Returns the length that `values` state, each of which may be a list of equal numbers (RFC 9110, section 8.6).
+fn length<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<u64>, Fault> {
+    let numbers = values.flat_map(|value| value.split(|byte| *byte == b','));
+    numbers.map(number).try_fold(None, |length, number| match (length, number) {
+        (Some(length), Some(number)) if length != number => Err(Fault::Length),
+        (_, None) => Err(Fault::Length),
+        (_, number) => Ok(number),
+    })
+}
+
+/// Returns the number that is written in decimal digits; `None` if `text` is anything else.
+fn number(text: &[u8]) -> Option<u64> {
+    let digits = text.trim_ascii();
+    let is_number = digits.iter().all(u8::is_ascii_digit);
+    // An empty text is refused by the parser, a sign by the check above.
+    is_number.then(|| str::from_utf8(digits).ok()?.parse().ok())?
+}
--- a/crates/steer/src/common/mod.rs
+++ b/crates/steer/src/common/mod.rs
@@ -1,9 +1,10 @@
-//! Shared by both roles: traffic splits over regions, the limiter that moves them, round robin, the progress of
-//! sending and of response bodies, surplus bytes, acknowledgements, silence of peers, and what a planned stop goes
-//! by: its grace time, response times, and how late the process handles what happens.
+//! Shared by both roles: traffic splits over regions, the limiter that moves them, round robin, the framing of
+//! responses, the progress of sending and of response bodies, surplus bytes, acknowledgements, silence of peers, and
+//! what a planned stop goes by: its grace time, response times, and how late the process handles what happens.
 
 pub mod acknowledgement;
 pub mod body_progress;
+pub mod framing;
 pub mod grace;
 pub mod peer_silence;
 pub mod ramp;
--- /dev/null
+++ b/crates/steer/tests/framing.rs
@@ -0,0 +1,55 @@
+//! Where the body of a response ends, by its head.
+
+use steer::common::framing::{self, Fault, Framing, Message};
+
+const OK: Message = Message { status: 200, is_to_head: false };
+
+/// Applies the rule to a head with these fields.
+fn framing_of(message: Message, codings: &[&str], lengths: &[&str]) -> Result<Framing, Fault> {
+    let bytes = |values: &[&str]| -> Vec<Vec<u8>> {
+        values.iter().map(|value| value.as_bytes().to_vec()).collect()
+    };
+    let (codings, lengths) = (bytes(codings), bytes(lengths));
+    framing::framing(message, codings.iter().map(Vec::as_slice), lengths.iter().map(Vec::as_slice))
+}
+
+/// Guards against taking the frames of chunks for a body that ends with its connection.
+#[test]
+fn a_coding_other_than_chunked_is_a_fault() {
+    for coding in [
+        "",
+        "chunke",
+        "chunkedx",
+        "chunked,",
+        "chunked;a=b",
+        "gzip",
+        "gzip, chunked",
+        "chunked, chunked",
+    ] {
+        assert_eq!(framing_of(OK, &[coding], &[]), Err(Fault::Coding), "{coding:?}");
+        assert_eq!(framing_of(OK, &[coding], &["20"]), Err(Fault::Coding), "{coding:?}");
+    }
+    assert_eq!(framing_of(OK, &["chunked", "chunked"], &[]), Err(Fault::Coding));
+    assert_eq!(framing_of(OK, &["gzip", "chunked"], &[]), Err(Fault::Coding));
+    assert_eq!(framing_of(OK, &["chunked"], &["20"]), Err(Fault::CodingAndLength));
+}
+
+/// Guards against refusing what the protocol allows.
+#[test]
+fn each_way_to_end_a_body_is_allowed() {
+    for coding in ["chunked", "CHUNKED", " Chunked\t"] {
+        assert_eq!(framing_of(OK, &[coding], &[]), Ok(Framing::Chunked), "{coding:?}");
+    }
+    assert_eq!(framing_of(OK, &[], &["20"]), Ok(Framing::Length(20)));
+    assert_eq!(framing_of(OK, &[], &["0"]), Ok(Framing::Length(0)));
+    assert_eq!(framing_of(OK, &[], &[]), Ok(Framing::UntilClose));
+}
+
+/// Guards against waiting for the body of a response that has none.
+#[test]
+fn a_response_to_head_has_no_body() {
+    let message = Message { is_to_head: true, ..OK };
+    assert_eq!(framing_of(message, &[], &["20"]), Ok(Framing::NoBody(Some(20))));
+    assert_eq!(framing_of(message, &["chunked"], &[]), Ok(Framing::NoBody(None)));
+    assert_eq!(framing_of(message, &["chunke"], &[]), Err(Fault::Coding));
+}
