Answers: a repeated length is passed on once

Callers got 200 with `content-length: 20,20` where an upstream gave the same length twice in one line, which they can't read, or `020`.

Cause: the HTTP library reads such a line as 20, and the field went on as it came. RFC 9110, section 8.6, allows an error or one valid value in its place; the body is known to be whole, so the value is the better of the two for a caller whose request may not be repeated. `framing::check` puts it there, for both roles.

The rows of the table with `20,20`, `20, 20, 20` and `020` failed before in both roles, and pass; two equal lines were passed on as one before, and are.

--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -108,7 +108,7 @@
         () = meter.head_late() => return Err(broken("late end of the head")),
     };
     meter.record_progress();
-    let response = response.map_err(|mut error| {
+    let mut response = response.map_err(|mut error| {
         let is_sent = error.take_message().is_none();
         let cause = error.into_error().to_string();
         match is_sent {
@@ -116,7 +116,7 @@
             false => Failure::NotSent(cause),
         }
     })?;
-    framing::check(&method, &response).map_err(|fault| broken(fault.as_str()))?;
+    framing::check(&method, &mut response).map_err(|fault| broken(fault.as_str()))?;
     let (parts, incoming) = response.into_parts();
     let said = dialect.answer(&parts.headers, parts.status, rules);
     let (load, execution) = (said.statement.load, execution::execution(&said));
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -173,7 +173,7 @@
         };
         let left = order.deadline.saturating_duration_since(self.handle.now());
         let answer = tokio::time::timeout(left, self.client.request(request)).await;
-        let answer = match answer {
+        let mut answer = match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) if error.is_connect() => {
                 return Err(End::not_run(Outcome::Unreachable, Reason::Unreachable));
@@ -183,7 +183,7 @@
             }
             Err(_) => return Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
         };
-        framing::check(&order.method, &answer).map_err(|fault| broken(slot, fault.as_str()))?;
+        framing::check(&order.method, &mut answer).map_err(|fault| broken(slot, fault.as_str()))?;
         self.pass_on_statement(slot, order, &answer);
         match order.service.shed.contains(&answer.status().as_u16()) {
             true => Err(End::not_run(Outcome::Shed, Reason::Shed)),
--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -183,6 +183,7 @@
     framing(LENGTH, BODY).closed().whole(),
     framing("content-length:20\r\n", BODY).whole(),
     framing("Content-Length: \t 20 \t\r\n", BODY).whole(),
+    framing("Content-Length: 020\r\n", BODY).whole(),
     framing("Transfer-Encoding: chunked\r\n", CHUNKS).whole(),
     framing("transfer-encoding: CHUNKED\r\n", CHUNKS).whole(),
     framing(
@@ -342,6 +343,14 @@
     case("HTTP/1.1 404 Not Found", "Transfer-Encoding: chunke\r\n", CHUNKS).closed(),
 ];
 
+/// Answers that give their length more than once, and the same each time.
+const REPEATED_LENGTHS: &[Case] = &[
+    framing("Content-Length: 20,20\r\n", BODY).whole(),
+    framing("Content-Length: 20, 20, 20\r\n", BODY).whole(),
+    framing("Content-Length: 20\r\nContent-Length: 20\r\n", BODY).whole(),
+    framing("Content-Length: 20\r\nContent-Length: 020\r\n", BODY).whole(),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
@@ -357,6 +366,15 @@
 
 /// Returns the cases that their heads and bodies show to be right or broken.
 pub fn all() -> Vec<Case> {
-    let groups = [RIGHT, STATUS_LINES, LINES, LENGTHS, BROKEN_CHUNKS, CODINGS, SECOND_ANSWERS];
+    let groups = [
+        RIGHT,
+        STATUS_LINES,
+        LINES,
+        LENGTHS,
+        BROKEN_CHUNKS,
+        CODINGS,
+        REPEATED_LENGTHS,
+        SECOND_ANSWERS,
+    ];
     groups.concat()
 }
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -37,6 +37,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the value that a `Content-Length` field of the response has; `None` if it has no such field.
+    #[must_use]
+    pub fn content_length(self) -> Option<u64> {
+        match self {
+            Self::NoBody(length) => length,
+            Self::Length(length) => Some(length),
+            Self::Chunked | Self::UntilClose => None,
+        }
+    }
+}
+
 /// What is wrong with the head of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -53,3 +53,19 @@
     assert_eq!(framing_of(message, &["chunked"], &[]), Ok(Framing::NoBody(None)));
     assert_eq!(framing_of(message, &["chunke"], &[]), Err(Fault::Coding));
 }
+
+/// Guards against passing on a length that callers cannot read, and against refusing one that is only repeated.
+#[test]
+fn a_repeated_length_is_one_length() {
+    for lengths in [&["20,20"][..], &["20", "20"], &["020"], &[" 20 , 20\t"], &["20, 020", "20"]] {
+        let framing = framing_of(OK, &[], lengths);
+        assert_eq!(framing, Ok(Framing::Length(20)), "{lengths:?}");
+        assert_eq!(framing.ok().and_then(Framing::content_length), Some(20));
+    }
+    let broken =
+        ["", "x", "+20", "-20", "0x14", "2 0", "20,", ",20", "20,21", "18446744073709551616"];
+    for length in broken {
+        assert_eq!(framing_of(OK, &[], &[length]), Err(Fault::Length), "{length:?}");
+    }
+    assert_eq!(framing_of(OK, &[], &["20", "21"]), Err(Fault::Length));
+}
