Answers: 101 that was not asked for is broken, in both roles

Callers got 101 as an answer where an upstream sent that status; what follows on such a connection is no HTTP. At a node that owns upstreams some of these answers did not end within 6 s.

Cause: the HTTP library hands an upgrade on as a response, whether it was asked for or not. No node asks for one: `Upgrade` concerns one connection and is removed from requests. The rule of `framing` calls it broken (RFC 9110, section 15.2.2).

The four rows of the table failed before in both roles, and pass.

--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -351,6 +351,14 @@
     framing("Content-Length: 20\r\nContent-Length: 020\r\n", BODY).whole(),
 ];
 
+/// Answers that switch to a protocol that was not asked for.
+const SWITCHES: &[Case] = &[
+    case("HTTP/1.1 101 Switching Protocols", "", ""),
+    case("HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n", BODY),
+    case("HTTP/1.1 101 Switching Protocols", LENGTH, BODY),
+    case("HTTP/1.1 101 Switching Protocols", LENGTH, BODY).closed(),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
@@ -374,6 +382,7 @@
         BROKEN_CHUNKS,
         CODINGS,
         REPEATED_LENGTHS,
+        SWITCHES,
         SECOND_ANSWERS,
     ];
     groups.concat()
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -6,6 +6,9 @@
 
 use std::fmt;
 
+/// 101 Switching Protocols, which answers only a request for an upgrade.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// 204 No Content, a response without a body.
 const NO_CONTENT: u16 = 204;
 
@@ -52,6 +55,8 @@
 /// What is wrong with the head of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// It switches to another protocol, which no request asks for.
+    SwitchedProtocols,
     /// Its transfer coding is not `chunked` alone.
     Coding,
     /// It has a length and a transfer coding.
@@ -65,6 +70,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::SwitchedProtocols => "switched protocols without a request",
             Self::Coding => "unknown transfer coding",
             Self::CodingAndLength => "length beside a transfer coding",
             Self::Length => "invalid length",
@@ -91,6 +97,9 @@
     codings: impl Iterator<Item = &'a [u8]>,
     lengths: impl Iterator<Item = &'a [u8]>,
 ) -> Result<Framing, Fault> {
+    if message.status == SWITCHING_PROTOCOLS {
+        return Err(Fault::SwitchedProtocols);
+    }
     let is_chunked = is_chunked(codings)?;
     let length = length(lengths)?;
     match (message.status, is_chunked, length) {
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -69,3 +69,10 @@
     }
     assert_eq!(framing_of(OK, &[], &["20", "21"]), Err(Fault::Length));
 }
+
+/// Guards against a switch to a protocol that no request asked for.
+#[test]
+fn a_switch_of_protocols_is_a_fault() {
+    let message = Message { status: 101, is_to_head: false };
+    assert_eq!(framing_of(message, &[], &["20"]), Err(Fault::SwitchedProtocols));
+}
