Answers: a status beyond 599 is broken, in both roles

RFC 9110, section 15, calls statuses beyond 599 invalid and lets a client treat them as a failure of the server; a caller of a gateway can't know what such a status says of its request. It counts as a broken answer: tried again where that is allowed, 502 otherwise. An upstream that means a failure has 100 statuses for it.

The four rows of the table failed before in both roles, and pass; 599 and 299 are passed on.

--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -359,6 +359,14 @@
     case("HTTP/1.1 101 Switching Protocols", LENGTH, BODY).closed(),
 ];
 
+/// Answers with a status that HTTP does not have.
+const STATUSES: &[Case] = &[
+    status("HTTP/1.1 600 OK"),
+    status("HTTP/1.1 700 OK"),
+    status("HTTP/1.1 999 OK"),
+    status("HTTP/1.1 600 OK").closed(),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
@@ -383,6 +391,7 @@
         CODINGS,
         REPEATED_LENGTHS,
         SWITCHES,
+        STATUSES,
         SECOND_ANSWERS,
     ];
     groups.concat()
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -15,6 +15,9 @@
 /// 304 Not Modified, a response without a body; its length is that of the response that it confirms.
 const NOT_MODIFIED: u16 = 304;
 
+/// Statuses of HTTP (RFC 9110, section 15).
+const STATUSES: std::ops::Range<u16> = 100..600;
+
 /// The transfer coding that marks the end of a body.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -55,6 +58,8 @@
 /// What is wrong with the head of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// The status is none of HTTP's.
+    Status,
     /// It switches to another protocol, which no request asks for.
     SwitchedProtocols,
     /// Its transfer coding is not `chunked` alone.
@@ -70,6 +75,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Status => "status out of range",
             Self::SwitchedProtocols => "switched protocols without a request",
             Self::Coding => "unknown transfer coding",
             Self::CodingAndLength => "length beside a transfer coding",
@@ -97,8 +103,10 @@
     codings: impl Iterator<Item = &'a [u8]>,
     lengths: impl Iterator<Item = &'a [u8]>,
 ) -> Result<Framing, Fault> {
-    if message.status == SWITCHING_PROTOCOLS {
-        return Err(Fault::SwitchedProtocols);
+    match message.status {
+        SWITCHING_PROTOCOLS => return Err(Fault::SwitchedProtocols),
+        status if !STATUSES.contains(&status) => return Err(Fault::Status),
+        _ => {}
     }
     let is_chunked = is_chunked(codings)?;
     let length = length(lengths)?;
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -76,3 +76,16 @@
     let message = Message { status: 101, is_to_head: false };
     assert_eq!(framing_of(message, &[], &["20"]), Err(Fault::SwitchedProtocols));
 }
+
+/// Guards against passing on a status that HTTP does not have.
+#[test]
+fn a_status_out_of_range_is_a_fault() {
+    for status in (0..100).chain(600..=999) {
+        let message = Message { status, is_to_head: false };
+        assert_eq!(framing_of(message, &[], &["20"]), Err(Fault::Status), "{status}");
+    }
+    for status in [200, 299, 400, 404, 500, 599] {
+        let message = Message { status, is_to_head: false };
+        assert_eq!(framing_of(message, &[], &["20"]), Ok(Framing::Length(20)), "{status}");
+    }
+}
