Answers: a body that the status does not allow is broken, in both roles

Callers got 204 without a body where an upstream's answer had one, or said so by a length or a coding; 205 with a body; 204 and 304 whose length or coding is none.

Cause: the HTTP library reads no body after 204 and 304, and looks at neither field then. A 204 with a length is most likely another status that was spoilt, and its body is lost. RFC 9110 forbids the length (8.6) and content with 205 (15.3.6), RFC 9112 the coding (6.1).

A length above 0 or a coding with 204, and a length above 0 with 205, are broken now. 204 with a length of 0 is harmless and passed on without it; 304 keeps the length of what it confirms; 205 in chunks or without a length is passed on as it comes, since only its body would show a fault.

--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -367,6 +367,19 @@
     status("HTTP/1.1 600 OK").closed(),
 ];
 
+/// Answers with a body, or with what says that there is one, whose status allows none.
+const BODIES: &[Case] = &[
+    case("HTTP/1.1 204 No Content", LENGTH, BODY),
+    case("HTTP/1.1 204 No Content", LENGTH, ""),
+    case("HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n", CHUNKS),
+    case("HTTP/1.1 204 No Content", "Content-Length: twenty\r\n", ""),
+    case("HTTP/1.1 204 No Content", "Content-Length: 0\r\n", "").told(Expected::Empty(204)),
+    case("HTTP/1.1 205 Reset Content", LENGTH, BODY),
+    case("HTTP/1.1 304 Not Modified", "Content-Length: twenty\r\n", ""),
+    case("HTTP/1.1 304 Not Modified", "Content-Length: 20, 21\r\n", ""),
+    case("HTTP/1.1 304 Not Modified", "Transfer-Encoding: chunke\r\n", ""),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
@@ -392,6 +405,7 @@
         REPEATED_LENGTHS,
         SWITCHES,
         STATUSES,
+        BODIES,
         SECOND_ANSWERS,
     ];
     groups.concat()
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -12,6 +12,9 @@
 /// 204 No Content, a response without a body.
 const NO_CONTENT: u16 = 204;
 
+/// 205 Reset Content, whose body is empty.
+const RESET_CONTENT: u16 = 205;
+
 /// 304 Not Modified, a response without a body; its length is that of the response that it confirms.
 const NOT_MODIFIED: u16 = 304;
 
@@ -68,6 +71,8 @@
     CodingAndLength,
     /// Its length is not a number, or it has different ones.
     Length,
+    /// It has a body that its status does not allow.
+    ForbiddenBody,
 }
 
 impl Fault {
@@ -80,6 +85,7 @@
             Self::Coding => "unknown transfer coding",
             Self::CodingAndLength => "length beside a transfer coding",
             Self::Length => "invalid length",
+            Self::ForbiddenBody => "body with a status that allows none",
         }
     }
 }
@@ -112,7 +118,11 @@
     let length = length(lengths)?;
     match (message.status, is_chunked, length) {
         (_, true, Some(_)) => Err(Fault::CodingAndLength),
-        (NO_CONTENT | NOT_MODIFIED, _, length) => Ok(Framing::NoBody(length)),
+        (NO_CONTENT, true, None) => Err(Fault::ForbiddenBody),
+        (NO_CONTENT | RESET_CONTENT, _, Some(1..)) => Err(Fault::ForbiddenBody),
+        // A length of 0 is redundant here, and HTTP allows none.
+        (NO_CONTENT, _, _) => Ok(Framing::NoBody(None)),
+        (NOT_MODIFIED, _, length) => Ok(Framing::NoBody(length)),
         (_, _, length) if message.is_to_head => Ok(Framing::NoBody(length)),
         (_, true, None) => Ok(Framing::Chunked),
         (_, false, Some(length)) => Ok(Framing::Length(length)),
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -89,3 +89,23 @@
         assert_eq!(framing_of(message, &[], &["20"]), Ok(Framing::Length(20)), "{status}");
     }
 }
+
+/// Guards against dropping a body that a spoilt status hides, and against a length that HTTP forbids.
+#[test]
+fn a_status_without_a_body_allows_none() {
+    let of = |status| Message { status, is_to_head: false };
+    for (status, codings, lengths) in
+        [(204, &[][..], &["20"][..]), (204, &["chunked"], &[]), (205, &[], &["20"])]
+    {
+        let framing = framing_of(of(status), codings, lengths);
+        assert_eq!(framing, Err(Fault::ForbiddenBody), "{status} {codings:?} {lengths:?}");
+    }
+    assert_eq!(framing_of(of(204), &[], &["0"]), Ok(Framing::NoBody(None)));
+    assert_eq!(framing_of(of(204), &[], &[]), Ok(Framing::NoBody(None)));
+    assert_eq!(framing_of(of(205), &[], &["0"]), Ok(Framing::Length(0)));
+    assert_eq!(framing_of(of(304), &[], &["20"]), Ok(Framing::NoBody(Some(20))));
+    for status in [204, 205, 304] {
+        assert_eq!(framing_of(of(status), &[], &["x"]), Err(Fault::Length), "{status}");
+        assert_eq!(framing_of(of(status), &["chunke"], &[]), Err(Fault::Coding), "{status}");
+    }
+}
