Gateways: an answer that is longer than its length is broken

Callers got 200, complete, with a part of the body where an upstream's length had lost a digit or was too small, or where its head ended too early; 304 where a spoilt status hid the body. The rest was logged as `answer-surplus` after the caller had its answer.

Cause: the HTTP library closes such a connection and tells only the task that drives it. What it left unread says more: bytes that begin no answer (`framing::is_cut_short`) are as likely a part of the body as a surplus, and a caller can't notice a part that looks whole. They are known before the last piece of the body is handed on, since that task finds them in the same turn. The try ends as broken then, for both kinds of requests; a long body whose beginning has been passed on ends before its last piece.

The stand-in's `Part::Surplus` sent "surplus " without end after a whole answer, and its tests want that answer served. It sends further answers without end now, with the same checks; what it sent before is `Part::Excess`, where 502 is right too when it arrives with the answer, at full speed only.

--- a/crates/node/src/gateway/proxy/connection.rs
+++ b/crates/node/src/gateway/proxy/connection.rs
@@ -1,18 +1,21 @@
 //! Connection to an upstream.
 //!
 //! Owns the socket, the task that drives the connection, and the count of what it receives.
-//! [`response_progress`] decides when it has received too much, and [`peer_silence`] when its peer is gone.
+//! [`response_progress`] decides when it has received too much, [`framing`] what bytes after a response mean, and
+//! [`peer_silence`] when its peer is gone.
 
 use std::error::Error as _;
 use std::io;
 use std::net;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use steer::common::framing;
 use steer::common::peer_silence;
 use steer::dispatch::response_progress;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -47,7 +50,7 @@
 
 impl Connection {
     /// Opens a connection. `on_surplus` is called if it ends because the upstream sends more than the
-    /// responses to its requests.
+    /// responses to its requests, unless [`Meter::is_cut_short`] tells so of a response that is being read.
     ///
     /// # Errors
     ///
@@ -70,19 +73,28 @@
             .max_buf_size(response_progress::BUFFER_BYTES)
             .handshake(rt::TokioIo::new(metered));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
-        let driver = task::spawn_local(async move {
-            // An exchange on the connection returns the error; without one, the upstream has sent bytes that
-            // belong to no request.
-            if let Err(error) = connection.await
-                && is_surplus(&error)
-            {
-                on_surplus();
-            }
-        });
+        let driver = task::spawn_local(drive(connection, sync::Arc::clone(&meter), on_surplus));
         Ok(Self { sender, used: Instant::now(), idle_timeout: Duration::ZERO, meter, driver })
     }
 }
 
+/// Drives a connection until it ends.
+///
+/// An exchange on the connection returns its error; without one, the upstream has sent bytes that belong to no request.
+async fn drive(
+    mut connection: http1::Connection<rt::TokioIo<Metered>, body::Body>,
+    meter: sync::Arc<Meter>,
+    on_surplus: impl FnOnce(),
+) {
+    let ended = (&mut connection).await;
+    let rest = connection.into_parts().read_buf;
+    match ended {
+        _ if meter.record_rest(&rest) => {}
+        Err(error) if is_surplus(&error) => on_surplus(),
+        Ok(()) | Err(_) => {}
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -106,18 +118,45 @@
     error.source().is_none() && !error.is_incomplete_message()
 }
 
-/// Counts what a connection receives, and tells when a response head is late.
+/// Counts what a connection receives, and tells when a response head is late or a response cut short.
 #[derive(Debug, Default)]
 pub struct Meter {
     receipt: sync::Mutex<response_progress::Receipt>,
     /// Notified when the deadline of a head may have changed.
     changed: Notify,
+    /// Whether a response is being read.
+    is_reading: atomic::AtomicBool,
+    /// Whether the response that is being read may be cut short.
+    is_cut_short: atomic::AtomicBool,
 }
 
 impl Meter {
     /// Records that a request is sent.
     pub fn await_head(&self) {
         self.receipt().await_head();
+        self.is_reading.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Records that the response has been read to its end.
+    pub fn record_end(&self) {
+        self.is_reading.store(false, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether bytes that arrived with the end of the response show that it may be cut short.
+    ///
+    /// The task that drives the connection finds them before the end of the body is handed on.
+    #[must_use]
+    pub fn is_cut_short(&self) -> bool {
+        self.is_cut_short.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records the bytes after the last response of a connection that has ended; returns whether they show that the
+    /// response that is being read may be cut short.
+    fn record_rest(&self, rest: &[u8]) -> bool {
+        let is_reading = self.is_reading.load(atomic::Ordering::Relaxed);
+        let is_cut_short = is_reading && framing::is_cut_short(rest);
+        self.is_cut_short.store(is_cut_short, atomic::Ordering::Relaxed);
+        is_cut_short
     }
 
     /// Records an interim response.
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -33,6 +33,9 @@
 /// Time before the announced idle timeout from which a connection is no longer used.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_200);
 
+/// Text for log lines on a response that is followed by bytes that begin no other one.
+pub const CUT_SHORT: &str = "more bytes than its length";
+
 /// Why an exchange returned no response to the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -163,9 +166,15 @@
         meter.record_progress();
         let Ok(data) = frame.into_data() else { continue };
         read.extend_from_slice(&data);
-        if read.len() > MAX_BUFFERED_BYTES {
-            return Ok(Payload::Partial(read.freeze(), incoming));
+        match read.len() > MAX_BUFFERED_BYTES {
+            true if meter.is_cut_short() => return Err(broken(CUT_SHORT)),
+            true => return Ok(Payload::Partial(read.freeze(), incoming)),
+            false => {}
         }
     }
+    if meter.is_cut_short() {
+        return Err(broken(CUT_SHORT));
+    }
+    meter.record_end();
     Ok(Payload::Whole(read.freeze()))
 }
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -19,6 +19,7 @@
 use crate::gateway::proxy::attempt;
 use crate::gateway::proxy::connection;
 use crate::gateway::proxy::crash;
+use crate::gateway::proxy::exchange;
 use crate::gateway::proxy::head;
 use crate::gateway::state;
 
@@ -114,8 +115,13 @@
         };
         next = frame?.transpose().map_err(io::Error::other)?;
         meter.record_progress();
+        // Known before the last piece is passed on, without which the response does not look complete.
+        if meter.is_cut_short() {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, exchange::CUT_SHORT));
+        }
         let bytes = next.as_ref().and_then(Frame::data_ref).map_or(0, Bytes::len);
         stream.record_piece(bytes, since, Instant::now());
     }
+    meter.record_end();
     Ok(Extent::Whole)
 }
--- a/crates/node/tests/gateway/answers.rs
+++ b/crates/node/tests/gateway/answers.rs
@@ -177,6 +177,9 @@
 /// An answer whose head does not tell where its body ends, on a connection that stays open.
 pub const UNKNOWN_END: Case = framing("Transfer-Encoding: chunke\r\n", CHUNKS);
 
+/// An answer whose length is that of a part of its body.
+pub const SHORT_LENGTH: Case = framing("Content-Length: 2\r\n", BODY).broken_body();
+
 /// Answers that the protocol allows, however unusual.
 const RIGHT: &[Case] = &[
     SOUND,
@@ -380,6 +383,18 @@
     case("HTTP/1.1 304 Not Modified", "Transfer-Encoding: chunke\r\n", ""),
 ];
 
+/// Answers with more bytes after what the head says is the body, which begin no answer.
+pub const SHORT_LENGTHS: &[Case] = &[
+    SHORT_LENGTH,
+    framing("Content-Length: 19\r\n", BODY).broken_body(),
+    framing("Content-Length: 2\r\n", BODY).closed().broken_body(),
+    framing("Content-Length: 2\r\nConnection: close\r\n", BODY).closed().broken_body(),
+    framing("Content-Length: 0\r\n", BODY).broken_body(),
+    // The head ends too early.
+    framing("Content-Length: 20\r\n\r\nX-Y: value\r\n", BODY).broken_body(),
+    case("HTTP/1.1 304 Not Modified", LENGTH, BODY).broken_body(),
+];
+
 /// Answers that are followed by another one, which belongs to no request.
 const SECOND_ANSWERS: &[Case] = &[
     framing(LENGTH, "twenty bytes exactlyHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").whole(),
--- a/crates/node/tests/gateway/broken_answers.rs
+++ b/crates/node/tests/gateway/broken_answers.rs
@@ -7,6 +7,7 @@
 
 use futures_util::{StreamExt as _, stream};
 use platform::headers;
+use standin::platform::upstream;
 use standin::raw;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -24,6 +25,9 @@
 /// Time after which a test gives a request up.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Bytes of a long answer that its length leaves out.
+const LEFT_OUT: usize = 3;
+
 /// Number of no upstream.
 const NONE: usize = usize::MAX;
 
@@ -134,12 +138,11 @@
     }
 }
 
-/// Guards against holding a request to its deadline although the head of the answer is known to be broken, and
-/// against passing that on where another upstream would do.
-#[tokio::test(flavor = "multi_thread")]
-async fn mixed_a_broken_head_is_followed_by_another_try_where_that_is_allowed() {
+/// Checks that a request is tried again where that is allowed after an answer that is broken as `broken` is, for a
+/// reason that the log names by `cause`.
+async fn check_next_try(broken: Case, cause: &str) {
     let rig = Rig::start(&rig::routes()).await;
-    let pair = Pair::start(&rig, answers::UNKNOWN_END).await;
+    let pair = Pair::start(&rig, broken).await;
     let door = rig.store.open().await.expect("the store opens");
     let gateway = rig.gateway("n-1", "north-1", &door).await;
     let mut caller = gateway.caller().await;
@@ -151,7 +154,7 @@
     assert!(asked.elapsed() < AT_ONCE, "{:?}", asked.elapsed());
     let requests = || pair.servers.iter().map(raw::Server::requests).sum::<usize>();
     assert_eq!(requests(), 3);
-    let words = ["event=request-retried", "request=second", "unknown transfer coding"];
+    let words = ["event=request-retried", "request=second", cause];
     rig::until("it is logged", async || gateway.has_logged(&words)).await;
     // One that may not be repeated is sent once, to either of them.
     let answer = caller.post("/write/a", "third", "x").await;
@@ -159,6 +162,19 @@
     assert_eq!(requests(), 4);
 }
 
+/// Guards against holding a request to its deadline although the head of the answer is known to be broken, and
+/// against passing that on where another upstream would do.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_a_broken_head_is_followed_by_another_try_where_that_is_allowed() {
+    check_next_try(answers::UNKNOWN_END, "unknown transfer coding").await;
+}
+
+/// The same where the length is too short.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_a_length_too_short_is_followed_by_another_try_where_that_is_allowed() {
+    check_next_try(answers::SHORT_LENGTH, "more bytes than its length").await;
+}
+
 /// Asks for each of `cases` by a request that may be repeated and by one that may not; returns what is wrong with
 /// what their callers are told.
 async fn faults(cases: &'static [Case]) -> Vec<String> {
@@ -188,3 +204,43 @@
     let faults = faults(cases).await;
     assert!(faults.is_empty(), "{} of {}:\n{}", faults.len(), 2 * cases.len(), faults.join("\n"));
 }
+
+/// Guards against an answer that looks whole, though its length is that of a part.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_answers_with_a_length_too_short_are_told_as_broken() {
+    let faults = faults(answers::SHORT_LENGTHS).await;
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+/// Guards against the same in a body that is passed on while it arrives: it must not look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_a_long_answer_with_a_length_too_short_does_not_look_whole() {
+    let rig = Rig::start(&rig::routes()).await;
+    let server = raw::Server::start(rig.store.ip(), |request: &raw::Request| {
+        let size = number(request.target()).expect("a size");
+        let length = size - LEFT_OUT;
+        let head = format!("HTTP/1.1 200 OK\r\n{}Content-Length: {length}\r\n\r\n", proof(request));
+        let bytes = [head.into_bytes(), vec![b'x'; size]].concat();
+        raw::Answer { bytes, end: raw::End::Open }
+    });
+    let server = server.await.expect("the server starts");
+    rig.enter_at("i-0", server.address, "desk", "north-1", "ready", 0);
+    let door = rig.store.open().await.expect("the store opens");
+    let gateway = rig.gateway("n-1", "north-1", &door).await;
+    let ask = async |method, path: String| {
+        let mut caller = gateway.caller().await;
+        caller.write(client::request(method, &path, method, "").as_bytes()).await;
+        caller.read().await
+    };
+    for (method, kind) in [("GET", "read"), ("POST", "write")] {
+        // Its end is there, or not yet, when the gateway decides to pass it on.
+        let answer = ask(method, format!("/{kind}/{}", upstream::LONG)).await;
+        let told = (answer.status, answer.is_whole);
+        assert!([(502, true), (200, false)].contains(&told), "{method}: {told:?}");
+        // Its beginning has been passed on by then.
+        let answer = ask(method, format!("/{kind}/{}", 4 * upstream::LONG)).await;
+        assert_eq!((answer.status, answer.is_whole), (200, false), "{method}");
+    }
+    let words = ["event=answer-cut-off", "upstream=i-0", "more bytes than its length"];
+    rig::until("it is logged", async || gateway.has_logged(&words)).await;
+}
--- a/crates/node/tests/gateway/endless.rs
+++ b/crates/node/tests/gateway/endless.rs
@@ -176,6 +176,10 @@
     match (endless.part, verdict) {
         (Part::Surplus, Some((200, true))) => assert!(told.beginning.ends_with(b"whole")),
         (Part::Surplus, _) => panic!("{endless:?}: {verdict:?}"),
+        (Part::Excess, Some((200, true))) => assert!(told.beginning.ends_with(b"whole")),
+        // They arrive with the answer at times, which may be cut short then.
+        (Part::Excess, Some((502, true))) if endless.speed == Speed::Full => {}
+        (Part::Excess, _) => panic!("{endless:?}: {verdict:?}"),
         (_, Some((502 | 504, true)) | Some((200, false))) => {}
         (_, _) => panic!("{endless:?}: {verdict:?}"),
     }
@@ -300,7 +304,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_upstreams_are_avoided() {
     let mut failed = Vec::new();
-    for part in Part::ALL.into_iter().filter(|part| *part != Part::Surplus) {
+    for part in Part::ALL.into_iter().filter(|part| !part.is_after_answer()) {
         let place = place(2).await;
         let Place { gateway, desk, .. } = &place;
         let mut caller = gateway.caller().await;
--- a/crates/node/tests/process/broken_answers.rs
+++ b/crates/node/tests/process/broken_answers.rs
@@ -125,3 +125,10 @@
     let faults = faults(cases).await;
     assert!(faults.is_empty(), "{} of {}:\n{}", faults.len(), 2 * cases.len(), faults.join("\n"));
 }
+
+/// Guards against an answer that looks whole, though its length is that of a part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_length_too_short_is_told_as_broken_by_owners() {
+    let faults = faults(answers::SHORT_LENGTHS).await;
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
--- a/crates/standin/src/platform/endless.rs
+++ b/crates/standin/src/platform/endless.rs
@@ -41,8 +41,10 @@
     EmptyLines,
     /// Bytes that are no HTTP, in place of a head.
     Garbage,
-    /// Bytes after a whole answer.
+    /// Further answers after a whole one.
     Surplus,
+    /// Bytes after a whole answer that begin no other one.
+    Excess,
     /// The body, by a length far beyond any body.
     Length,
     /// The size of a chunk, which is zeros.
@@ -59,7 +61,7 @@
 
 impl Part {
     /// All parts.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::StatusLine,
         Self::HeaderLines,
         Self::HeaderValue,
@@ -67,6 +69,7 @@
         Self::EmptyLines,
         Self::Garbage,
         Self::Surplus,
+        Self::Excess,
         Self::Length,
         Self::ChunkSize,
         Self::ChunkExtension,
@@ -89,6 +92,12 @@
         )
     }
 
+    /// Returns whether the part comes after a whole answer.
+    #[must_use]
+    pub fn is_after_answer(self) -> bool {
+        matches!(self, Self::Surplus | Self::Excess)
+    }
+
     /// Returns what is written at once at full speed.
     fn block(self, piece: &str) -> String {
         let piece = match self {
@@ -103,6 +112,7 @@
         let head = |framing: &str| {
             format!("HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}{framing}\r\n", headers::REQUEST_ID)
         };
+        let whole = || format!("{}whole", head("content-length: 5\r\n"));
         let chunked = |start: &str| format!("{}{start}", head("transfer-encoding: chunked\r\n"));
         match self {
             Self::StatusLine => (String::from("HTTP/1.1 200 "), "x"),
@@ -111,7 +121,8 @@
             Self::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
             Self::EmptyLines => (String::new(), "\r\n"),
             Self::Garbage => (String::new(), "\0\x01\x02"),
-            Self::Surplus => (format!("{}whole", head("content-length: 5\r\n")), "surplus "),
+            Self::Surplus => (whole(), "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"),
+            Self::Excess => (whole(), "excess "),
             Self::Length => (head("content-length: 999999999999999\r\n"), "x"),
             Self::ChunkSize => (chunked("5\r\nhello\r\n"), "0"),
             Self::ChunkExtension => (chunked("5\r\nhello\r\n5;"), "x"),
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -24,6 +24,9 @@
 /// The transfer coding that marks the end of a body.
 const CHUNKED: &[u8] = b"chunked";
 
+/// What each response begins with, in the versions of HTTP that a connection may speak.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// What the framing of a response depends on beside the fields of its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -130,6 +133,19 @@
     }
 }
 
+/// Returns whether `rest`, which a connection received after the end of a response, shows that the response may be
+/// cut short: its stated length is too small, or its head ended too early.
+///
+/// Bytes that begin another response are a surplus, which belongs to no request and leaves the first one valid.
+#[must_use]
+pub fn is_cut_short(rest: &[u8]) -> bool {
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let lines = rest.iter().position(|byte| !is_line_end(byte)).unwrap_or_default();
+    let start = &rest[lines..];
+    let length = start.len().min(RESPONSE_START.len());
+    !rest.is_empty() && start[..length] != RESPONSE_START[..length]
+}
+
 /// Returns whether the body is chunked: `codings` name `chunked` once and nothing else.
 ///
 /// No request allows another coding, and none is decoded.
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -109,3 +109,16 @@
         assert_eq!(framing_of(of(status), &["chunke"], &[]), Err(Fault::Coding), "{status}");
     }
 }
+
+/// Guards against taking a part of a body for the whole, and a second response for such a rest.
+#[test]
+fn bytes_that_begin_no_response_show_that_one_is_cut_short() {
+    for rest in
+        ["x", "rest of the body", "\r\n", "\n", "HTTP/2", "http/1.1 200", "\r\nHTP", " HTTP/1.1"]
+    {
+        assert!(framing::is_cut_short(rest.as_bytes()), "{rest:?}");
+    }
+    for rest in ["", "H", "HTTP", "HTTP/1.", "HTTP/1.1 200 OK", "\r\nHTTP/1.0", "\n\nHT"] {
+        assert!(!framing::is_cut_short(rest.as_bytes()), "{rest:?}");
+    }
+}
