Owners: an answer that is longer than its length is broken

Callers of nodes that own upstreams got 200, complete, with a part of the body where an upstream's length was too small or its head ended too early, as those of gateways did.

Cause: the library's pooled client tells nobody that a connection ended with bytes that belong to no answer. It is replaced by connections of our own over the same library, with a pool of as many idle connections for as long as before (`runner::connection`, `runner::pool`). Each connection's task says what was left unread; `framing::is_cut_short` decides as it does at gateways. An answer that has come whole with such bytes ends as broken: repeated where that is allowed, 502 otherwise. One whose beginning has been passed on ends before its last piece. A request that could not be sent at all on a new connection counts as not run now, which it is.

--- a/crates/node/src/owner/runner/guarded.rs
+++ b/crates/node/src/owner/runner/guarded.rs
@@ -1,7 +1,8 @@
 //! An answer's body that is passed on while it arrives.
 //!
 //! Owns when the slot is given back: at the body's end, when it breaks off, at the deadline, or when
-//! whoever reads it stops. [`body_progress`] decides when the upstream is too slow.
+//! whoever reads it stops; and that the connection is used again after the body's end. [`body_progress`] decides when
+//! the upstream is too slow.
 
 use std::future::Future as _;
 use std::io;
@@ -19,12 +20,24 @@
 
 use crate::owner::handle;
 use crate::owner::handle::offered;
+use crate::owner::runner::connection;
+use crate::owner::runner::pool;
+
+/// A connection that an answer arrives on, and where it is kept afterwards.
+pub(super) struct Lane {
+    /// The connection.
+    pub(super) connection: connection::Connection,
+    /// Where it is kept.
+    pub(super) pool: pool::Pool,
+}
 
 /// An answer's body that holds its slot until it ends, or until its deadline.
 ///
 /// A caller that reads slowly may take longer than the deadline.
 pub(super) struct Guarded {
     inner: Incoming,
+    /// `None` once the body has ended.
+    lane: Option<Lane>,
     offered: Option<offered::Offered>,
     handle: handle::Handle,
     progress: body_progress::Stream,
@@ -40,6 +53,7 @@
     /// Guards `inner`, whose request has this deadline.
     pub(super) fn new(
         inner: Incoming,
+        lane: Lane,
         offered: offered::Offered,
         deadline: Instant,
         handle: handle::Handle,
@@ -50,8 +64,25 @@
         let left = deadline.saturating_duration_since(now);
         let deadline = Box::pin(time::sleep(left));
         let cut_off = Box::pin(time::sleep(left));
-        let offered = Some(offered);
-        Self { inner, offered, handle, progress, awaited: None, deadline, cut_off }
+        let (lane, offered) = (Some(lane), Some(offered));
+        let mut guarded =
+            Self { inner, lane, offered, handle, progress, awaited: None, deadline, cut_off };
+        if guarded.inner.is_end_stream() {
+            guarded.release_connection();
+        }
+        guarded
+    }
+
+    /// Keeps the connection for another request, now that the body has ended.
+    fn release_connection(&mut self) {
+        if let Some(Lane { connection, pool }) = self.lane.take() {
+            pool.put(connection);
+        }
+    }
+
+    /// Returns whether the body is cut short, which is known before its last piece is handed on.
+    fn is_cut_short(&self) -> bool {
+        self.lane.as_ref().is_some_and(|lane| lane.connection.is_cut_short())
     }
 
     fn end(&mut self, outcome: request::Outcome) {
@@ -92,10 +123,14 @@
                 self.progress.record_piece(bytes, since, now);
                 if self.inner.is_end_stream() {
                     self.end(request::Outcome::Answered);
+                    self.release_connection();
                 }
             }
             Some(Err(_)) => self.end(request::Outcome::Broken),
-            None => self.end(request::Outcome::Answered),
+            None => {
+                self.end(request::Outcome::Answered);
+                self.release_connection();
+            }
         }
     }
 }
@@ -113,6 +148,10 @@
         let since = *this.awaited.get_or_insert(now);
         if let task::Poll::Ready(frame) = Pin::new(&mut this.inner).poll_frame(context) {
             this.awaited = None;
+            if this.is_cut_short() {
+                this.end(request::Outcome::Broken);
+                return task::Poll::Ready(Some(Err(io::ErrorKind::InvalidData.into())));
+            }
             this.record(frame.as_ref(), since, now);
             return task::Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)));
         }
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -1,19 +1,19 @@
 //! Runs a request at an upstream, in a slot that the decisions gave.
 //!
-//! Owns the connections to upstreams, and gives each slot back with the outcome of its exchange. Relies on
-//! the decisions for slots.
+//! Owns the exchanges, and gives each slot back with the outcome of its own. Relies on the decisions for slots.
 
+mod connection;
 mod guarded;
+mod pool;
 
+use std::io;
+use std::net;
 use std::sync;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt;
 use model::id;
 use model::leaving;
 use model::rest;
@@ -27,7 +27,6 @@
 
 use crate::common::body;
 use crate::common::head;
-use crate::common::socket;
 use crate::owner::event_loop::message;
 use crate::owner::failed;
 use crate::owner::handle;
@@ -35,14 +34,8 @@
 use crate::owner::in_flight;
 use crate::owner::in_flight::phase;
 
-/// Time to make a connection to an upstream. Not measured.
-const CONNECT_TIME: Duration = Duration::from_secs(1);
-
-/// Idle connections kept to one upstream. Not measured; more than its slots are never of use.
-const IDLE_CONNECTIONS: usize = 8;
-
-/// Time for which an idle connection is kept. Not measured.
-const IDLE_TIME: Duration = Duration::from_secs(30);
+/// Cause of a failure in log lines: bytes follow the response that begin no other one.
+const CUT_SHORT: &str = "more bytes than its length";
 
 /// A request on its way to an upstream.
 #[derive(Debug)]
@@ -70,7 +63,7 @@
 /// Runs requests; each thread that does so has its own connections.
 #[derive(Clone, Debug)]
 pub struct Runner {
-    client: legacy::Client<socket::Connector, body::Body>,
+    pool: pool::Pool,
     handle: handle::Handle,
 }
 
@@ -81,7 +74,7 @@
     pub upstream: id::Upstream,
     /// How much of its slots the service uses here.
     pub usage: heartbeat::Usage,
-    address: std::net::SocketAddr,
+    address: net::SocketAddr,
     offered: offered::Offered,
 }
 
@@ -89,15 +82,7 @@
     /// Makes a runner without connections.
     #[must_use]
     pub fn new(handle: handle::Handle) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIME));
-        connector.set_nodelay(true);
-        let client = legacy::Client::builder(rt::TokioExecutor::new())
-            .pool_timer(rt::TokioTimer::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .pool_idle_timeout(IDLE_TIME)
-            .build(socket::connector(connector));
-        Self { client, handle }
+        Self { pool: pool::Pool::new(handle.clone()), handle }
     }
 
     /// Waits for a slot.
@@ -144,11 +129,12 @@
         order.request.name_upstream(&slot.upstream);
         order.request.enter(phase::Phase::Sent);
         match self.exchange(&slot, order, body).await {
-            Ok(answer) => {
+            Ok((connection, answer)) => {
                 let (mut parts, inner) = answer.into_parts();
                 head::clean(&mut parts.headers);
+                let lane = guarded::Lane { connection, pool: self.pool.clone() };
                 let handle = self.handle.clone();
-                let body = guarded::Guarded::new(inner, slot.offered, order.deadline, handle);
+                let body = guarded::Guarded::new(inner, lane, slot.offered, order.deadline, handle);
                 Ok(Response::from_parts(parts, body.boxed_unsync()))
             }
             Err(End { outcome, failure }) => {
@@ -165,29 +151,55 @@
         slot: &Slot,
         order: &Order,
         body: body::Body,
-    ) -> Result<Response<Incoming>, End> {
+    ) -> Result<(connection::Connection, Response<Incoming>), End> {
         use request::Outcome;
         use verdict::Reason;
-        let Some(request) = self.request(slot, order, body) else {
+        let Some(request) = self.request(order, body) else {
             return Err(End::not_run(Outcome::Shed, Reason::BadRequest));
         };
         let left = order.deadline.saturating_duration_since(self.handle.now());
-        let answer = tokio::time::timeout(left, self.client.request(request)).await;
-        let mut answer = match answer {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) if error.is_connect() => {
-                return Err(End::not_run(Outcome::Unreachable, Reason::Unreachable));
-            }
-            Ok(Err(error)) => {
-                return Err(broken(slot, &format!("{:#}", anyhow::Error::new(error))));
-            }
+        let answer = match tokio::time::timeout(left, self.send(slot.address, request)).await {
+            Ok(answer) => answer,
             Err(_) => return Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
         };
+        let (connection, mut answer) = answer.map_err(|failure| match failure {
+            Failure::NotSent => End::not_run(Outcome::Unreachable, Reason::Unreachable),
+            Failure::Broken(error) => broken(slot, &format!("{:#}", anyhow::Error::new(error))),
+        })?;
         framing::check(&order.method, &mut answer).map_err(|fault| broken(slot, fault.as_str()))?;
+        if connection.is_cut_short() {
+            return Err(broken(slot, CUT_SHORT));
+        }
         self.pass_on_statement(slot, order, &answer);
         match order.service.shed.contains(&answer.status().as_u16()) {
             true => Err(End::not_run(Outcome::Shed, Reason::Shed)),
-            false => Ok(answer),
+            false => Ok((connection, answer)),
+        }
+    }
+
+    /// Sends a request over an idle connection, or over a new one where none is left that works.
+    async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: Request<body::Body>,
+    ) -> Result<(connection::Connection, Response<Incoming>), Failure> {
+        let mut request = request;
+        loop {
+            let idle = self.pool.take(address);
+            let is_reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => connection::Connection::open(address, self.handle.now()).await?,
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(answer) => return Ok((connection, answer)),
+                Err(mut error) => match error.take_message() {
+                    // The upstream had closed the idle connection.
+                    Some(unsent) if is_reused => request = unsent,
+                    Some(_) => return Err(Failure::NotSent),
+                    None => return Err(Failure::Broken(error.into_error())),
+                },
+            }
         }
     }
 
@@ -206,10 +218,10 @@
     }
 
     /// Builds the request that the upstream sees.
-    fn request(&self, slot: &Slot, order: &Order, body: body::Body) -> Option<Request<body::Body>> {
-        let uri = format!("http://{}{}", slot.address, order.path);
+    fn request(&self, order: &Order, body: body::Body) -> Option<Request<body::Body>> {
+        let path = order.path.as_str();
         let mut request =
-            Request::builder().method(order.method.clone()).uri(uri).body(body).ok()?;
+            Request::builder().method(order.method.clone()).uri(path).body(body).ok()?;
         let headers = request.headers_mut();
         *headers = order.headers.clone();
         headers.insert(header::HOST, HeaderValue::from_str(&order.service.host).ok()?);
@@ -223,6 +235,21 @@
     }
 }
 
+/// Why an exchange has no answer.
+enum Failure {
+    /// Nothing was sent, since there is no connection.
+    NotSent,
+    /// The request was sent, and the connection failed before the answer.
+    Broken(hyper::Error),
+}
+
+impl From<io::Error> for Failure {
+    /// Says what follows if a connection cannot be opened.
+    fn from(_: io::Error) -> Self {
+        Self::NotSent
+    }
+}
+
 /// Logs that an upstream broke off or that its answer is invalid; the request may have run.
 fn broken(slot: &Slot, error: &str) -> End {
     log::warn!(upstream = slot.upstream.as_str(), error; "upstream-broke-off");
--- a/crates/node/tests/process/broken_answers.rs
+++ b/crates/node/tests/process/broken_answers.rs
@@ -23,6 +23,12 @@
 /// Time between two requests to a service whose upstream has no slots yet.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Bytes of an answer that takes many pieces.
+const LONG: usize = 2 * 1_024 * 1_024;
+
+/// Bytes of it that its length leaves out.
+const LEFT_OUT: usize = 3;
+
 /// Requests at once.
 const CONCURRENCY: usize = 8;
 
@@ -48,7 +54,11 @@
 }
 
 /// Asks as [`ask`] does, until the request has been sent to the upstream, for which it must have slots.
-async fn ask_until_sent(node: &rig::Process, method: &str, number: usize) -> (Vec<u8>, Duration) {
+pub async fn ask_until_sent(
+    node: &rig::Process,
+    method: &str,
+    number: usize,
+) -> (Vec<u8>, Duration) {
     let began = Instant::now();
     loop {
         let (bytes, took) = ask(node, method, number).await;
@@ -62,7 +72,7 @@
 }
 
 /// Declares a service of its own for each case, so that the failures of one have no effect on another.
-async fn declare(rig: &rig::Rig, cases: usize, address: std::net::SocketAddr) {
+pub async fn declare(rig: &rig::Rig, cases: usize, address: std::net::SocketAddr) {
     for number in 0..cases {
         let name = format!("case-{number}");
         let hall = rig.halls().first().expect("a hall").clone();
@@ -132,3 +142,23 @@
     let faults = faults(answers::SHORT_LENGTHS).await;
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
+
+/// Guards against the same in a body whose beginning has been passed on: it must not look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_with_a_length_too_short_does_not_look_whole() {
+    let rig = rig::Rig::start(&["dakar"], 1).await;
+    let server = raw::Server::start(std::net::Ipv4Addr::LOCALHOST, |_| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LONG - LEFT_OUT);
+        let bytes = [head.into_bytes(), vec![b'x'; LONG]].concat();
+        raw::Answer { bytes, end: raw::End::Open }
+    });
+    let server = server.await.expect("the server starts");
+    rig.vms.fill([server.address.ip()]);
+    declare(&rig, 1, server.address).await;
+    let node = rig.nodes.values().next().expect("a node");
+    for method in ["GET", "POST"] {
+        let (bytes, took) = ask_until_sent(node, method, 0).await;
+        assert!(Told::read(&bytes).is_none(), "{method}");
+        assert!(took < AT_ONCE, "{method}: {took:?}");
+    }
+}
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -25,3 +25,4 @@
 mod stop_load;
 mod stop_sight;
 mod stop_times;
+mod upstream_connections;
--- a/crates/standin/src/raw.rs
+++ b/crates/standin/src/raw.rs
@@ -74,10 +74,16 @@
 pub struct Server {
     /// Where it listens.
     pub address: net::SocketAddr,
-    requests: sync::Arc<atomic::AtomicUsize>,
+    counts: sync::Arc<Counts>,
     task: task::JoinHandle<()>,
 }
 
+#[derive(Debug, Default)]
+struct Counts {
+    connections: atomic::AtomicUsize,
+    requests: atomic::AtomicUsize,
+}
+
 impl Server {
     /// Starts a server that answers each request as `choose` says.
     ///
@@ -90,16 +96,22 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
-        let requests = sync::Arc::<atomic::AtomicUsize>::default();
+        let counts = sync::Arc::<Counts>::default();
         let choose: sync::Arc<Choice> = sync::Arc::new(choose);
-        let task = task::spawn(accept(listener, sync::Arc::clone(&requests), choose));
-        Ok(Self { address, requests, task })
+        let task = task::spawn(accept(listener, sync::Arc::clone(&counts), choose));
+        Ok(Self { address, counts, task })
+    }
+
+    /// Returns the number of connections so far.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.counts.connections.load(atomic::Ordering::SeqCst)
     }
 
     /// Returns the number of requests so far.
     #[must_use]
     pub fn requests(&self) -> usize {
-        self.requests.load(atomic::Ordering::SeqCst)
+        self.counts.requests.load(atomic::Ordering::SeqCst)
     }
 }
 
@@ -109,28 +121,21 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    requests: sync::Arc<atomic::AtomicUsize>,
-    choose: sync::Arc<Choice>,
-) {
+async fn accept(listener: TcpListener, counts: sync::Arc<Counts>, choose: sync::Arc<Choice>) {
     let mut connections = task::JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
-        let (requests, choose) = (sync::Arc::clone(&requests), sync::Arc::clone(&choose));
+        counts.connections.fetch_add(1, atomic::Ordering::SeqCst);
+        let (counts, choose) = (sync::Arc::clone(&counts), sync::Arc::clone(&choose));
         // An error ends the connection, as its caller does.
-        connections.spawn(async move { serve(stream, &requests, &*choose).await.ok() });
+        connections.spawn(async move { serve(stream, &counts, &*choose).await.ok() });
     }
 }
 
-async fn serve(
-    stream: TcpStream,
-    requests: &atomic::AtomicUsize,
-    choose: &Choice,
-) -> io::Result<()> {
+async fn serve(stream: TcpStream, counts: &Counts, choose: &Choice) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = BufReader::new(stream);
     while let Some(request) = read(&mut stream).await? {
-        requests.fetch_add(1, atomic::Ordering::SeqCst);
+        counts.requests.fetch_add(1, atomic::Ordering::SeqCst);
         let answer = choose(&request);
         stream.write_all(&answer.bytes).await?;
         if answer.end == End::Close {
