Answers: one rule on heads wherever they are read

The cause of the broken answers to callers acted wherever else a process reads responses over HTTP/1.1. A response whose transfer coding was spoilt was believed, or held until its call timed out:

- the platform's store: a lease counted as renewed; a page was read to the end of its connection
- the store of declarations: the framing of a value was taken for the value at its revision, which keeps a node from reading the real one until the next change
- another node's changes, the VM list, an upstream's report to the node that owns it
- the health check of an upstream that may be cold: it counted as warm
- nodes' answers to the operators' tool

Each of them asks `platform::framing` now, before it reads the body. What follows is what followed a lost answer before: another try after a pause, no lease, not warm, a missed probe. Nodes that own upstreams speak HTTP/2 among themselves, whose library frames bodies otherwise.

--- a/crates/node/src/common/store/client.rs
+++ b/crates/node/src/common/store/client.rs
@@ -14,6 +14,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
+use platform::framing;
 use serde::Serialize;
 
 use crate::common::store::edge;
@@ -99,14 +100,15 @@
         wait: Duration,
     ) -> Result<(StatusCode, Option<edge::Value>), edge::Error> {
         let uri = format!("{}{path}", self.base);
-        let request = Request::builder().method(method).uri(uri).body(Full::new(body));
+        let request = Request::builder().method(method.clone()).uri(uri).body(Full::new(body));
         let request = request.map_err(|_| edge::Error::Refused)?;
         let exchange = async {
-            let response =
+            let mut response =
                 self.http.request(request).await.map_err(|error| match error.is_connect() {
                     true => edge::Error::Refused,
                     false => edge::Error::Lost,
                 })?;
+            framing::check(&method, &mut response).map_err(|_| edge::Error::Lost)?;
             read(response).await
         };
         let result = tokio::time::timeout(wait + CALL_TIME, exchange).await;
--- a/crates/node/src/gateway/cold_check.rs
+++ b/crates/node/src/gateway/cold_check.rs
@@ -6,11 +6,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::{Request, header};
+use http::{Method, Request, Response, header};
 use http_body_util::Empty;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use model::id;
+use platform::framing;
 use steer::dispatch::cold_check;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -68,11 +70,23 @@
     }
 }
 
-/// Requests the health check of an upstream on a connection of its own.
+/// Requests the health check of an upstream, and returns what its response means.
 async fn ask(
     state: &state::State,
     target: &cold_check::Target,
 ) -> anyhow::Result<cold_check::Verdict> {
+    let answer = request(target).await?;
+    let health = state.dialect.health(answer.headers(), answer.status());
+    Ok(cold_check::Verdict::of(&target.upstream, &health))
+}
+
+/// Requests the health check of an upstream on a connection of its own, and returns the response, whose body is not
+/// read.
+///
+/// # Errors
+///
+/// Fails if the upstream does not respond, or with a broken response.
+pub async fn request(target: &cold_check::Target) -> anyhow::Result<Response<Incoming>> {
     let stream = TcpStream::connect(target.address).await?;
     stream.set_nodelay(true)?;
     // With a reset, the upstream releases the connection immediately.
@@ -85,11 +99,11 @@
     let exchange = sender.send_request(request);
     tokio::pin!(connection);
     tokio::pin!(exchange);
-    let answer = tokio::select! {
+    let mut answer = tokio::select! {
         biased;
         answer = &mut exchange => answer?,
         _ = &mut connection => exchange.await?,
     };
-    let health = state.dialect.health(answer.headers(), answer.status());
-    Ok(cold_check::Verdict::of(&target.upstream, &health))
+    framing::check(&Method::GET, &mut answer)?;
+    Ok(answer)
 }
--- a/crates/node/src/gateway/peer.rs
+++ b/crates/node/src/gateway/peer.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request};
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use platform::framing;
 use platform::store::position;
 use tokio::net::TcpStream;
 use wire::gateway::extract;
@@ -55,7 +56,8 @@
         .header(http::header::HOST, peer.to_string())
         .body(Empty::<Bytes>::new())?;
     let exchange = async {
-        let answer = sender.send_request(request).await?;
+        let mut answer = sender.send_request(request).await?;
+        framing::check(&Method::GET, &mut answer)?;
         anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
         let body = Limited::new(answer.into_body(), LARGEST_ANSWER);
         Ok(body.collect().await.map_err(|error| anyhow::anyhow!(error))?.to_bytes())
--- a/crates/node/src/owner/probes.rs
+++ b/crates/node/src/owner/probes.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
 use model::upstream;
+use platform::framing;
 use steer::ownership::event;
 use steer::ownership::report;
 use tokio::sync::Semaphore;
@@ -32,7 +34,8 @@
 /// Largest report, in bytes.
 const LARGEST: usize = 64 * 1_024;
 
-type Http = legacy::Client<HttpConnector, Empty<Bytes>>;
+/// The HTTP library's client, for probes.
+pub type Http = legacy::Client<HttpConnector, Empty<Bytes>>;
 
 /// Probes for ever each upstream that this node owns or still runs requests at.
 pub async fn run(handle: handle::Handle) {
@@ -69,9 +72,11 @@
     used.map(|(key, u)| (key.clone(), u.address)).collect()
 }
 
-async fn probe(http: &Http, address: net::SocketAddr, path: &str) -> Option<report::Report> {
+/// Probes the upstream at `address` once; `None` if it reports nothing that can be read.
+pub async fn probe(http: &Http, address: net::SocketAddr, path: &str) -> Option<report::Report> {
     let uri = format!("http://{address}{path}").parse().ok()?;
-    let response = http.get(uri).await.ok()?;
+    let mut response = http.get(uri).await.ok()?;
+    framing::check(&Method::GET, &mut response).ok()?;
     if !response.status().is_success() {
         return None;
     }
--- a/crates/node/src/owner/store/vmlist.rs
+++ b/crates/node/src/owner/store/vmlist.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
+use platform::framing;
 use steer::ownership::event;
 use steer::ownership::vms;
 
@@ -25,7 +27,7 @@
 const LARGEST: usize = 4 << 20;
 
 /// The HTTP library's client, for calls without a body.
-type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
+pub type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
 
 /// Reads the list at `address` for ever and hands each new one to the decisions.
 pub async fn run(address: net::SocketAddr, handle: handle::Handle) {
@@ -54,8 +56,14 @@
     }
 }
 
-async fn read(http: &Client, address: net::SocketAddr) -> anyhow::Result<vms::List> {
-    let response = http.get(format!("http://{address}/vms").parse()?).await?;
+/// Reads the list at `address` once.
+///
+/// # Errors
+///
+/// Fails if there is no response, or one that is no list.
+pub async fn read(http: &Client, address: net::SocketAddr) -> anyhow::Result<vms::List> {
+    let mut response = http.get(format!("http://{address}/vms").parse()?).await?;
+    framing::check(&Method::GET, &mut response)?;
     anyhow::ensure!(response.status().is_success(), "status {}", response.status());
     let body = Limited::new(response.into_body(), LARGEST).collect().await;
     let body = body.map_err(|error| anyhow::anyhow!(error))?;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -1,6 +1,6 @@
 //! A plain HTTP client that can send from a chosen address of this machine.
 //!
-//! It owns its connections; it relies on no other module.
+//! It owns its connections, and refuses broken responses as a node does.
 
 use std::net;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
+use platform::framing;
 
 /// Time to make a connection; not measured.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
@@ -41,7 +42,7 @@
     ///
     /// Fails when there is no connection, or no whole answer.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Bytes>> {
-        let (head, body) = self.inner.request(request).await?.into_parts();
+        let (head, body) = self.open(request).await?.into_parts();
         let body = body.collect().await?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
@@ -55,6 +56,9 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> anyhow::Result<Response<hyper::body::Incoming>> {
-        Ok(self.inner.request(request).await?)
+        let method = request.method().clone();
+        let mut response = self.inner.request(request).await?;
+        framing::check(&method, &mut response)?;
+        Ok(response)
     }
 }
