Gateways: a health check for another node is served by a status line only

A gateway that another one asks whether an upstream serves it took any 12 bytes for success whose last three were digits that begin with 2: `HTP/1.1x 200`, `HTTP/1.1 2000`. The asking gateway then goes on as if the upstream served others.

Cause: the check reads the status without the HTTP library, and looked at these three bytes only. `framing::status` reads it from a status line or not at all.

`a_check_for_a_peer_counts_no_broken_status_line` failed before at its first line, and passes.

--- a/crates/node/src/gateway/connection_check.rs
+++ b/crates/node/src/gateway/connection_check.rs
@@ -9,10 +9,12 @@
 
 use std::io;
 use std::net;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt as _, future, stream};
 use rand::RngExt as _;
+use steer::common::framing;
 use steer::dispatch::connectivity::check::{self, PeerView, Reply, Verdict};
 use steer::dispatch::dispatcher::connectivity::Target;
 use steer::dispatch::peer_load;
@@ -25,11 +27,8 @@
 use crate::gateway::proxy::connection;
 use crate::gateway::state;
 
-/// Bytes of a status line up to and including the status, such as `HTTP/1.1 200`.
-const STATUS_LINE_BYTES: usize = 12;
-
-/// Bytes of a status.
-const STATUS_BYTES: usize = 3;
+/// Success statuses.
+const SUCCESS: Range<u16> = 200..300;
 
 /// Maximum time of a check of other upstreams, because the request whose upstream refuses connections waits
 /// for it before it is repeated.
@@ -249,8 +248,7 @@
     let Some(path) = &target.health_check_path else { return Ok(false) };
     let mut stream = TcpStream::connect(target.address).await?;
     send(&mut stream, path, target.address).await?;
-    let mut line = [0; STATUS_LINE_BYTES];
-    stream.read_exact(&mut line).await?;
-    let status = &line[STATUS_LINE_BYTES - STATUS_BYTES..];
-    Ok(status.starts_with(b"2") && status.iter().all(u8::is_ascii_digit))
+    let mut start = [0; framing::STATUS_LINE_BYTES];
+    stream.read_exact(&mut start).await?;
+    Ok(framing::status(&start).is_some_and(|status| SUCCESS.contains(&status)))
 }
--- a/crates/node/tests/connection_checks.rs
+++ b/crates/node/tests/connection_checks.rs
@@ -131,6 +131,29 @@
     }
 }
 
+/// Guards against bytes that are no response, but have digits where one has its status.
+#[tokio::test]
+async fn a_check_for_a_peer_counts_no_broken_status_line() {
+    for line in [
+        "HTP/1.1x 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.1\t200 OK",
+        "xxxxxxxxx200 OK",
+        "HTTP/1.1 2000 X",
+    ] {
+        let (listener, targets) = listen(Some("/health")).await;
+        let upstream = async {
+            let (mut stream, _) = accept(&listener).await;
+            let answer = format!("{line}\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await.expect("it is written");
+            stream
+        };
+        let check = connection_check::served(&targets, TIMEOUT);
+        let (served, _stream) = tokio::join!(check, upstream);
+        assert_eq!(served, [], "{line}");
+    }
+}
+
 #[tokio::test]
 async fn a_check_for_a_peer_counts_no_silence() {
     let (_listener, targets) = listen(Some("/health")).await;
--- a/crates/steer/src/common/framing.rs
+++ b/crates/steer/src/common/framing.rs
@@ -27,6 +27,9 @@
 /// What each response begins with, in the versions of HTTP that a connection may speak.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
 
+/// Bytes of a status line up to the one after the status, such as `HTTP/1.1 200 `.
+pub const STATUS_LINE_BYTES: usize = 13;
+
 /// What the framing of a response depends on beside the fields of its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -146,6 +149,17 @@
     !rest.is_empty() && start[..length] != RESPONSE_START[..length]
 }
 
+/// Returns the status of a response that begins with `start`; `None` if that begins no status line.
+#[must_use]
+pub fn status(start: &[u8; STATUS_LINE_BYTES]) -> Option<u16> {
+    let (digits, after) = match start.strip_prefix(RESPONSE_START)? {
+        [b'0'..=b'9', b' ', digits @ .., after] => (digits, after),
+        _ => return None,
+    };
+    let status = number(digits).filter(|_| after.is_ascii_whitespace());
+    status.and_then(|status| u16::try_from(status).ok()).filter(|status| STATUSES.contains(status))
+}
+
 /// Returns whether the body is chunked: `codings` name `chunked` once and nothing else.
 ///
 /// No request allows another coding, and none is decoded.
--- a/crates/steer/tests/framing.rs
+++ b/crates/steer/tests/framing.rs
@@ -110,6 +110,25 @@
     }
 }
 
+/// Guards against a status that is read from bytes that are no response.
+#[test]
+fn a_status_is_read_from_a_status_line_only() {
+    for (start, status) in [
+        (b"HTTP/1.1 200 ", Some(200)),
+        (b"HTTP/1.0 503\r", Some(503)),
+        (b"HTTP/1.1 599\n", Some(599)),
+        (b"HTTP/1.1 2000", None),
+        (b"HTTP/1.1 000 ", None),
+        (b"HTTP/1.1 600 ", None),
+        (b"HTTP/1.1  20 ", None),
+        (b"HTTP/1.x 200 ", None),
+        (b"HTTP/2.0 200 ", None),
+        (b"xxxxxxxxx200 ", None),
+    ] {
+        assert_eq!(framing::status(start), status, "{:?}", start.escape_ascii().to_string());
+    }
+}
+
 /// Guards against taking a part of a body for the whole, and a second response for such a rest.
 #[test]
 fn bytes_that_begin_no_response_show_that_one_is_cut_short() {
