Operators' tool: answers and lines of watches have an end

A node, or whatever else listens at its address, that sent bytes without end let `yokespoke get` (and every command that reads an answer whole) and `yokespoke watch` keep them all: 8 GB of address space were used up in seconds, and both commands had not ended after 20 s.

Cause: the tool's client collected bodies of any size, and a watch any length of line. A body of more than 64 MB and a line of more than 16 MB are errors now; the largest state dump is far smaller.

`an_answer_without_end_is_refused` and `a_line_of_a_watch_without_end_is_refused` failed before, and pass.

--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -8,6 +8,9 @@
 use crate::exit;
 use crate::printer;
 
+/// Longest line of a watch.
+const MAX_LINE_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// Follows the resources of a kind until the node ends the watch.
 ///
 /// # Errors
@@ -19,11 +22,18 @@
     let mut rest = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
+        let mut searched = rest.len();
         rest.extend_from_slice(&data);
-        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = rest.drain(..=end).collect();
+        while let Some(end) = rest[searched..].iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = rest.drain(..=searched + end).collect();
             print(&line, args.json)?;
+            searched = 0;
         }
+        anyhow::ensure!(
+            rest.len() <= MAX_LINE_BYTES,
+            "the node sent a line of more than {} MB",
+            MAX_LINE_BYTES >> 20
+        );
     }
     Ok(exit::Code::Done)
 }
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
@@ -16,6 +16,9 @@
 /// Time to make a connection; not measured.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
+/// Largest body of an answer that is read whole.
+const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// A client with its own connections.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -40,10 +43,11 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no connection, or no whole answer.
+    /// Fails when there is no connection, no whole answer, or one of more than 64 MB.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Bytes>> {
         let (head, body) = self.open(request).await?.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
 
--- a/crates/standin/src/raw.rs
+++ b/crates/standin/src/raw.rs
@@ -56,8 +56,13 @@
     Close,
     /// It stays open for the next request.
     Open,
+    /// More bytes follow, until the caller closes it.
+    Endless,
 }
 
+/// Bytes that an endless answer writes at once.
+const PIECE_BYTES: usize = 64 * 1_024;
+
 /// The bytes of an answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -138,8 +143,15 @@
         counts.requests.fetch_add(1, atomic::Ordering::SeqCst);
         let answer = choose(&request);
         stream.write_all(&answer.bytes).await?;
-        if answer.end == End::Close {
-            return stream.shutdown().await;
+        match answer.end {
+            End::Close => return stream.shutdown().await,
+            End::Open => {}
+            End::Endless => {
+                let piece = vec![b'x'; PIECE_BYTES];
+                loop {
+                    stream.write_all(&piece).await?;
+                }
+            }
         }
     }
     Ok(())
