Owners: bytes without end in place of an answer cost others nothing

An upstream that sent interim responses, empty lines or other bytes of a head without end kept the only thread that runs requests of the node that owns it busy: 19 of 28 requests to 14 upstreams without end had not a byte of an answer after 6 s, and requests to sound upstreams waited meanwhile. Memory did not grow. Gateways had a bound on that, nodes that own upstreams none.

The count of what a connection receives and the head's time limit are in `common::metered` now, with what tells that a response is cut short, and both roles' connections use them; the rule `response_progress` moved from `dispatch` to `common` unchanged. Gateways do what they did. An owner's try ends as broken after 256 KB without a head, or 3 s after a head's first byte; a body may hold 512 KB that nobody took. Heads of more than 128 KB are refused there too.

`endless_answers_cost_an_owner_little` failed before (every part of an answer, both kinds of requests) and passes: +8 MB for 14 upstreams without end at full speed, other requests within 2 s.

--- a/crates/node/src/common/mod.rs
+++ b/crates/node/src/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod lingering;
 pub mod log_writer;
 pub mod logging;
+pub mod metered;
 pub mod send_queue;
 pub mod sending;
 pub mod settings;
--- a/crates/node/src/gateway/proxy/exchange.rs
+++ b/crates/node/src/gateway/proxy/exchange.rs
@@ -17,6 +17,7 @@
 use steer::dispatch::execution;
 
 use crate::common::body;
+use crate::common::metered;
 use crate::gateway::dialect;
 use crate::gateway::proxy::connection;
 
@@ -33,9 +34,6 @@
 /// Time before the announced idle timeout from which a connection is no longer used.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_200);
 
-/// Text for log lines on a response that is followed by bytes that begin no other one.
-pub const CUT_SHORT: &str = "more bytes than its length";
-
 /// Why an exchange returned no response to the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -108,7 +106,7 @@
         biased;
         response = connection.sender.try_send_request(request) => response,
         () = out_of_reach => return Err(Failure::Unanswered),
-        () = meter.head_late() => return Err(broken("late end of the head")),
+        () = meter.head_late() => return Err(broken(metered::LATE_HEAD)),
     };
     meter.record_progress();
     let mut response = response.map_err(|mut error| {
@@ -159,7 +157,7 @@
     })
 }
 
-async fn read(mut incoming: Incoming, meter: &connection::Meter) -> Result<Payload, Failure> {
+async fn read(mut incoming: Incoming, meter: &metered::Meter) -> Result<Payload, Failure> {
     let mut read = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|error| Failure::Closed(error.to_string()))?;
@@ -167,13 +165,13 @@
         let Ok(data) = frame.into_data() else { continue };
         read.extend_from_slice(&data);
         match read.len() > MAX_BUFFERED_BYTES {
-            true if meter.is_cut_short() => return Err(broken(CUT_SHORT)),
+            true if meter.is_cut_short() => return Err(broken(metered::CUT_SHORT)),
             true => return Ok(Payload::Partial(read.freeze(), incoming)),
             false => {}
         }
     }
     if meter.is_cut_short() {
-        return Err(broken(CUT_SHORT));
+        return Err(broken(metered::CUT_SHORT));
     }
     meter.record_end();
     Ok(Payload::Whole(read.freeze()))
--- a/crates/node/src/gateway/proxy/relay.rs
+++ b/crates/node/src/gateway/proxy/relay.rs
@@ -16,10 +16,10 @@
 use tokio_stream::wrappers;
 
 use crate::common::body;
+use crate::common::metered;
 use crate::gateway::proxy::attempt;
 use crate::gateway::proxy::connection;
 use crate::gateway::proxy::crash;
-use crate::gateway::proxy::exchange;
 use crate::gateway::proxy::head;
 use crate::gateway::state;
 
@@ -95,7 +95,7 @@
 async fn pass_on(
     first: Bytes,
     mut incoming: Incoming,
-    meter: &connection::Meter,
+    meter: &metered::Meter,
     mut stream: body_progress::Stream,
     sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
 ) -> io::Result<Extent> {
@@ -117,7 +117,7 @@
         meter.record_progress();
         // Known before the last piece is passed on, without which the response does not look complete.
         if meter.is_cut_short() {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, exchange::CUT_SHORT));
+            return Err(io::Error::new(io::ErrorKind::InvalidData, metered::CUT_SHORT));
         }
         let bytes = next.as_ref().and_then(Frame::data_ref).map_or(0, Bytes::len);
         stream.record_piece(bytes, since, Instant::now());
--- a/crates/node/src/owner/runner/connection.rs
+++ b/crates/node/src/owner/runner/connection.rs
@@ -1,29 +1,26 @@
 //! Connection to an upstream.
 //!
-//! Owns the socket and the task that drives the connection. [`framing`] decides what bytes after a response mean.
+//! Owns the socket and the task that drives the connection. [`metered`] counts what it receives.
 
 use std::io;
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time::{Duration, Instant};
 
+use http::{Request, Response};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper_util::rt;
-use steer::common::framing;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
 
 use crate::common::body;
+use crate::common::metered;
 use crate::common::socket;
 
 /// Time to make a connection to an upstream.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
-/// The task of a connection.
-type Driver = http1::Connection<rt::TokioIo<TcpStream>, body::Body>;
-
 /// A connection to an upstream.
 ///
 /// It closes after the exchange in progress once it is dropped, and at once where that is given up.
@@ -35,7 +32,8 @@
     pub(super) address: net::SocketAddr,
     /// Since when it is idle, or when it was opened.
     pub(super) idle_since: Instant,
-    is_cut_short: sync::Arc<atomic::AtomicBool>,
+    /// What it received.
+    pub(super) meter: sync::Arc<metered::Meter>,
 }
 
 impl Connection {
@@ -52,26 +50,52 @@
             // The connection works, but data of an abandoned request may still be sent.
             socket::log_not_set(&error);
         }
-        let handshake = http1::handshake(rt::TokioIo::new(stream));
-        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        let is_cut_short = sync::Arc::<atomic::AtomicBool>::default();
-        task::spawn(drive(driver, sync::Arc::clone(&is_cut_short)));
-        Ok(Self { sender, address, idle_since: now, is_cut_short })
+        let meter = sync::Arc::<metered::Meter>::default();
+        let (sender, connection) = metered::handshake(stream, &meter).await?;
+        task::spawn(drive(connection, sync::Arc::clone(&meter)));
+        Ok(Self { sender, address, idle_since: now, meter })
     }
 
-    /// Returns whether bytes that arrived with the end of the latest response show that it may be cut short.
+    /// Sends `request` and waits for the head of the response; one that has begun must end soon.
+    ///
+    /// # Errors
     ///
-    /// The task that drives the connection runs on the thread of the exchange, and finds them before the end of the
-    /// body is handed on.
-    pub(super) fn is_cut_short(&self) -> bool {
-        self.is_cut_short.load(atomic::Ordering::Relaxed)
+    /// Fails if the request is not sent, or no head arrives.
+    pub(super) async fn send(
+        &mut self,
+        mut request: Request<body::Body>,
+    ) -> Result<Response<Incoming>, Failure> {
+        hyper::ext::on_informational(&mut request, {
+            let meter = sync::Arc::clone(&self.meter);
+            move |_| meter.record_interim()
+        });
+        self.meter.await_head();
+        let response = tokio::select! {
+            biased;
+            response = self.sender.try_send_request(request) => response,
+            () = self.meter.head_late() => {
+                return Err(Failure::Broken(anyhow::anyhow!(metered::LATE_HEAD)));
+            }
+        };
+        self.meter.record_progress();
+        response.map_err(|mut error| match error.take_message() {
+            Some(request) => Failure::NotSent(Box::new(request)),
+            None => Failure::Broken(error.into_error().into()),
+        })
     }
 }
 
+/// Why a request has no response.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// Nothing was sent; this is the request.
+    NotSent(Box<Request<body::Body>>),
+    /// The request was sent, and the connection failed before the head of the response.
+    Broken(anyhow::Error),
+}
+
 /// Drives a connection until it ends.
-async fn drive(mut driver: Driver, is_cut_short: sync::Arc<atomic::AtomicBool>) {
-    // An exchange on the connection returns its error.
-    let _ = (&mut driver).await;
-    let rest = driver.into_parts().read_buf;
-    is_cut_short.store(framing::is_cut_short(&rest), atomic::Ordering::Relaxed);
+async fn drive(connection: metered::Connection<TcpStream>, meter: sync::Arc<metered::Meter>) {
+    // An exchange on the connection returns its error, and looks at the meter itself.
+    let _ = metered::drive(connection, &meter).await;
 }
--- a/crates/node/src/owner/runner/guarded.rs
+++ b/crates/node/src/owner/runner/guarded.rs
@@ -18,26 +18,20 @@
 use steer::ownership::request;
 use tokio::time;
 
+use crate::common::metered;
 use crate::owner::handle;
 use crate::owner::handle::offered;
 use crate::owner::runner::connection;
 use crate::owner::runner::pool;
 
-/// A connection that an answer arrives on, and where it is kept afterwards.
-pub(super) struct Lane {
-    /// The connection.
-    pub(super) connection: connection::Connection,
-    /// Where it is kept.
-    pub(super) pool: pool::Pool,
-}
-
 /// An answer's body that holds its slot until it ends, or until its deadline.
 ///
 /// A caller that reads slowly may take longer than the deadline.
 pub(super) struct Guarded {
     inner: Incoming,
-    /// `None` once the body has ended.
-    lane: Option<Lane>,
+    /// The connection that the body arrives on; `None` once the body has ended.
+    connection: Option<connection::Connection>,
+    pool: pool::Pool,
     offered: Option<offered::Offered>,
     handle: handle::Handle,
     progress: body_progress::Stream,
@@ -53,7 +47,8 @@
     /// Guards `inner`, whose request has this deadline.
     pub(super) fn new(
         inner: Incoming,
-        lane: Lane,
+        connection: connection::Connection,
+        pool: pool::Pool,
         offered: offered::Offered,
         deadline: Instant,
         handle: handle::Handle,
@@ -64,9 +59,17 @@
         let left = deadline.saturating_duration_since(now);
         let deadline = Box::pin(time::sleep(left));
         let cut_off = Box::pin(time::sleep(left));
-        let (lane, offered) = (Some(lane), Some(offered));
-        let mut guarded =
-            Self { inner, lane, offered, handle, progress, awaited: None, deadline, cut_off };
+        let mut guarded = Self {
+            inner,
+            connection: Some(connection),
+            pool,
+            offered: Some(offered),
+            handle,
+            progress,
+            awaited: None,
+            deadline,
+            cut_off,
+        };
         if guarded.inner.is_end_stream() {
             guarded.release_connection();
         }
@@ -75,14 +78,24 @@
 
     /// Keeps the connection for another request, now that the body has ended.
     fn release_connection(&mut self) {
-        if let Some(Lane { connection, pool }) = self.lane.take() {
-            pool.put(connection);
+        if let Some(connection) = self.connection.take() {
+            connection.meter.record_end();
+            self.pool.put(connection);
         }
     }
 
-    /// Returns whether the body is cut short, which is known before its last piece is handed on.
-    fn is_cut_short(&self) -> bool {
-        self.lane.as_ref().is_some_and(|lane| lane.connection.is_cut_short())
+    /// Records that a piece of the body, or its end, has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is cut short, which is known before its last piece is handed on.
+    fn receive(&self) -> io::Result<()> {
+        let Some(connection) = &self.connection else { return Ok(()) };
+        connection.meter.record_progress();
+        match connection.meter.is_cut_short() {
+            true => Err(io::Error::new(io::ErrorKind::InvalidData, metered::CUT_SHORT)),
+            false => Ok(()),
+        }
     }
 
     fn end(&mut self, outcome: request::Outcome) {
@@ -148,9 +161,9 @@
         let since = *this.awaited.get_or_insert(now);
         if let task::Poll::Ready(frame) = Pin::new(&mut this.inner).poll_frame(context) {
             this.awaited = None;
-            if this.is_cut_short() {
+            if let Err(error) = this.receive() {
                 this.end(request::Outcome::Broken);
-                return task::Poll::Ready(Some(Err(io::ErrorKind::InvalidData.into())));
+                return task::Poll::Ready(Some(Err(error)));
             }
             this.record(frame.as_ref(), since, now);
             return task::Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)));
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::common::body;
 use crate::common::head;
+use crate::common::metered;
 use crate::owner::event_loop::message;
 use crate::owner::failed;
 use crate::owner::handle;
@@ -34,9 +35,6 @@
 use crate::owner::in_flight;
 use crate::owner::in_flight::phase;
 
-/// Cause of a failure in log lines: bytes follow the response that begin no other one.
-const CUT_SHORT: &str = "more bytes than its length";
-
 /// A request on its way to an upstream.
 #[derive(Debug)]
 pub struct Order {
@@ -132,9 +130,14 @@
             Ok((connection, answer)) => {
                 let (mut parts, inner) = answer.into_parts();
                 head::clean(&mut parts.headers);
-                let lane = guarded::Lane { connection, pool: self.pool.clone() };
-                let handle = self.handle.clone();
-                let body = guarded::Guarded::new(inner, lane, slot.offered, order.deadline, handle);
+                let body = guarded::Guarded::new(
+                    inner,
+                    connection,
+                    self.pool.clone(),
+                    slot.offered,
+                    order.deadline,
+                    self.handle.clone(),
+                );
                 Ok(Response::from_parts(parts, body.boxed_unsync()))
             }
             Err(End { outcome, failure }) => {
@@ -164,11 +167,11 @@
         };
         let (connection, mut answer) = answer.map_err(|failure| match failure {
             Failure::NotSent => End::not_run(Outcome::Unreachable, Reason::Unreachable),
-            Failure::Broken(error) => broken(slot, &format!("{:#}", anyhow::Error::new(error))),
+            Failure::Broken(error) => broken(slot, &format!("{error:#}")),
         })?;
         framing::check(&order.method, &mut answer).map_err(|fault| broken(slot, fault.as_str()))?;
-        if connection.is_cut_short() {
-            return Err(broken(slot, CUT_SHORT));
+        if connection.meter.is_cut_short() {
+            return Err(broken(slot, metered::CUT_SHORT));
         }
         self.pass_on_statement(slot, order, &answer);
         match order.service.shed.contains(&answer.status().as_u16()) {
@@ -191,14 +194,12 @@
                 Some(connection) => connection,
                 None => connection::Connection::open(address, self.handle.now()).await?,
             };
-            match connection.sender.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(answer) => return Ok((connection, answer)),
-                Err(mut error) => match error.take_message() {
-                    // The upstream had closed the idle connection.
-                    Some(unsent) if is_reused => request = unsent,
-                    Some(_) => return Err(Failure::NotSent),
-                    None => return Err(Failure::Broken(error.into_error())),
-                },
+                // The upstream had closed the idle connection.
+                Err(connection::Failure::NotSent(unsent)) if is_reused => request = *unsent,
+                Err(connection::Failure::NotSent(_)) => return Err(Failure::NotSent),
+                Err(connection::Failure::Broken(error)) => return Err(Failure::Broken(error)),
             }
         }
     }
@@ -240,7 +241,7 @@
     /// Nothing was sent, since there is no connection.
     NotSent,
     /// The request was sent, and the connection failed before the answer.
-    Broken(hyper::Error),
+    Broken(anyhow::Error),
 }
 
 impl From<io::Error> for Failure {
--- a/crates/node/tests/process/broken_answers.rs
+++ b/crates/node/tests/process/broken_answers.rs
@@ -1,5 +1,6 @@
 //! Upstreams that send broken answers, and unusual ones that are right.
 
+use std::net;
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt as _, stream};
@@ -72,32 +73,37 @@
 }
 
 /// Declares a service of its own for each case, so that the failures of one have no effect on another.
-pub async fn declare(rig: &rig::Rig, cases: usize, address: std::net::SocketAddr) {
+pub async fn declare(rig: &rig::Rig, cases: usize, address: net::SocketAddr) {
     for number in 0..cases {
-        let name = format!("case-{number}");
-        let hall = rig.halls().first().expect("a hall").clone();
-        let service = json!({
-            "name": name,
-            "host": format!("{name}.example"),
-            "deadline": "4s",
-            "hold": "500ms",
-            "repeatable": [{ "method": "GET" }],
-            "shed": [429],
-            "upstreams": [{
-                "name": "only",
-                "region": "dakar",
-                "hall": hall,
-                "address": address,
-                "slots": 4,
-                "connections": 28,
-            }],
-        });
-        let path = format!("/v1/services/{name}");
-        let (status, answer) = rig.operate("PUT", &path, &service.to_string()).await;
-        assert_eq!(status, 200, "{answer}");
+        declare_one(rig, number, address).await;
     }
 }
 
+/// Declares the service with this number, whose only upstream is at `address`.
+pub async fn declare_one(rig: &rig::Rig, number: usize, address: net::SocketAddr) {
+    let name = format!("case-{number}");
+    let hall = rig.halls().first().expect("a hall").clone();
+    let service = json!({
+        "name": name,
+        "host": format!("{name}.example"),
+        "deadline": "4s",
+        "hold": "500ms",
+        "repeatable": [{ "method": "GET" }],
+        "shed": [429],
+        "upstreams": [{
+            "name": "only",
+            "region": "dakar",
+            "hall": hall,
+            "address": address,
+            "slots": 4,
+            "connections": 28,
+        }],
+    });
+    let path = format!("/v1/services/{name}");
+    let (status, answer) = rig.operate("PUT", &path, &service.to_string()).await;
+    assert_eq!(status, 200, "{answer}");
+}
+
 /// Returns whether a caller is told that its request may have run.
 fn is_refused(told: &Told) -> bool {
     told.status == 502
@@ -107,7 +113,7 @@
 /// what their callers are told.
 async fn faults(cases: &'static [Case]) -> Vec<String> {
     let rig = rig::Rig::start(&["dakar"], 1).await;
-    let server = raw::Server::start(std::net::Ipv4Addr::LOCALHOST, move |request| {
+    let server = raw::Server::start(net::Ipv4Addr::LOCALHOST, move |request| {
         let case = number(request.target()).and_then(|number| cases.get(number));
         case.expect("a path of a case").answer("")
     });
@@ -147,7 +153,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_long_answer_with_a_length_too_short_does_not_look_whole() {
     let rig = rig::Rig::start(&["dakar"], 1).await;
-    let server = raw::Server::start(std::net::Ipv4Addr::LOCALHOST, |_| {
+    let server = raw::Server::start(net::Ipv4Addr::LOCALHOST, |_| {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", LONG - LEFT_OUT);
         let bytes = [head.into_bytes(), vec![b'x'; LONG]].concat();
         raw::Answer { bytes, end: raw::End::Open }
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod changes;
 mod check;
+mod endless;
 mod failures;
 mod forms;
 mod gateway;
--- a/crates/node/tests/process/rig.rs
+++ b/crates/node/tests/process/rig.rs
@@ -80,6 +80,15 @@
         assert!(status.expect("kill runs").success(), "the process is there");
     }
 
+    /// Returns the most memory that the process has held, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is there");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.expect("the system tells the memory of processes")
+    }
+
     /// Returns the lines of its log of one event, as pairs of key and value.
     pub fn events(&self, event: &str) -> Vec<Event> {
         let log = self.log.lock().expect("no reader panics");
--- a/crates/steer/src/dispatch/response_progress.rs
+++ b/crates/steer/src/common/response_progress.rs
@@ -1,7 +1,7 @@
 //! Progress of a response: when an upstream is cut off that keeps sending bytes.
 //!
 //! An upstream may send bytes without end that complete neither a head nor a piece of a body. [`Receipt`] decides
-//! on the bytes of a connection. [`body_progress`] decides on a body that is passed on while it arrives, and
+//! on the bytes of a connection, in both roles of a node. [`body_progress`] decides on a body that is passed on while it arrives, and
 //! [`give_up`] when a response that has not begun is late.
 //!
 //! [`body_progress`]: crate::common::body_progress
--- a/crates/steer/src/dispatch/mod.rs
+++ b/crates/steer/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 //! when it gets one), [`reservation`] (when a refused caller may come back), [`retry`] and
 //! [`retry_budget`] (whether it is retried), [`upstream_deadline`] (until when its upstream may work on it),
 //! [`curtailment`] (when a stopping node answers it without its upstream),
-//! [`response_progress`] (whether its response is cut off),
+//! [`response_progress`](crate::common::response_progress) (whether its response is cut off),
 //! [`give_up`] (the error response to its caller).
 //!
 //! State per upstream: [`pace`], [`ejection`], [`failure_rate`], [`silence`] and [`processing_time_ratio`]
@@ -63,7 +63,6 @@
 pub mod reported_load;
 pub mod request;
 pub mod reservation;
-pub mod response_progress;
 pub mod rest;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/steer/tests/response_progress.rs
+++ b/crates/steer/tests/response_progress.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use steer::dispatch::response_progress::{BUFFER_BYTES, Receipt};
+use steer::common::response_progress::{BUFFER_BYTES, Receipt};
 
 /// Time that a response may take.
 const LONGEST: Duration = Duration::from_secs(60);
