Tests: odd entries in the store, drawn, for both roles

Another operator's report: one odd entry among those of the instances ended the machines that read the list, or they stopped following it. Drawn with `quickcheck` for entries of all kinds: nested up to 100,000 deep, closed or not, numbers at and beyond their limits, wrong types, ports, times, texts of 100 KB, cut, no text, fields that are missing or there twice.

- Gateways: entries of upstreams, the configuration, evacuations, nodes, roll-outs, rulings, the number of the fleet, unknown keys.
After each ten a request is served, a new route is in force in 8 s and a new upstream used; a gateway starts beside all of them.
- Nodes that own upstreams: the configuration, their table, unknown keys; and lists of VMs and reports.

--- a/crates/node/tests/gateway/main.rs
+++ b/crates/node/tests/gateway/main.rs
@@ -19,6 +19,8 @@
 mod half_close;
 mod late_signal;
 mod limits;
+mod odd;
+mod odd_entries;
 mod old_copy;
 mod organisations;
 mod path;
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -12,6 +12,9 @@
 mod forms;
 mod gateway;
 mod late_signal;
+#[path = "../gateway/odd.rs"]
+mod odd;
+mod odd_entries;
 #[path = "../gateway/relay.rs"]
 #[expect(dead_code, reason = "no test here has a network that delivers what has left a node")]
 mod relay;
