Gateways: declarations that cannot be read are asked for again after a pause

Cause: it asks for what follows the last configuration that it could read, so that the store answers each watch at once. Now it waits a second before it asks again, and logs each such revision once. It still asks for the same revision, since the store's answer may have been cut short.

`a_configuration_that_cannot_be_read_is_not_asked_for_again_and_again` failed before, and passes.

--- a/crates/node/src/gateway/declarations.rs
+++ b/crates/node/src/gateway/declarations.rs
@@ -30,12 +30,13 @@
 /// Period at which drains are checked, which begin and end by the time of day.
 const DRAIN_LOOK: Duration = Duration::from_secs(1);
 
-/// Pause after a call that failed.
+/// Pause after a call that failed, or after a configuration that cannot be read.
 const PAUSE: Duration = Duration::from_secs(1);
 
 /// Follows the declarations until the task ends.
 pub async fn run(state: rc::Rc<state::State>, client: client::Client) {
     let mut latest: Option<accept::Standing> = None;
+    let mut malformed = None;
     loop {
         let after = latest.as_ref().map_or(0, |standing| standing.version);
         let value = look_meanwhile(&state, latest.as_ref(), next(&client, after)).await;
@@ -43,9 +44,20 @@
             Ok(value) => {
                 state.store_reached(None);
                 state.confirm(Instant::now());
-                if let Some(standing) = value.and_then(|value| read(&state, value)) {
-                    put_in_force(&state, &standing.snapshot);
-                    latest = Some(standing);
+                match value.map(|value| (value.revision, accept::parse(&value))) {
+                    Some((_, Ok(standing))) => {
+                        put_in_force(&state, &standing.snapshot);
+                        latest = Some(standing);
+                    }
+                    // The last good one stays in force. The response may have been cut short, so that the value is
+                    // read again.
+                    Some((revision, Err(error))) => {
+                        if malformed.replace(revision) != Some(revision) {
+                            record_malformed(&state, revision, &error);
+                        }
+                        look_meanwhile(&state, latest.as_ref(), tokio::time::sleep(PAUSE)).await;
+                    }
+                    None => {}
                 }
             }
             Err(error) => {
@@ -85,18 +97,11 @@
     }
 }
 
-/// Reads a configuration; what cannot be read leaves the last good one in force.
-fn read(state: &state::State, value: edge::Value) -> Option<accept::Standing> {
-    let (revision, source) = (value.revision, update::Source::Declarations.as_str());
-    match accept::parse(&value) {
-        Ok(standing) => Some(standing),
-        Err(error) => {
-            state.metrics.malformed_items.add(1);
-            let error = error.to_string();
-            log::error!(key = accept::KEY, revision, error = error.as_str(), source; "item-malformed");
-            None
-        }
-    }
+/// Records a configuration that cannot be read.
+fn record_malformed(state: &state::State, revision: u64, error: &serde_json::Error) {
+    state.metrics.malformed_items.add(1);
+    let (error, source) = (error.to_string(), update::Source::Declarations.as_str());
+    log::error!(key = accept::KEY, revision, error = error.as_str(), source; "item-malformed");
 }
 
 fn put_in_force(state: &state::State, snapshot: &snapshot::Snapshot) {
--- a/crates/node/tests/process/odd_entries.rs
+++ b/crates/node/tests/process/odd_entries.rs
@@ -15,7 +15,7 @@
 use node::owner::store::vmlist;
 use quickcheck::{Arbitrary as _, Gen};
 use serde_json::{Value, json};
-use standin::raw;
+use standin::{raw, store};
 
 use crate::odd;
 use crate::rig;
@@ -35,6 +35,12 @@
 /// Time in which an accepted configuration is in force.
 const IN_FORCE: Duration = Duration::from_secs(8);
 
+/// Time in which calls to the store are counted.
+const COUNTED: Duration = Duration::from_secs(3);
+
+/// Most calls to the store in that time, where a value cannot be read: several a second by each of two processes.
+const MOST_CALLS: u64 = 30;
+
 /// Key of the configuration.
 const CONFIG: &str = "config";
 
@@ -139,6 +145,22 @@
     }
 }
 
+/// Guards against calling the store without a pause as long as the value cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_cannot_be_read_is_not_asked_for_again_and_again() {
+    let rig = rig::Rig::start(&["dakar"], 1).await;
+    let gateway = rig.start_gateway("dakar", "dakar-1");
+    put(&rig, CONFIG, b"odd".to_vec()).await;
+    tokio::time::sleep(COUNTED).await;
+    let calls = |counters: store::Counters| counters.gets + counters.waits;
+    let before = calls(rig.store.counters());
+    tokio::time::sleep(COUNTED).await;
+    let made = calls(rig.store.counters()) - before;
+    assert!(made <= MOST_CALLS, "{made} calls in {COUNTED:?}");
+    let lines = gateway.events("item-malformed").len();
+    assert_eq!(lines, 1, "it is logged once");
+}
+
 /// Guards against a list or a report that ends its reader.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_lists_of_vms_and_reports_end_no_reader() {
