Owners: a value of the store that was cut short is read again

A node that owns upstreams and got a part of a value from the store, by an answer whose length was too small, missed that configuration until the next one: it was not in force after 8 s, and would not have been.

Cause: the node took the revision of a value that it can't read for one that it knows, and watched for later ones. Now it asks for the value again, after 250 ms at first and each 3 s at most, and logs each such revision once. Where the first read of a starting node is of this kind, only the nodes that watch for their region do; the others learn from them, as before.

`config_a_value_that_was_cut_short_is_read_again` failed before, and passes; `config_a_gateway_reads_a_value_again_that_was_cut_short` passed before, when it asked without a pause, and passes. The drawn values of `odd_entries` hold as before.

--- a/crates/node/src/owner/store/follower.rs
+++ b/crates/node/src/owner/store/follower.rs
@@ -28,7 +28,7 @@
 /// measured; docs/CAPACITY.md counts the calls.
 const WATCH: Duration = Duration::from_secs(3);
 
-/// Pause after a call that failed, not measured; doubled up to [`LONGEST_PAUSE`].
+/// Pause after a call that failed or a value that cannot be read; doubled up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Longest pause after calls that failed; also how late the end of an outage may be noticed. Not
@@ -103,6 +103,7 @@
     ) {
         let mut views = self.handle.views();
         let mut seen = None;
+        let mut malformed = None;
         let mut pause = PAUSE;
         loop {
             let value = match seen {
@@ -119,14 +120,23 @@
                     continue;
                 }
             };
-            pause = PAUSE;
-            if value.is_some() || seen.is_none() {
-                match event(value.as_ref()) {
-                    Some(Ok(event)) => self.handle.deliver(event).await,
-                    Some(Err(error)) => log_malformed(key, &error),
-                    None => {}
+            let is_news = value.is_some() || seen.is_none();
+            match is_news.then(|| event(value.as_ref())).flatten() {
+                Some(Ok(event)) => self.handle.deliver(event).await,
+                // The answer may have been cut short, so that the value is read again.
+                Some(Err(error)) => {
+                    let revision = value.map(|value| value.revision);
+                    if malformed != revision {
+                        malformed = revision;
+                        log_malformed(key, &error);
+                    }
+                    seen = seen.or(Some(0));
+                    lengthen(&mut pause).await;
+                    continue;
                 }
+                None => {}
             }
+            pause = PAUSE;
             seen = value.map(|v| v.revision).or(seen).or(Some(0));
         }
     }
@@ -200,6 +210,11 @@
         let error = error.to_string();
         log::warn!(key, error = error.as_str(); "store-unavailable");
     }
+    lengthen(pause).await;
+}
+
+/// Waits for `pause`, and makes the next one longer.
+async fn lengthen(pause: &mut Duration) {
     tokio::time::sleep(*pause).await;
     *pause = (*pause * 2).min(LONGEST_PAUSE);
 }
--- a/crates/node/tests/process/odd_entries.rs
+++ b/crates/node/tests/process/odd_entries.rs
@@ -161,6 +161,36 @@
     assert_eq!(lines, 1, "it is logged once");
 }
 
+/// Guards against a configuration that is missed because the store's answer was cut short.
+#[tokio::test(flavor = "multi_thread")]
+async fn config_a_value_that_was_cut_short_is_read_again() {
+    let mut rig = rig::Rig::start(&["dakar"], 1).await;
+    let config: Value = serde_json::from_slice(get(&rig, CONFIG).await.body()).expect("JSON");
+    let revision = config["revision"].as_u64().expect("a number") + 1;
+    rig.store.faults.cut_values(1);
+    check(&mut rig, &config, revision, &[]).await;
+    assert_eq!(rig.store.faults.values_to_cut(), 0);
+}
+
+/// Guards against the same at a gateway that follows the declarations.
+#[tokio::test(flavor = "multi_thread")]
+async fn config_a_gateway_reads_a_value_again_that_was_cut_short() {
+    let rig = rig::Rig::start(&["dakar"], 1).await;
+    let gateway = rig.start_gateway("dakar", "dakar-1");
+    let config: Value = serde_json::from_slice(get(&rig, CONFIG).await.body()).expect("JSON");
+    let revision = config["revision"].as_u64().expect("a number") + 1;
+    // One for the node, which follows it too.
+    rig.store.faults.cut_values(2);
+    put(&rig, CONFIG, with_revision(&config, revision).to_string().into_bytes()).await;
+    let written_at = Instant::now();
+    let is_in_force = async |_: &rig::Rig| {
+        let events = gateway.events("config-adopted");
+        events.iter().any(|event| event["version"] == revision.to_string())
+    };
+    rig.wait("it is in force", is_in_force).await;
+    assert!(written_at.elapsed() < IN_FORCE, "{:?}", written_at.elapsed());
+}
+
 /// Guards against a list or a report that ends its reader.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_lists_of_vms_and_reports_end_no_reader() {
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -11,6 +11,7 @@
     is_out: atomic::AtomicBool,
     lost_answers: atomic::AtomicU64,
     silenced_watches: atomic::AtomicU64,
+    cut_values: atomic::AtomicU64,
 }
 
 impl Faults {
@@ -36,6 +37,23 @@
         takes_one(&self.lost_answers)
     }
 
+    /// Answers the next `count` watches that have a value with the first half of it.
+    pub fn cut_values(&self, count: u64) {
+        self.cut_values.store(count, atomic::Ordering::SeqCst);
+    }
+
+    /// Returns the values that are still to be cut.
+    #[must_use]
+    pub fn values_to_cut(&self) -> u64 {
+        self.cut_values.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Returns whether this value is to be cut, and counts it.
+    #[must_use]
+    pub fn cuts_value(&self) -> bool {
+        takes_one(&self.cut_values)
+    }
+
     /// Never answers the next `count` watches, though later calls are answered.
     pub fn silence_watches(&self, count: u64) {
         self.silenced_watches.store(count, atomic::Ordering::SeqCst);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -191,6 +191,10 @@
         loop {
             changed.borrow_and_update();
             match inner.data().value(&key) {
+                Some(value) if value.revision > after && inner.faults.cuts_value() => {
+                    let bytes = value.bytes.slice(..value.bytes.len() / 2);
+                    return found(Value { bytes, ..value });
+                }
                 Some(value) if value.revision > after => return found(value),
                 _ => {}
             }
