Owners: a connection is kept after a refusal; one step less in an exchange

Reading the diff: a node that owns upstreams dropped the connection of each request that an upstream turned away by its service's rules, which the library's pooled client had kept. A full upstream would have got a new connection for each. `a_connection_is_used_again_after_a_refusal` failed before (one connection a request), and passes.

`Runner::send` says itself what an exchange without an answer means, so that there is one type of failure less between the connection and the caller's verdict; `Guarded::new` takes the runner.

--- a/crates/node/src/owner/runner/guarded.rs
+++ b/crates/node/src/owner/runner/guarded.rs
@@ -21,6 +21,7 @@
 use crate::common::metered;
 use crate::owner::handle;
 use crate::owner::handle::offered;
+use crate::owner::runner;
 use crate::owner::runner::connection;
 use crate::owner::runner::pool;
 
@@ -44,15 +45,15 @@
 }
 
 impl Guarded {
-    /// Guards `inner`, whose request has this deadline.
+    /// Guards `inner`, which arrives on `connection` and whose request has this deadline.
     pub(super) fn new(
         inner: Incoming,
         connection: connection::Connection,
-        pool: pool::Pool,
         offered: offered::Offered,
         deadline: Instant,
-        handle: handle::Handle,
+        runner: &runner::Runner,
     ) -> Self {
+        let (pool, handle) = (runner.pool.clone(), runner.handle.clone());
         let now = handle.now();
         let end = now + bounds::Bounds::default().unsized_response;
         let progress = body_progress::Stream::new(deadline, inner.size_hint().exact(), end);
--- a/crates/node/src/owner/runner/mod.rs
+++ b/crates/node/src/owner/runner/mod.rs
@@ -6,7 +6,6 @@
 mod guarded;
 mod pool;
 
-use std::io;
 use std::net;
 use std::sync;
 use std::time::Instant;
@@ -130,14 +129,8 @@
             Ok((connection, answer)) => {
                 let (mut parts, inner) = answer.into_parts();
                 head::clean(&mut parts.headers);
-                let body = guarded::Guarded::new(
-                    inner,
-                    connection,
-                    self.pool.clone(),
-                    slot.offered,
-                    order.deadline,
-                    self.handle.clone(),
-                );
+                let (offered, deadline) = (slot.offered, order.deadline);
+                let body = guarded::Guarded::new(inner, connection, offered, deadline, self);
                 Ok(Response::from_parts(parts, body.boxed_unsync()))
             }
             Err(End { outcome, failure }) => {
@@ -161,21 +154,23 @@
             return Err(End::not_run(Outcome::Shed, Reason::BadRequest));
         };
         let left = order.deadline.saturating_duration_since(self.handle.now());
-        let answer = match tokio::time::timeout(left, self.send(slot.address, request)).await {
-            Ok(answer) => answer,
-            Err(_) => return Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
-        };
-        let (connection, mut answer) = answer.map_err(|failure| match failure {
-            Failure::NotSent => End::not_run(Outcome::Unreachable, Reason::Unreachable),
-            Failure::Broken(error) => broken(slot, &format!("{error:#}")),
-        })?;
+        let (connection, mut answer) =
+            match tokio::time::timeout(left, self.send(slot, request)).await {
+                Ok(answer) => answer?,
+                Err(_) => return Err(End::may_have_run(Outcome::Abandoned, Reason::Deadline)),
+            };
         framing::check(&order.method, &mut answer).map_err(|fault| broken(slot, fault.as_str()))?;
         if connection.meter.is_cut_short() {
             return Err(broken(slot, metered::CUT_SHORT));
         }
         self.pass_on_statement(slot, order, &answer);
         match order.service.shed.contains(&answer.status().as_u16()) {
-            true => Err(End::not_run(Outcome::Shed, Reason::Shed)),
+            true => {
+                // The library reads the rest of the body if that is short.
+                drop(answer);
+                self.pool.put(connection);
+                Err(End::not_run(Outcome::Shed, Reason::Shed))
+            }
             false => Ok((connection, answer)),
         }
     }
@@ -183,23 +178,28 @@
     /// Sends a request over an idle connection, or over a new one where none is left that works.
     async fn send(
         &self,
-        address: net::SocketAddr,
-        request: Request<body::Body>,
-    ) -> Result<(connection::Connection, Response<Incoming>), Failure> {
-        let mut request = request;
+        slot: &Slot,
+        mut request: Request<body::Body>,
+    ) -> Result<(connection::Connection, Response<Incoming>), End> {
+        let unreachable =
+            || End::not_run(request::Outcome::Unreachable, verdict::Reason::Unreachable);
         loop {
-            let idle = self.pool.take(address);
+            let idle = self.pool.take(slot.address);
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => connection::Connection::open(address, self.handle.now()).await?,
+                None => connection::Connection::open(slot.address, self.handle.now())
+                    .await
+                    .map_err(|_| unreachable())?,
             };
             match connection.send(request).await {
                 Ok(answer) => return Ok((connection, answer)),
                 // The upstream had closed the idle connection.
                 Err(connection::Failure::NotSent(unsent)) if is_reused => request = *unsent,
-                Err(connection::Failure::NotSent(_)) => return Err(Failure::NotSent),
-                Err(connection::Failure::Broken(error)) => return Err(Failure::Broken(error)),
+                Err(connection::Failure::NotSent(_)) => return Err(unreachable()),
+                Err(connection::Failure::Broken(error)) => {
+                    return Err(broken(slot, &format!("{error:#}")));
+                }
             }
         }
     }
@@ -236,21 +236,6 @@
     }
 }
 
-/// Why an exchange has no answer.
-enum Failure {
-    /// Nothing was sent, since there is no connection.
-    NotSent,
-    /// The request was sent, and the connection failed before the answer.
-    Broken(anyhow::Error),
-}
-
-impl From<io::Error> for Failure {
-    /// Says what follows if a connection cannot be opened.
-    fn from(_: io::Error) -> Self {
-        Self::NotSent
-    }
-}
-
 /// Logs that an upstream broke off or that its answer is invalid; the request may have run.
 fn broken(slot: &Slot, error: &str) -> End {
     log::warn!(upstream = slot.upstream.as_str(), error; "upstream-broke-off");
--- a/crates/node/tests/process/broken_answers.rs
+++ b/crates/node/tests/process/broken_answers.rs
@@ -40,7 +40,7 @@
 
 /// Sends a request on a connection of its own to the service of a case; returns what its caller reads, and how
 /// long that takes.
-async fn ask(node: &rig::Process, method: &str, number: usize) -> (Vec<u8>, Duration) {
+pub async fn ask(node: &rig::Process, method: &str, number: usize) -> (Vec<u8>, Duration) {
     let asked = Instant::now();
     let mut stream = TcpStream::connect(node.callers).await.expect("the node accepts");
     let request = format!(
--- a/crates/node/tests/process/upstream_connections.rs
+++ b/crates/node/tests/process/upstream_connections.rs
@@ -1,13 +1,17 @@
 //! Connections of a node to the upstreams that it owns.
 
-use std::time::Duration;
+use std::net;
+use std::time::{Duration, Instant};
 
 use standin::raw;
 
 use crate::answers::{self, BODY, Told};
-use crate::broken_answers::{ask_until_sent, declare};
+use crate::broken_answers::{ask, ask_until_sent, declare};
 use crate::rig;
 
+/// Time after which a test gives up waiting.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// Requests one after another.
 const REQUESTS: usize = 30;
 
@@ -19,7 +23,7 @@
 async fn connections(end: raw::End) -> usize {
     let rig = rig::Rig::start(&["dakar"], 1).await;
     let case = answers::Case { end, ..answers::SOUND };
-    let server = raw::Server::start(std::net::Ipv4Addr::LOCALHOST, move |_| case.answer(""));
+    let server = raw::Server::start(net::Ipv4Addr::LOCALHOST, move |_| case.answer(""));
     let server = server.await.expect("the server starts");
     rig.vms.fill([server.address.ip()]);
     declare(&rig, 1, server.address).await;
@@ -34,6 +38,28 @@
     server.connections()
 }
 
+/// Guards against a connection for each request that a full upstream turns away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_is_used_again_after_a_refusal() {
+    let rig = rig::Rig::start(&["dakar"], 1).await;
+    let server = raw::Server::start(net::Ipv4Addr::LOCALHOST, |_| {
+        let bytes = b"HTTP/1.1 429 Full\r\nContent-Length: 4\r\n\r\nfull".to_vec();
+        raw::Answer { bytes, end: raw::End::Open }
+    });
+    let server = server.await.expect("the server starts");
+    rig.vms.fill([server.address.ip()]);
+    declare(&rig, 1, server.address).await;
+    let node = rig.nodes.values().next().expect("a node");
+    let began = Instant::now();
+    while server.requests() < REQUESTS {
+        assert!(began.elapsed() < PATIENCE, "{} requests", server.requests());
+        let (bytes, _) = ask(node, "POST", 0).await;
+        let told = String::from_utf8_lossy(&bytes).into_owned();
+        assert!(told.contains("yokespoke-verdict: not-run"), "{told}");
+    }
+    assert!(server.connections() <= 2, "{} connections", server.connections());
+}
+
 /// Guards against a connection for each request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_is_used_again() {
