--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -8,7 +8,7 @@
 use crate::exit;
 use crate::printer;
 
-/// Longest line of a watch.
+/// Longest line of a watch, in bytes.
 const MAX_LINE_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// Follows the resources of a kind until the node ends the watch.
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -16,8 +16,8 @@
 /// Time to make a connection; not measured.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 
-/// Largest body of an answer that is read whole.
-const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+/// Largest body of an answer that is read whole, in bytes.
+const LARGEST_ANSWER: usize = 64 * 1_024 * 1_024;
 
 /// A client with its own connections.
 #[derive(Clone, Debug)]
@@ -46,7 +46,7 @@
     /// Fails when there is no connection, no whole answer, or one of more than 64 MB.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Bytes>> {
         let (head, body) = self.open(request).await?.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = Limited::new(body, LARGEST_ANSWER).collect().await;
         let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
