--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -90,7 +90,8 @@
         self.known_after = 0
         self.changed = asyncio.Event()
         self.slow = 1.0
-        self.servers = []
+        self.is_down = False
+        self.servers, self.writers = [], set()
 
     async def listen(self):
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 24)
@@ -140,11 +141,28 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.remove(key)
 
+    def go_down(self):
+        """Every connection is reset, and every call until `come_back` too (`platform_down` with `reset`)."""
+        self.is_down = True
+        for writer in self.writers:
+            writer.transport.abort()
+
+    def come_back(self, leases_ran_out):
+        """Ends the outage; `leases_ran_out` says whether leases ran out meanwhile (`lapse`) or waited."""
+        self.is_down = False
+        if leases_ran_out:
+            for lease in list(self.leases):
+                self._end(lease)
+
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
                 body = await read_body(reader, head)
+                if self.is_down:
+                    writer.transport.abort()
+                    return
                 method, target, _ = head.first.split(" ")
                 url = urllib.parse.urlparse(target)
                 query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
@@ -160,6 +178,7 @@
         except CLOSED:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(self, path, query, body):
@@ -241,10 +260,12 @@
 class Instance:
     """An instance of a service, which keeps its entry in the store and records what reaches it."""
 
-    def __init__(self, store, name, service, zone, slots=6, work_s=0.02):
+    def __init__(self, store, name, service, zone, slots=6, work_s=0.02, queue=18, cold_s=0.0):
         self.store, self.name, self.service, self.zone = store, name, service, zone
-        self.slots, self.work_s = slots, work_s
+        self.slots, self.work_s, self.queue = slots, work_s, queue
         self.state, self.calls = "ready", 0
+        self.running, self.free = 0, asyncio.Semaphore(slots)
+        self.cold_until = now() + cold_s
         self.arrived = []  # time, request id, whether it ran
 
     async def start(self):
@@ -253,11 +274,17 @@
         self.heart = asyncio.ensure_future(self._heartbeat())
         return self
 
+    def cold_left_ms(self):
+        return max(0, int((self.cold_until - now()) * 1000))
+
     def announce(self):
+        if self.store.is_down:
+            return
         self.calls += 1
         self.store.write("servers/" + self.name, {
             "service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": self.zone, "version": "v1",
-            "slots": self.slots, "state": self.state, "cold_left": "0ms", "call_seq": self.calls})
+            "slots": self.slots, "state": self.state, "cold_left": "%dms" % self.cold_left_ms(),
+            "call_seq": self.calls})
 
     async def _heartbeat(self):
         while True:
@@ -270,8 +297,10 @@
                 head = await read_head(reader)
                 if head.first.split(" ")[1] == "/health":
                     status = 200 if self.state == "ready" else 503
-                    writer.write(("HTTP/1.1 %d -\r\nYokespoke-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                                  % (status, self.name)).encode())
+                    cold = self.cold_left_ms()
+                    cold = "Yokespoke-Cold-Remaining-Ms: %d\r\n" % cold if cold else ""
+                    writer.write(("HTTP/1.1 %d -\r\nYokespoke-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                                  % (status, self.name, cold)).encode())
                     continue
                 body = await read_body(reader, head)
                 request = head.get("yokespoke-request-id")
@@ -281,8 +310,18 @@
                                   "Yokespoke-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
                                   % (request, self.name)).encode())
                     continue
+                if self.running >= self.slots + self.queue:
+                    self.arrived.append((now(), request, False))
+                    writer.write(("HTTP/1.1 503 -\r\nYokespoke-Request-Id: %s\r\nYokespoke-Not-Executed: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n" % request).encode())
+                    continue
                 self.arrived.append((now(), request, True))
-                await asyncio.sleep(self.work_s)
+                self.running += 1
+                try:
+                    async with self.free:
+                        await asyncio.sleep(self.work_s)
+                finally:
+                    self.running -= 1
                 answer = ("%s|%s|%d" % (self.name, request, len(body))).encode()
                 # An instance that is leaving puts `Connection: close` in its answers.
                 close = "Connection: close\r\n" if self.state == "draining" else ""
